--- /dev/null
+++ b/src/interface.rs
@@ -0,0 +1,441 @@
+//! The interface of the decision module: its settings, events and actions.
+//!
+//! Times are milliseconds. Events carry durations; the instant they happened at is given to
+//! [`Balancer::handle`](crate::Balancer::handle) beside them.
+
+use std::fmt;
+
+/// A server, numbered by the embedding node: small numbers, never reused for another server.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ServerId(pub usize);
+
+/// A client's request, numbered by the embedding node and never reused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RequestId(pub u64);
+
+/// The servers that discard repeats of a keyed request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Group {
+    /// Every server.
+    All,
+    /// The servers of one zone.
+    Zone,
+    /// The servers of one cell.
+    Cell,
+}
+
+/// What running a request twice does.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Effect {
+    /// Nothing: it may be repeated freely.
+    Safe,
+    /// Repeats are discarded by the servers of a group, for a while.
+    Keyed {
+        /// The servers that discard repeats.
+        group: Group,
+        /// For how long, from the sending of the first attempt that may have run.
+        window_ms: f64,
+    },
+    /// It must never run twice.
+    Unsafe,
+}
+
+/// A class of requests.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Class {
+    /// Answers within this time have the full worth.
+    pub aim_ms: f64,
+    /// What a client waits in all, over every try.
+    pub deadline_ms: f64,
+    /// What running a request twice does.
+    pub effect: Effect,
+    /// Worth of an answer in time.
+    pub worth: f64,
+    /// Fraction of the worth left after the aim.
+    pub late_worth: f64,
+}
+
+impl Class {
+    /// A class of worth one whose late answers are worth nothing.
+    #[must_use]
+    pub fn new(aim_ms: f64, deadline_ms: f64, effect: Effect) -> Self {
+        Self { aim_ms, deadline_ms, effect, worth: 1.0, late_worth: 0.0 }
+    }
+}
+
+/// How the list of servers reaches a node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Discovery {
+    /// Changes come by themselves.
+    Push,
+    /// Changes come only to a node that has subscribed.
+    Subscribe,
+}
+
+/// What the listed weight of a server means.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Weights {
+    /// Nothing: it is always one.
+    None,
+    /// The server's size.
+    Size,
+    /// The server's size lowered by its load of some time ago.
+    Live,
+}
+
+/// All that a balancer is told when it starts.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// Classes of requests; a request names one by index.
+    pub classes: Vec<Class>,
+    /// Requests per second that each tenant may send through all nodes together.
+    pub quotas_per_s: Vec<f64>,
+    /// Fraction of the worth that a request beyond its tenant's quota keeps.
+    pub over_quota_worth: f64,
+    /// Number of nodes that share the servers.
+    pub nodes: usize,
+    /// The node's own number among them, from zero.
+    pub me: usize,
+    /// The node's own zone.
+    pub zone: usize,
+    /// Number of machine kinds.
+    pub kinds: usize,
+    /// How the list of servers arrives.
+    pub discovery: Discovery,
+    /// What the listed weights mean.
+    pub weights: Weights,
+    /// A node with no subscription must ask again within this time.
+    pub ask_within_ms: f64,
+    /// Attempts allowed for one request.
+    pub max_attempts: usize,
+    /// Whether two attempts of one request may be out at once.
+    pub second_copies: bool,
+    /// Whether an attempt may be cancelled.
+    pub cancel: bool,
+    /// Whether servers may be probed.
+    pub probes: bool,
+    /// Whether nodes may send each other messages.
+    pub peers: bool,
+    /// Whether answers carry the load report; where they do not, only probes do.
+    pub answers_report: bool,
+    /// Price of one probe for each request, as a fraction of the result.
+    pub probe_price: f64,
+    /// A server starts with at least this fraction of its capacity.
+    pub cold_from: f64,
+    /// And has all of it after this time.
+    pub cold_ms: f64,
+    /// A cold server falls over when sent more than this multiple of its capacity ...
+    pub tip_multiple: f64,
+    /// ... for this long.
+    pub tip_after_ms: f64,
+    /// Price of wasted server work, as a fraction of the result.
+    pub waste_price: f64,
+    /// Price of requests that cross zones, as a fraction of the result.
+    pub cross_zone_price: f64,
+}
+
+impl Settings {
+    /// Settings for one node with these classes; the rest is what an unrestricted site would say.
+    #[must_use]
+    pub fn new(classes: Vec<Class>) -> Self {
+        Self {
+            classes,
+            quotas_per_s: Vec::new(),
+            over_quota_worth: 1.0,
+            nodes: 1,
+            me: 0,
+            zone: 0,
+            kinds: 1,
+            discovery: Discovery::Push,
+            weights: Weights::None,
+            ask_within_ms: 10_000.0,
+            max_attempts: 3,
+            second_copies: false,
+            cancel: true,
+            probes: false,
+            peers: false,
+            answers_report: true,
+            probe_price: 0.0,
+            cold_from: 1.0,
+            cold_ms: 0.0,
+            tip_multiple: 2.0,
+            tip_after_ms: 1_000.0,
+            waste_price: 0.0,
+            cross_zone_price: 0.0,
+        }
+    }
+
+    /// Checks that every figure makes sense.
+    ///
+    /// # Errors
+    ///
+    /// Names the first setting that does not.
+    pub fn validate(&self) -> Result<(), SettingsError> {
+        let need = |ok: bool, key: &'static str| if ok { Ok(()) } else { Err(SettingsError { key }) };
+        let some = |x: f64| x.is_finite() && x > 0.0;
+        let zero_up = |x: f64| x.is_finite() && x >= 0.0;
+        need(!self.classes.is_empty(), "classes")?;
+        for class in &self.classes {
+            need(some(class.aim_ms), "classes[].aim_ms")?;
+            need(some(class.deadline_ms), "classes[].deadline_ms")?;
+            need(zero_up(class.worth), "classes[].worth")?;
+            need(zero_up(class.late_worth), "classes[].late_worth")?;
+            if let Effect::Keyed { window_ms, .. } = class.effect {
+                need(zero_up(window_ms), "classes[].window_ms")?;
+            }
+        }
+        need(self.quotas_per_s.iter().all(|q| zero_up(*q)), "quotas_per_s")?;
+        need(zero_up(self.over_quota_worth), "over_quota_worth")?;
+        need(self.nodes > 0, "nodes")?;
+        need(some(self.ask_within_ms), "ask_within_ms")?;
+        need(self.max_attempts > 0, "max_attempts")?;
+        need(some(self.cold_from) && self.cold_from <= 1.0, "cold_from")?;
+        need(zero_up(self.cold_ms), "cold_ms")?;
+        need(some(self.tip_multiple), "tip_multiple")?;
+        need(some(self.tip_after_ms), "tip_after_ms")?;
+        need(zero_up(self.probe_price), "probe_price")?;
+        need(zero_up(self.waste_price), "waste_price")?;
+        need(zero_up(self.cross_zone_price), "cross_zone_price")
+    }
+}
+
+/// A setting that makes no sense.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SettingsError {
+    key: &'static str,
+}
+
+impl SettingsError {
+    /// The name of the setting.
+    #[must_use]
+    pub fn key(&self) -> &str {
+        self.key
+    }
+}
+
+impl fmt::Display for SettingsError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "setting `{}` is missing or out of range", self.key)
+    }
+}
+
+impl std::error::Error for SettingsError {}
+
+/// What discovery says of a server.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Availability {
+    /// It takes requests.
+    Ready,
+    /// It finishes its work; nothing new may be sent.
+    Draining,
+    /// It has been removed, or was never there.
+    #[default]
+    Gone,
+}
+
+/// One server of a list.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct ServerEntry {
+    /// The server.
+    pub server: ServerId,
+    /// Whether it takes requests.
+    pub availability: Availability,
+    /// When it last started; `None` means long ago.
+    pub started_at: Option<f64>,
+    /// Its cell.
+    pub cell: usize,
+    /// Its zone.
+    pub zone: usize,
+    /// Its machine kind.
+    pub kind: usize,
+    /// Its weight, see [`Weights`].
+    pub weight: f64,
+    /// A hash of its name, the same at every node: it orders the servers alike for all.
+    pub key: u64,
+}
+
+impl ServerEntry {
+    /// A server of the first zone, cell and kind that started long ago.
+    #[must_use]
+    pub fn new(server: ServerId, availability: Availability) -> Self {
+        Self {
+            server,
+            availability,
+            started_at: None,
+            cell: 0,
+            zone: 0,
+            kind: 0,
+            weight: 1.0,
+            key: server.0 as u64,
+        }
+    }
+}
+
+/// News from discovery.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Listing {
+    /// Only the servers that changed.
+    Changes(Vec<ServerEntry>),
+    /// The complete list: a server that is absent is gone.
+    Full(Vec<ServerEntry>),
+    /// The complete list as last held, perhaps long ago.
+    Cached(Vec<ServerEntry>),
+    /// A call failed or the subscription broke; the previous list stands.
+    Failed,
+}
+
+/// A client's request.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Request {
+    /// Its id.
+    pub id: RequestId,
+    /// Index of its class.
+    pub class: usize,
+    /// Index of its tenant.
+    pub tenant: usize,
+    /// Time until the client gives this try up.
+    pub budget_ms: f64,
+    /// Work it is expected to need, on a standard core.
+    pub cost_ms: Option<f64>,
+    /// Whether the client repeats an earlier try.
+    pub repeat: bool,
+}
+
+impl Request {
+    /// A first try of the first tenant.
+    #[must_use]
+    pub fn new(id: RequestId, class: usize, budget_ms: f64) -> Self {
+        Self { id, class, tenant: 0, budget_ms, cost_ms: None, repeat: false }
+    }
+}
+
+/// A server's own account of its load; what it does not tell is absent.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Report {
+    /// Requests it holds.
+    pub in_flight: Option<f64>,
+    /// Requests waiting there.
+    pub queued: Option<f64>,
+}
+
+/// How an attempt ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    /// Served.
+    Served,
+    /// An error answer; it may have run.
+    Error,
+    /// Turned away unseen.
+    Full,
+    /// No answer in time; it may have run.
+    TimedOut,
+    /// No connection; it never ran.
+    Unreachable,
+    /// The connection broke; it may have run.
+    Reset,
+    /// Cancelled; it may have run.
+    Cancelled,
+    /// It was never sent.
+    NotSent,
+}
+
+impl Ending {
+    /// Whether the request may have taken effect.
+    #[must_use]
+    pub fn may_have_run(self) -> bool {
+        !matches!(self, Self::Full | Self::Unreachable | Self::NotSent)
+    }
+}
+
+/// The end of one attempt.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Outcome {
+    /// The request.
+    pub request: RequestId,
+    /// The attempt, numbered from zero in the order of sending.
+    pub attempt: usize,
+    /// Time since it was sent.
+    pub elapsed_ms: f64,
+    /// How it ended.
+    pub ending: Ending,
+    /// Whether the request is finished, by this outcome or before it.
+    pub complete: bool,
+    /// The server's load report, if the answer carried one.
+    pub report: Option<Report>,
+}
+
+/// What happens to a node.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event {
+    /// News from discovery.
+    Servers(Listing),
+    /// A client's request, which is now owed one final answer.
+    Request(Request),
+    /// A streamed answer has begun; the attempt belongs to the client from now on.
+    StreamStarted {
+        /// The request.
+        request: RequestId,
+        /// The attempt.
+        attempt: usize,
+    },
+    /// An attempt ended.
+    Outcome(Outcome),
+    /// The client left; nothing more is owed.
+    ClientGone(RequestId),
+    /// A timer came due.
+    Timer(u64),
+    /// A probe was answered, or not.
+    Probed {
+        /// The server.
+        server: ServerId,
+        /// How it went.
+        ending: Ending,
+        /// The server's load report, if there was one.
+        report: Option<Report>,
+    },
+}
+
+/// What the node is to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Start an attempt.
+    Send {
+        /// The request.
+        request: RequestId,
+        /// The server.
+        server: ServerId,
+    },
+    /// Ask a server for its load report.
+    Probe {
+        /// The server.
+        server: ServerId,
+    },
+    /// Stop waiting for an attempt.
+    Cancel {
+        /// The request.
+        request: RequestId,
+        /// The attempt.
+        attempt: usize,
+    },
+    /// Final answer: not taken, a retry is harmless.
+    Refuse {
+        /// The request.
+        request: RequestId,
+    },
+    /// Final answer: failed, perhaps with an effect.
+    Fail {
+        /// The request.
+        request: RequestId,
+    },
+    /// Subscribe to the changes of the server list.
+    Subscribe,
+    /// Ask for a [`Event::Timer`].
+    SetTimer {
+        /// Returned with the event.
+        timer: u64,
+        /// Time from now.
+        after_ms: f64,
+    },
+    /// A line for the operators.
+    Note(String),
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,51 @@
+//! The decisions of a reverse proxy that spreads requests over HTTP servers.
+//!
+//! A [`Balancer`] is one node's decision logic, without clock, threads or I/O. It is built from
+//! [`Settings`] and a seed, is fed events with the time they happened at, and pushes the actions
+//! that the node is to carry out. Its core is HSQ (Islam, "Network Load Balancing Methods",
+//! section IV.E): one array with a count per ready server, the lowest count gets the request.
+//!
+//! # Example
+//!
+//! A node's event loop calls [`Balancer::handle`] and carries out what it is told:
+//!
+//! ```
+//! use sableproxy::{
+//!     Action, Availability, Balancer, Class, Effect, Ending, Event, Listing, Outcome, Request,
+//!     RequestId, ServerEntry, ServerId, Settings,
+//! };
+//!
+//! let mut settings = Settings::new(vec![Class::new(200.0, 600.0, Effect::Safe)]);
+//! settings.nodes = 3;
+//! let mut balancer = Balancer::new(settings, 42)?;
+//! let mut actions = Vec::new();
+//!
+//! // Discovery names two servers.
+//! let servers = (0..2).map(|i| ServerEntry::new(ServerId(i), Availability::Ready)).collect();
+//! balancer.handle(0.0, Event::Servers(Listing::Full(servers)), &mut actions);
+//!
+//! // A client asks; the balancer names the server to send to.
+//! let request = Request::new(RequestId(7), 0, 600.0);
+//! balancer.handle(1.0, Event::Request(request), &mut actions);
+//! let Some(Action::Send { server, .. }) = actions.pop() else { panic!("nothing sent") };
+//!
+//! // The server answers, and its load report becomes its count.
+//! let outcome = Outcome {
+//!     request: RequestId(7),
+//!     attempt: 0,
+//!     elapsed_ms: 18.5,
+//!     ending: Ending::Served,
+//!     complete: true,
+//!     report: None,
+//! };
+//! balancer.handle(19.5, Event::Outcome(outcome), &mut actions);
+//! # let _ = server;
+//! # Ok::<(), sableproxy::SettingsError>(())
+//! ```
+
+mod interface;
+mod rules;
+pub mod wire;
+
+pub use interface::*;
+pub use rules::Balancer;
--- /dev/null
+++ b/src/rules.rs
@@ -0,0 +1,588 @@
+//! Every decision of a node. The types it is fed and answers with are in `src/interface.rs`.
+//!
+//! The ordinary path is HSQ (Islam, "Network Load Balancing Methods", IV.E): `Balancer::pick` sends to
+//! the lowest count and adds one, `Balancer::report` lets a fresh report overwrite its server's count.
+//! All else decides which servers may be picked, and what becomes of a request that was not served.
+
+use std::collections::HashMap;
+
+use crate::interface::*;
+
+/// Outcomes that count in a running mean of one server; four times as many in one of all.
+const RECENT: f64 = 16.0;
+/// Outcomes that the knowledge of all servers weighs as much as.
+const PRIOR: f64 = 4.0;
+/// Outcomes lose half their weight in this part of a mean aim: what is not confirmed is soon forgotten.
+const HALF_LIFE: f64 = 0.25;
+/// ... but not sooner than in so many usual gaps between requests, each of an aim at most.
+const GAPS: f64 = 2.0;
+/// Part of a mean aim that answers are thought to take at the most where nothing recent is known.
+const EASY: f64 = 0.25;
+/// A server expected to take this many times the best one's time is not picked. Over 2: counts decide.
+const BACKED_UP: f64 = 2.5;
+/// Failures in a row, none served between them, that take a server out.
+const STRIKES: u32 = 3;
+/// A server is taken out for this many mean aims.
+const EJECT: f64 = 2.0;
+/// Further attempts as a share of requests, so that they cannot multiply an overload.
+const RETRY_SHARE: f64 = 0.2;
+/// Part of a cold server's budget that all nodes together use: sizes are guesses, arrivals come in bunches.
+const COLD_PART: f64 = 0.5;
+/// Part of the window for repeats within which a resend is made: it must arrive in it, too.
+const WINDOW_PART: f64 = 0.8;
+/// Part of its aim that an answer may be expected to take, for most to be in time; and of that for low worth.
+const AIM_PART: f64 = 0.45;
+const LEAST_AIM: f64 = 0.5;
+/// Requests within a quota that may bunch at one node of many; with less room none would ever be within.
+const QUOTA_LEAST: f64 = 4.0;
+/// At one node of many a request over the bound is taken with (bound / expected) to the power 1 / `CHANCE`.
+const CHANCE: f64 = 0.4;
+/// Nodes that share a server, about: connections stay few and warm, and each node meets its servers often.
+const SHARERS: f64 = 12.0;
+/// Servers a node's slice has at least, where there are as many, and that are asked at the most.
+const SLICE_LEAST: usize = 3;
+/// The golden ratio's fraction: its multiples spread node numbers evenly over a ring.
+const GOLDEN: f64 = 0.618_033_988_749_895;
+/// The longest wait for a new subscription, in parts of what may pass without; the shortest is a sixteenth.
+const RESUBSCRIBE_MOST: f64 = 0.25;
+/// Part of the result that may be spent on asking servers before each send.
+const ASK_SPEND: f64 = 0.008;
+/// How far to the whole aim the bound of admission moves where counts were just asked for.
+const ASKED_SURE: f64 = 0.4;
+/// How far chance moves an old count where it only decides whom to ask. Guards against crowding the lowest.
+const BLUR: f64 = 0.7;
+/// Part of its aim that a request waits for those asked.
+const ASK_PART: f64 = 0.1;
+
+/// The timers: for a new subscription, and above it for the request of that number less one.
+const RESUBSCRIBE: u64 = 0;
+
+/// Running means of the latency, and of how many requests the server held meanwhile.
+#[derive(Clone, Copy, Default)]
+struct Pace {
+    latency: f64,
+    depth: f64,
+    seen: f64,
+    at: f64,
+}
+
+impl Pace {
+    /// What was seen still weighs this. Guards against judging by a trouble long past: little corrects it.
+    fn weight(&self, now: f64, half_life: f64) -> f64 {
+        self.seen * 0.5_f64.powf((now - self.at) / half_life)
+    }
+
+    fn add(&mut self, now: f64, half_life: f64, most: f64, latency: f64, depth: f64) {
+        self.seen = (self.weight(now, half_life) + 1.0).min(most);
+        self.latency += (latency - self.latency) / self.seen;
+        self.depth += (depth - self.depth) / self.seen;
+        self.at = now;
+    }
+
+    /// Mean latency and depth, the own outcomes weighed against what is known beyond them.
+    fn or(&self, now: f64, half_life: f64, prior: (f64, f64)) -> (f64, f64) {
+        let weight = self.weight(now, half_life);
+        let mix = |own: f64, prior: f64| (own * weight + prior * PRIOR) / (weight + PRIOR);
+        (mix(self.latency, prior.0), mix(self.depth, prior.1))
+    }
+}
+
+#[derive(Default)]
+struct Server {
+    entry: ServerEntry,
+    /// The array of HSQ: the last fresh report and what this node has sent since.
+    count: Option<f64>,
+    /// This node's attempts that are out.
+    out: usize,
+    pace: Pace,
+    strikes: u32,
+    /// Set while it is taken out, and past that while it is on trial.
+    ejected_until: Option<f64>,
+}
+
+struct Attempt {
+    server: usize,
+    sent_at: f64,
+    depth: f64,
+    open: bool,
+}
+
+#[derive(Default)]
+struct Held {
+    class: usize,
+    gives_up_at: f64,
+    attempts: Vec<Attempt>,
+    /// The first attempt that may have run or may still run.
+    ran: Option<usize>,
+    answered: bool,
+    /// Servers asked for a report before the first send, those that gave one, and the longest wait allowed.
+    asked: Vec<usize>,
+    reported: Vec<usize>,
+    limit: f64,
+}
+
+/// A server as `pick` sees it: the answer expected there, and its count in the same unit.
+struct Candidate {
+    server: usize,
+    wait: f64,
+    rank: f64,
+    unfit: u8,
+    near: bool,
+}
+
+/// Decides for one node. See the [crate] page for an example.
+pub struct Balancer {
+    settings: Settings,
+    random: fastrand::Rng,
+    servers: Vec<Option<Server>>,
+    /// The ready servers in this node's order, near ones first, and the near and far stretch that it uses.
+    ring: Vec<usize>,
+    slice: [std::ops::Range<usize>; 2],
+    held: HashMap<RequestId, Held>,
+    /// Requests whose servers are being asked, in the order they came, and how many are asked for each.
+    asking_for: Vec<RequestId>,
+    asks: usize,
+    /// Requests each tenant may still send within its quota, and when that was last counted up.
+    quotas: Vec<(f64, f64)>,
+    /// Latency by class and over all.
+    classes: Vec<Pace>,
+    all: Pace,
+    /// Mean time between requests, and when the last one came.
+    gap: f64,
+    came_at: f64,
+    /// Mean aim of the classes: the time scale of all judgements.
+    aim: f64,
+    retries: f64,
+    /// Part of the attempts that are served, of late.
+    served: f64,
+    subscribed: bool,
+    asking: bool,
+    failed_calls: i32,
+}
+
+impl Balancer {
+    /// A balancer that knows no server yet. The error names the first setting that makes no sense.
+    pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
+        settings.validate()?;
+        // None are asked before a send where a few nodes' answers keep counts fresh, or where peers may talk.
+        let sparse = !settings.answers_report || settings.nodes as f64 > SHARERS;
+        let most = (ASK_SPEND / settings.probe_price).clamp(1.0, SLICE_LEAST as f64) as usize;
+        Ok(Self {
+            quotas: vec![(f64::INFINITY, 0.0); settings.quotas_per_s.len()],
+            classes: vec![Pace::default(); settings.classes.len()],
+            random: fastrand::Rng::with_seed(seed),
+            servers: Vec::new(),
+            ring: Vec::new(),
+            slice: [0..0, 0..0],
+            held: HashMap::new(),
+            asking_for: Vec::new(),
+            asks: if settings.probes && !settings.peers && sparse { most } else { 0 },
+            gap: 0.0,
+            came_at: 0.0,
+            aim: settings.classes.iter().map(|c| c.aim_ms).sum::<f64>() / settings.classes.len() as f64,
+            all: Pace::default(),
+            retries: settings.max_attempts as f64,
+            served: 1.0,
+            subscribed: false,
+            asking: false,
+            failed_calls: 0,
+            settings,
+        })
+    }
+
+    /// Takes one event that happened at `now`, which never runs backwards, and appends what is to be done.
+    /// Events about what is not known are passed over.
+    pub fn handle(&mut self, now: f64, event: Event, actions: &mut Vec<Action>) {
+        match event {
+            Event::Servers(listing) => self.listing(listing, actions),
+            Event::Request(request) => self.request(now, &request, actions),
+            Event::Outcome(outcome) => self.outcome(now, &outcome, actions),
+            Event::ClientGone(id) => self.client_gone(id, actions),
+            Event::Timer(RESUBSCRIBE) if std::mem::take(&mut self.asking) => actions.push(Action::Subscribe),
+            Event::Timer(timer) if timer > RESUBSCRIBE => self.dispatch(now, RequestId(timer - 1), actions),
+            Event::Probed { server, ending, report } => self.probed(now, server.0, ending, report, actions),
+            Event::Timer(_) | Event::StreamStarted { .. } => {}
+        }
+    }
+
+    // ---- The list of servers
+
+    fn listing(&mut self, listing: Listing, actions: &mut Vec<Action>) {
+        let (entries, complete) = match listing {
+            Listing::Changes(entries) => (entries, false),
+            Listing::Full(entries) | Listing::Cached(entries) => (entries, true),
+            Listing::Failed if self.asking => return,
+            Listing::Failed => return self.resubscribe(actions),
+        };
+        if std::mem::take(&mut self.failed_calls) > 0 {
+            actions.push(Action::Note("the list of servers comes again".into()));
+        }
+        if self.settings.discovery == Discovery::Subscribe && !self.subscribed {
+            self.subscribed = true;
+            actions.push(Action::Subscribe);
+        }
+        for server in self.servers.iter_mut().flatten().filter(|_| complete) {
+            server.entry.availability = Availability::Gone;
+        }
+        for entry in entries {
+            let at = entry.server.0;
+            self.servers.resize_with(self.servers.len().max(at + 1), || None);
+            // What was learned of a process does not hold for its successor.
+            let old = self.servers[at].take().unwrap_or_default();
+            let same = old.entry.started_at == entry.started_at;
+            let kept = if same { old } else { Server { out: old.out, ..Server::default() } };
+            self.servers[at] = Some(Server { entry, ..kept });
+        }
+        self.lay_out();
+    }
+
+    /// Lays out the node's slice of the fleet: an equal stretch, from a place of the node's own, of a ring
+    /// of servers that all nodes order alike.
+    /// Guards against connections from every node to every server, and against too few reports of each.
+    fn lay_out(&mut self) {
+        let listed = self.servers.iter().flatten().map(|s| &s.entry);
+        let listed = listed.filter(|e| e.availability == Availability::Ready);
+        let mut listed: Vec<_> = listed.map(|e| (e.zone != self.settings.zone, e.key, e.server.0)).collect();
+        listed.sort_unstable();
+        let near = listed.iter().filter(|(far, ..)| !far).count();
+        let mut ring: Vec<usize> = listed.into_iter().map(|(.., at)| at).collect();
+        let place = ((self.settings.me + 1) as f64 * GOLDEN).fract();
+        let length =
+            SLICE_LEAST.max((ring.len() as f64 * SHARERS / self.settings.nodes as f64).ceil() as usize);
+        for part in [0..near, near..ring.len()] {
+            let part = &mut ring[part];
+            part.rotate_left((place * part.len() as f64) as usize);
+        }
+        self.slice = [0..near.min(length), near..ring.len().min(near + length)];
+        self.ring = ring;
+    }
+
+    /// Guards against a lost subscription: without one the node would send to servers long gone.
+    fn resubscribe(&mut self, actions: &mut Vec<Action>) {
+        if self.failed_calls == 0 {
+            actions.push(Action::Note("the list of servers does not come".into()));
+        }
+        self.asking = true;
+        let most = self.settings.ask_within_ms * RESUBSCRIBE_MOST;
+        let after_ms = most / 2_f64.powi(4 - self.failed_calls) * (0.5 + 0.5 * self.random.f64());
+        self.failed_calls = (self.failed_calls + 1).min(4);
+        actions.push(Action::SetTimer { timer: RESUBSCRIBE, after_ms });
+    }
+
+    // ---- The ordinary path
+
+    /// A report overwrites the count of its server alone.
+    /// It counts the requests of all nodes; where it was not just asked for, each evens out its own part.
+    fn report(&mut self, at: usize, report: Report) {
+        let Some(reading) = report.in_flight.or(report.queued) else { return };
+        let part = if self.asks > 0 { 1.0 } else { self.settings.nodes as f64 };
+        self.servers[at].as_mut().expect("sent to").count = Some(reading / part);
+    }
+
+    /// The eligible servers with the lowest counts, ties broken at random.
+    fn pick(&mut self, now: f64, held: &Held, limit: f64, most: usize) -> Vec<usize> {
+        let mut candidates = self.candidates(now, held);
+        // Those that are not healthy, or tried already, are left only where there are no others.
+        let fittest = candidates.iter().map(|c| c.unfit).min();
+        candidates.retain(|c| Some(c.unfit) == fittest && c.wait <= limit);
+        let least = candidates.iter().map(|c| c.wait).fold(f64::INFINITY, f64::min);
+        let bound = if self.asks > 0 { limit } else { least * BACKED_UP };
+        // A crossing has its price; and nodes that keep to their zones are less in each other's way, unseen.
+        let near = self.asks == 0 && candidates.iter().any(|c| c.near && c.wait <= bound);
+        candidates.retain(|c| c.wait <= bound && (c.near || !near));
+        self.random.shuffle(&mut candidates);
+        candidates.sort_by(|a, b| a.rank.total_cmp(&b.rank));
+        candidates.iter().take(most).map(|c| c.server).collect()
+    }
+
+    /// All servers that the rules allow for this request.
+    fn candidates(&mut self, now: f64, held: &Held) -> Vec<Candidate> {
+        let class = &self.settings.classes[held.class];
+        let half_life = HALF_LIFE * self.aim;
+        // What is not confirmed fades to an easy guess: a node that refuses all would learn nothing more.
+        let (latency, depth) =
+            if self.all.seen > 0.0 { (self.all.latency, self.all.depth) } else { (self.aim, 1.0) };
+        let lasting = self.all.or(now, f64::INFINITY, (self.aim * EASY, 1.0));
+        let all = self.all.or(now, half_life.max(GAPS * self.gap), (latency.min(self.aim * EASY), depth));
+        let slice = self.slice.clone().into_iter().flatten();
+        let counts = slice.filter_map(|i| self.servers[self.ring[i]].as_ref().and_then(|s| s.count));
+        let mean = counts.clone().sum::<f64>() / counts.count().max(1) as f64;
+        let total = self.slice[0].len() + self.slice[1].len();
+        // A crossing counts as its price in aims.
+        let crossing = self.settings.cross_zone_price * class.aim_ms;
+        let blur = if self.asks > 0 && held.reported.is_empty() { BLUR } else { 0.0 };
+        let home = held
+            .ran
+            .map(|first| self.servers[held.attempts[first].server].as_ref().expect("sent to").entry.clone());
+        let mut candidates = Vec::new();
+        // A request that may have run is bound to its group, wherever that is; any other stays in the slice.
+        let [near, far] = if home.is_some() { [0..self.ring.len(), 0..0] } else { self.slice.clone() };
+        for at in near.chain(far).map(|i| self.ring[i]) {
+            let first = held.attempts.is_empty();
+            let asked = first && held.reported.contains(&at);
+            let server = self.servers[at].as_mut().expect("listed");
+            let bound = home.as_ref().is_some_and(|home| !may_move(class.effect, home, &server.entry));
+            if bound || first && !asked && !held.reported.is_empty() {
+                continue;
+            }
+            let count = *server.count.get_or_insert(mean);
+            let (latency, depth) = server.pace.or(now, half_life, all);
+            // Guards a cold server, which reports nothing queued and would be swamped. Every node lets the
+            // same part of its requests see it: what all send is in step with the load of a warm server.
+            let age = now - server.entry.started_at.unwrap_or(f64::NEG_INFINITY);
+            if age < self.settings.cold_ms && !asked {
+                let cold = (1.0 - self.settings.cold_from) * (1.0 - (age / self.settings.cold_ms).max(0.0));
+                let part = COLD_PART * self.settings.tip_multiple * (1.0 - cold) / total as f64;
+                if self.random.f64() >= part * self.served {
+                    continue;
+                }
+            }
+            let trial = server.out == 0 && class.effect != Effect::Unsafe;
+            let healthy = server.ejected_until.is_none_or(|until| until <= now && trial);
+            let near = server.entry.zone == self.settings.zone;
+            // A count just asked for is that of all nodes, and so is its pace; an idle server is never late.
+            let wait = match self.asks > 0 {
+                true if count < 0.5 => 0.0,
+                true => (count + 1.0) * lasting.0 / lasting.1,
+                false => (server.out + 1) as f64 * latency / depth,
+            };
+            candidates.push(Candidate {
+                server: at,
+                wait,
+                rank: (count + 1.0) * latency / depth * (1.0 + blur * (2.0 * self.random.f64() - 1.0))
+                    + if near { 0.0 } else { crossing },
+                unfit: 2 * u8::from(!healthy) + u8::from(held.attempts.iter().any(|a| a.server == at)),
+                near,
+            });
+        }
+        candidates
+    }
+
+    // ---- A request's way
+
+    fn request(&mut self, now: f64, request: &Request, actions: &mut Vec<Action>) {
+        let mut held = Held { class: request.class, gives_up_at: now + request.budget_ms, ..Held::default() };
+        if request.class >= self.settings.classes.len() {
+            return actions.push(Action::Fail { request: request.id });
+        }
+        self.gap += ((now - self.came_at).min(self.aim) - self.gap) / RECENT;
+        self.came_at = now;
+        self.retries = (self.retries + RETRY_SHARE).min(RECENT);
+        let within = self.within_quota(now, request.tenant);
+        held.limit = self.worthwhile(&held, within);
+        if self.asks == 0 && self.settings.nodes as f64 > SHARERS {
+            // Guards against all or nothing: where each node sees little, the sum of them admits a part.
+            held.limit /= self.random.f64().powf(CHANCE);
+        }
+        if self.asks > 0 {
+            held.asked = self.pick(now, &held, f64::INFINITY, self.asks);
+        }
+        for at in &held.asked {
+            // Guards against asking a silent server over and over: an ask counts like a send until a report.
+            self.servers[*at].as_mut().expect("picked").count.iter_mut().for_each(|count| *count += 1.0);
+            actions.push(Action::Probe { server: ServerId(*at) });
+        }
+        let after_ms = self.settings.classes[held.class].aim_ms.min(request.budget_ms) * ASK_PART;
+        self.asking_for.push(request.id);
+        self.held.insert(request.id, held);
+        if self.held[&request.id].asked.is_empty() {
+            return self.dispatch(now, request.id, actions);
+        }
+        actions.push(Action::SetTimer { timer: request.id.0 + 1, after_ms });
+    }
+
+    /// Those asked have answered, or their time is up: the first send is due.
+    fn dispatch(&mut self, now: f64, id: RequestId, actions: &mut Vec<Action>) {
+        let Some(place) = self.asking_for.iter().position(|waiting| *waiting == id) else { return };
+        self.asking_for.remove(place);
+        let Some(mut held) = self.held.remove(&id) else { return };
+        // Guards against servers too busy to answer: where none of those asked did, none is sent to unseen.
+        let most = usize::from(self.asks == 0 || !held.reported.is_empty());
+        if let Some(&server) = self.pick(now, &held, held.limit, most).first() {
+            self.send(now, id, &mut held, server, actions);
+            self.held.insert(id, held);
+        } else {
+            self.give_up(id, &held, actions);
+        }
+    }
+
+    fn probed(&mut self, now: f64, at: usize, ending: Ending, report: Option<Report>, to: &mut Vec<Action>) {
+        let known = self.servers.get(at).is_some_and(Option::is_some);
+        report.filter(|_| known).into_iter().for_each(|report| self.report(at, report));
+        let mut due = Vec::new();
+        for id in &self.asking_for {
+            let Some(held) = self.held.get_mut(id).filter(|held| held.asked.contains(&at)) else { continue };
+            held.asked.retain(|asked| *asked != at);
+            if ending == Ending::Served {
+                held.reported.push(at);
+            }
+            if held.asked.is_empty() {
+                due.push(*id);
+            } else if held.reported == [at] {
+                // Only those of the same moment are waited for: late ones are busy.
+                to.push(Action::SetTimer { timer: id.0 + 1, after_ms: 0.0 });
+            }
+        }
+        for id in due {
+            self.dispatch(now, id, to);
+        }
+    }
+
+    fn within_quota(&mut self, now: f64, tenant: usize) -> bool {
+        let Some(quota) = self.settings.quotas_per_s.get(tenant) else { return true };
+        let quota = quota / self.settings.nodes as f64;
+        let (left, at) = &mut self.quotas[tenant];
+        *left = (*left + quota * (now - *at).max(0.0) / 1000.0).min(quota.max(QUOTA_LEAST));
+        *at = now;
+        *left -= if *left >= 1.0 { 1.0 } else { return false };
+        true
+    }
+
+    /// The longest expected answer with which a request is still taken, lest late work crowds out the rest.
+    fn worthwhile(&self, held: &Held, within_quota: bool) -> f64 {
+        // A node that has just started knows no latency to refuse by, unless it asks for counts.
+        if self.asks == 0 && self.all.seen < RECENT {
+            return f64::INFINITY;
+        }
+        let density = |k: usize| self.settings.classes[k].worth / self.relative(k);
+        let best = (0..self.classes.len()).map(density).fold(0.0, f64::max);
+        let quota = if within_quota { 1.0 } else { self.settings.over_quota_worth };
+        let worth = if best > 0.0 { density(held.class) * quota / best } else { 1.0 };
+        // What is late is not lost where it still has some worth; counts just asked for need less margin.
+        let late = if self.asks > 0 { ASKED_SURE } else { self.settings.classes[held.class].late_worth };
+        let soft = |part: f64, rest: f64| part + (1.0 - part) * rest;
+        let part = soft(AIM_PART, late) * soft(soft(LEAST_AIM, late), worth);
+        // A distant aim must not let low worth fill the queues in which worthier classes would be late.
+        let (own, all) = (density(held.class), 0..self.classes.len());
+        let worthier = all.filter(|k| *k == held.class || density(*k) > own);
+        let aim = |k: usize| self.settings.classes[k].aim_ms / self.relative(k);
+        worthier.map(aim).fold(f64::INFINITY, f64::min) * part
+    }
+
+    /// How much longer a class takes than the mean request.
+    fn relative(&self, class: usize) -> f64 {
+        let ratio = self.classes[class].latency / self.all.latency;
+        Some(ratio).filter(|r| r.is_finite() && *r > 0.0).unwrap_or(1.0)
+    }
+
+    fn send(&mut self, now: f64, id: RequestId, held: &mut Held, at: usize, actions: &mut Vec<Action>) {
+        let server = self.servers[at].as_mut().expect("picked");
+        server.out += 1;
+        server.count = server.count.map(|count| count + 1.0);
+        let depth = server.count.filter(|_| self.asks > 0).unwrap_or(server.out as f64);
+        held.attempts.push(Attempt { server: at, sent_at: now, depth, open: true });
+        actions.push(Action::Send { request: id, server: ServerId(at) });
+    }
+
+    fn outcome(&mut self, now: f64, outcome: &Outcome, actions: &mut Vec<Action>) {
+        let id = outcome.request;
+        let Some(mut held) = self.held.remove(&id) else { return };
+        let Some(attempt) = held.attempts.get_mut(outcome.attempt).filter(|a| a.open) else {
+            return drop(self.held.insert(id, held));
+        };
+        attempt.open = false;
+        let at = attempt.server;
+        outcome.report.into_iter().for_each(|report| self.report(at, report));
+        self.judge(now, held.class, &held.attempts[outcome.attempt], outcome, actions);
+        if outcome.ending.may_have_run() && held.ran.is_none() {
+            held.ran = Some(outcome.attempt);
+        }
+        if outcome.complete {
+            held.answered = true;
+        } else if !held.answered {
+            self.further(now, id, &mut held, actions);
+        }
+        if !held.answered || held.attempts.iter().any(|a| a.open) {
+            self.held.insert(id, held);
+        }
+    }
+
+    /// A further attempt where class, time and budget allow it, else the final answer.
+    fn further(&mut self, now: f64, id: RequestId, held: &mut Held, actions: &mut Vec<Action>) {
+        let class = &self.settings.classes[held.class];
+        let allowed = match (held.ran, class.effect) {
+            (None, _) | (_, Effect::Safe) => true,
+            (Some(ran), Effect::Keyed { window_ms, .. }) => {
+                now - held.attempts[ran].sent_at < window_ms * WINDOW_PART
+            }
+            (Some(_), Effect::Unsafe) => false,
+        };
+        let budget = held.attempts.len() < self.settings.max_attempts && self.retries >= 1.0;
+        if allowed && budget && now < held.gives_up_at {
+            // Guards against servers filled by what others turned away (incident ia94218, big days).
+            let limit = if self.asks > 0 { held.limit } else { f64::INFINITY };
+            if let Some(&server) = self.pick(now, held, limit, 1).first() {
+                self.retries -= 1.0;
+                return self.send(now, id, held, server, actions);
+            }
+        }
+        self.give_up(id, held, actions);
+        held.answered = true;
+    }
+
+    /// The final answer for a request that is not served: a refusal only where it promises nothing false.
+    fn give_up(&mut self, id: RequestId, held: &Held, actions: &mut Vec<Action>) {
+        let harmless = match self.settings.classes[held.class].effect {
+            Effect::Safe | Effect::Keyed { group: Group::All, .. } => true,
+            Effect::Keyed { .. } | Effect::Unsafe => held.ran.is_none(),
+        };
+        actions.push(if harmless { Action::Refuse { request: id } } else { Action::Fail { request: id } });
+    }
+
+    fn client_gone(&mut self, id: RequestId, actions: &mut Vec<Action>) {
+        let Some(held) = self.held.get_mut(&id) else { return };
+        held.answered = true;
+        if self.settings.cancel {
+            let open = held.attempts.iter().enumerate().filter(|(_, a)| a.open);
+            actions.extend(open.map(|(attempt, _)| Action::Cancel { request: id, attempt }));
+        }
+        if held.attempts.iter().all(|a| !a.open) {
+            self.held.remove(&id);
+        }
+    }
+
+    // ---- Health
+
+    fn judge(&mut self, now: f64, class: usize, attempt: &Attempt, outcome: &Outcome, to: &mut Vec<Action>) {
+        let (at, depth, elapsed) = (attempt.server, attempt.depth, outcome.elapsed_ms);
+        let (relative, half_life) = (self.relative(class), HALF_LIFE * self.aim);
+        self.served += (f64::from(u8::from(outcome.ending == Ending::Served)) - self.served) / RECENT;
+        let server = self.servers[at].as_mut().expect("sent to");
+        server.out = server.out.saturating_sub(1);
+        let failed = match outcome.ending {
+            // A full server is busy, not ill; a time-out within the aim says nothing of it.
+            Ending::Served | Ending::Full => false,
+            Ending::TimedOut => elapsed >= self.settings.classes[class].aim_ms,
+            Ending::Error | Ending::Unreachable | Ending::Reset => true,
+            Ending::Cancelled | Ending::NotSent => return,
+        };
+        if matches!(outcome.ending, Ending::Served | Ending::TimedOut) {
+            self.classes[class].add(now, f64::INFINITY, 4.0 * RECENT, elapsed, depth);
+            self.all.add(now, f64::INFINITY, 4.0 * RECENT, elapsed, depth);
+            server.pace.add(now, half_life, RECENT, elapsed / relative, depth);
+        }
+        if outcome.ending == Ending::Served {
+            server.strikes = 0;
+            if server.ejected_until.take().is_some() {
+                to.push(Action::Note(format!("server {at} is back")));
+            }
+        } else if failed {
+            // Guards against servers that fail quickly, hang or cannot be reached: counts alone favour them.
+            server.strikes += 1;
+            let due = server.ejected_until.map_or(server.strikes >= STRIKES, |until| until <= now);
+            if due && server.ejected_until.replace(now + EJECT * self.aim).is_none() {
+                to.push(Action::Note(format!("server {at} is taken out")));
+            }
+        }
+    }
+}
+
+/// Whether a request that may have run on `first` may be sent to `other`.
+fn may_move(effect: Effect, first: &ServerEntry, other: &ServerEntry) -> bool {
+    match effect {
+        Effect::Safe | Effect::Keyed { group: Group::All, .. } => true,
+        Effect::Keyed { group: Group::Zone, .. } => first.zone == other.zone,
+        Effect::Keyed { group: Group::Cell, .. } => first.cell == other.cell,
+        Effect::Unsafe => false,
+    }
+}
--- /dev/null
+++ b/src/wire.rs
@@ -0,0 +1,432 @@
+//! The text wire that the decisions can be driven by: parsing and printing, nothing else.
+
+use std::collections::HashMap;
+use std::fmt::{self, Write as _};
+
+use serde_json::Value;
+
+use crate::interface::*;
+
+/// What is wrong with a line.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WireError(String);
+
+impl fmt::Display for WireError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl std::error::Error for WireError {}
+
+impl WireError {
+    /// An error found beyond the wire, in its own words.
+    #[must_use]
+    pub fn other(why: &dyn fmt::Display) -> Self {
+        Self(why.to_string())
+    }
+}
+
+fn wrong<T>(text: impl Into<String>) -> Result<T, WireError> {
+    Err(WireError(text.into()))
+}
+
+/// A line split into its message and its name=value pairs.
+#[derive(Debug)]
+pub struct Line<'a> {
+    /// The message.
+    pub message: &'a str,
+    pairs: Vec<(&'a str, &'a str)>,
+}
+
+impl<'a> Line<'a> {
+    /// Splits a line; a field of text takes the rest of it.
+    ///
+    /// # Errors
+    ///
+    /// A part that is no pair.
+    pub fn parse(line: &'a str) -> Result<Self, WireError> {
+        let (message, mut rest) = line.split_once(' ').unwrap_or((line, ""));
+        if message.is_empty() {
+            return wrong("no message");
+        }
+        let mut pairs = Vec::with_capacity(8);
+        while !rest.is_empty() {
+            let Some((name, tail)) = rest.split_once('=') else {
+                return wrong(format!("`{rest}` is no name=value pair"));
+            };
+            if name.is_empty() || name.contains(' ') {
+                return wrong(format!("`{name}` is no name"));
+            }
+            let (value, tail) = match name {
+                "facts" | "note_text" => (tail, ""),
+                _ => tail.split_once(' ').unwrap_or((tail, "")),
+            };
+            pairs.push((name, value));
+            rest = tail;
+        }
+        Ok(Self { message, pairs })
+    }
+
+    /// The value of a pair, if it is there.
+    #[must_use]
+    pub fn get(&self, name: &str) -> Option<&'a str> {
+        self.pairs.iter().find(|(n, _)| *n == name).map(|(_, v)| *v)
+    }
+
+    /// The value of a pair that must be there.
+    ///
+    /// # Errors
+    ///
+    /// It is not there.
+    pub fn text(&self, name: &str) -> Result<&'a str, WireError> {
+        self.get(name).map_or_else(|| wrong(format!("`{name}` is missing")), Ok)
+    }
+
+    /// A time or other figure, if it is there.
+    ///
+    /// # Errors
+    ///
+    /// It is no finite number.
+    pub fn figure(&self, name: &str) -> Result<Option<f64>, WireError> {
+        self.get(name).map(|v| figure(name, v)).transpose()
+    }
+
+    /// A whole number, if it is there.
+    ///
+    /// # Errors
+    ///
+    /// It is no whole number.
+    pub fn whole(&self, name: &str) -> Result<Option<u64>, WireError> {
+        let parse = |v: &str| v.parse().or_else(|_| wrong(format!("`{name}={v}` is no whole number")));
+        self.get(name).map(parse).transpose()
+    }
+
+    fn need_whole(&self, name: &str) -> Result<u64, WireError> {
+        self.whole(name)?.map_or_else(|| wrong(format!("`{name}` is missing")), Ok)
+    }
+
+    fn index(&self, name: &str) -> Result<usize, WireError> {
+        let n = self.need_whole(name)?;
+        usize::try_from(n).or_else(|_| wrong(format!("`{name}={n}` is too large")))
+    }
+
+    /// A figure that must be there.
+    ///
+    /// # Errors
+    ///
+    /// It is missing or no finite number.
+    pub fn need_figure(&self, name: &str) -> Result<f64, WireError> {
+        self.figure(name)?.map_or_else(|| wrong(format!("`{name}` is missing")), Ok)
+    }
+}
+
+fn figure(name: &str, text: &str) -> Result<f64, WireError> {
+    match text.parse::<f64>() {
+        Ok(x) if x.is_finite() => Ok(x),
+        _ => wrong(format!("`{name}={text}` is no number")),
+    }
+}
+
+/// A numbered list's entry, its server still by name.
+#[derive(Clone, Debug)]
+pub struct Member {
+    /// The server's name.
+    pub server: String,
+    entry: ServerEntry,
+}
+
+impl Member {
+    /// Reads one entry of a list.
+    ///
+    /// # Errors
+    ///
+    /// The line is malformed.
+    pub fn parse(line: &str) -> Result<Self, WireError> {
+        let line = Line::parse(line)?;
+        if line.message != "M" {
+            return wrong(format!("`{}` where an entry of the list was due", line.message));
+        }
+        let availability = match line.text("availability")? {
+            "2" => Availability::Ready,
+            "0" => Availability::Draining,
+            "3" => Availability::Gone,
+            other => return wrong(format!("`availability={other}` is unknown")),
+        };
+        let or_zero = |name| Ok::<_, WireError>(line.whole(name)?.unwrap_or(0) as usize);
+        let server = line.text("server")?;
+        let entry = ServerEntry {
+            server: ServerId(0),
+            availability,
+            started_at: line.figure("launched_ms")?.filter(|t| *t > 0.0),
+            cell: or_zero("block")?,
+            zone: or_zero("site")?,
+            kind: or_zero("type")?,
+            weight: line.figure("units")?.unwrap_or(1.0),
+            key: key(server),
+        };
+        Ok(Self { server: server.to_owned(), entry })
+    }
+}
+
+/// FNV-1a of a server's name: stable over builds and nodes, which a library's default hash is not.
+fn key(name: &str) -> u64 {
+    name.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
+}
+
+/// What one instance's messages need beside themselves: its server names and report fields.
+#[derive(Debug, Default)]
+pub struct Dialect {
+    names: Vec<String>,
+    ids: HashMap<String, usize>,
+    in_flight_at: Option<usize>,
+    queued_at: Option<usize>,
+}
+
+impl Dialect {
+    fn intern(&mut self, name: &str) -> ServerId {
+        if let Some(id) = self.ids.get(name) {
+            return ServerId(*id);
+        }
+        let id = self.names.len();
+        self.names.push(name.to_owned());
+        self.ids.insert(name.to_owned(), id);
+        ServerId(id)
+    }
+
+    fn report(&self, line: &Line<'_>) -> Result<Option<Report>, WireError> {
+        let Some(row) = line.get("server_stats").filter(|r| !r.is_empty() && *r != "-") else {
+            return Ok(None);
+        };
+        let values: Vec<f64> = row.split(',').map(|v| figure("server_stats", v)).collect::<Result<_, _>>()?;
+        let at = |i: Option<usize>| i.and_then(|i| values.get(i).copied());
+        Ok(Some(Report { in_flight: at(self.in_flight_at), queued: at(self.queued_at) }))
+    }
+
+    /// Reads the settings of a start.
+    ///
+    /// # Errors
+    ///
+    /// They are no object of the expected types.
+    pub fn settings(&mut self, facts: &str) -> Result<Settings, WireError> {
+        let facts: Value = serde_json::from_str(facts).map_err(|e| WireError(format!("`facts`: {e}")))?;
+        if !facts.is_object() {
+            return wrong("`facts` is no object");
+        }
+        let fields = facts["stats"]["fields"].as_array().map_or(&[][..], Vec::as_slice);
+        self.in_flight_at = fields.iter().position(|f| f == "active");
+        self.queued_at = fields.iter().position(|f| f == "waiting");
+        read_settings(&facts)
+    }
+
+    /// Reads an event for an instance; `lists` holds the numbered lists.
+    ///
+    /// # Errors
+    ///
+    /// The line is malformed. `Ok(None)` is a message that is not known or not needed.
+    pub fn event(
+        &mut self,
+        line: &Line<'_>,
+        lists: &[Option<Vec<Member>>; 16],
+    ) -> Result<Option<Event>, WireError> {
+        Ok(Some(match line.message {
+            "REGISTRY" => Event::Servers(self.listing(line, lists)?),
+            "CALL" => {
+                let marks = line.whole("marks")?.unwrap_or(0);
+                Event::Request(Request {
+                    id: RequestId(line.need_whole("txn")?),
+                    class: line.index("grade")?,
+                    tenant: line.whole("party")?.unwrap_or(0) as usize,
+                    budget_ms: line.need_figure("budget_ms")?,
+                    cost_ms: line.figure("cost_ms")?.filter(|_| marks & 1 != 0),
+                    repeat: marks & 2 != 0,
+                })
+            }
+            "ACK_FIRST" => Event::StreamStarted {
+                request: RequestId(line.need_whole("txn")?),
+                attempt: line.index("try")?,
+            },
+            "ENDED" => Event::Outcome(Outcome {
+                request: RequestId(line.need_whole("txn")?),
+                attempt: line.index("try")?,
+                elapsed_ms: line.need_figure("rtt_ms")?,
+                ending: ending(line)?,
+                complete: match line.text("complete")? {
+                    "1" => true,
+                    "0" => false,
+                    other => return wrong(format!("`complete={other}` is neither 1 nor 0")),
+                },
+                report: self.report(line)?,
+            }),
+            "HANGUP" => Event::ClientGone(RequestId(line.need_whole("txn")?)),
+            // A token that is none of ours is no timer of ours: pass it over.
+            "FIRED" => match line.text("nonce")?.parse() {
+                Ok(timer) => Event::Timer(timer),
+                Err(_) => return Ok(None),
+            },
+            "HEALTH" => Event::Probed {
+                server: self.intern(line.text("server")?),
+                ending: ending(line)?,
+                report: self.report(line)?,
+            },
+            _ => return Ok(None),
+        }))
+    }
+
+    fn listing(&mut self, line: &Line<'_>, lists: &[Option<Vec<Member>>; 16]) -> Result<Listing, WireError> {
+        let mode = line.text("mode")?;
+        if mode == "3" {
+            return Ok(Listing::Failed);
+        }
+        let number = line.index("roster_id")?;
+        let Some(list) = lists.get(number).and_then(Option::as_ref) else {
+            return wrong(format!("`roster_id={number}` is no list"));
+        };
+        let entries =
+            list.iter().map(|m| ServerEntry { server: self.intern(&m.server), ..m.entry.clone() }).collect();
+        match mode {
+            "0" => Ok(Listing::Changes(entries)),
+            "1" => Ok(Listing::Full(entries)),
+            "2" => Ok(Listing::Cached(entries)),
+            other => wrong(format!("`mode={other}` is unknown")),
+        }
+    }
+
+    /// Prints an action of an instance.
+    pub fn print(&self, node: &str, action: &Action, out: &mut String) {
+        let done = match action {
+            Action::Send { request, server } => {
+                write!(out, "PLACE node={node} txn={} server={}", request.0, self.names[server.0])
+            }
+            Action::Probe { server } => write!(out, "SOUND_OUT node={node} server={}", self.names[server.0]),
+            Action::Cancel { request, attempt } => {
+                write!(out, "STOP_ATTEMPT node={node} txn={} try={attempt}", request.0)
+            }
+            Action::Refuse { request } => write!(out, "PUSH_BACK node={node} txn={}", request.0),
+            Action::Fail { request } => write!(out, "REPORT_FAILURE node={node} txn={}", request.0),
+            Action::Subscribe => write!(out, "TRACK node={node} want=1"),
+            Action::SetTimer { timer, after_ms } => {
+                write!(out, "SCHEDULE node={node} nonce={timer} offset_ms={after_ms:.3}")
+            }
+            Action::Note(text) => write!(out, "NOTE_DOWN node={node} note_text={}", one_line(text)),
+        };
+        debug_assert!(done.is_ok(), "writing to a string cannot fail");
+        out.push('\n');
+    }
+}
+
+/// Text without line breaks.
+#[must_use]
+pub fn one_line(text: &str) -> String {
+    text.replace(['\n', '\r'], " ")
+}
+
+fn ending(line: &Line<'_>) -> Result<Ending, WireError> {
+    Ok(match line.text("ending")? {
+        "S" => Ending::Served,
+        "E" => Ending::Error,
+        "F" => Ending::Full,
+        "T" => Ending::TimedOut,
+        "C" => Ending::Unreachable,
+        "R" => Ending::Reset,
+        "X" => Ending::Cancelled,
+        "N" => Ending::NotSent,
+        other => return wrong(format!("`ending={other}` is unknown")),
+    })
+}
+
+/// The settings of a start; a key that is missing keeps its default, one of a wrong type is an error.
+fn read_settings(facts: &Value) -> Result<Settings, WireError> {
+    let class_list = facts["classes"].as_array().map_or(&[][..], Vec::as_slice);
+    let classes = class_list.iter().map(read_class).collect::<Result<Vec<_>, _>>()?;
+    let mut settings = Settings::new(classes);
+    let parties = facts["parties"].as_array().map_or(&[][..], Vec::as_slice);
+    for party in parties {
+        let mut quota = f64::MAX;
+        read(party, "quota_per_s", &mut quota)?;
+        settings.quotas_per_s.push(quota);
+    }
+    read(facts, "over_share_worth", &mut settings.over_quota_worth)?;
+    read_index(facts, "n_instances", &mut settings.nodes)?;
+    read_index(facts, "me", &mut settings.me)?;
+    read_index(facts, "az", &mut settings.zone)?;
+    settings.kinds = facts["kinds"].as_array().map_or(1, |k| k.len().max(1));
+    if facts["discovery"] == "subscribe" {
+        settings.discovery = Discovery::Subscribe;
+    }
+    settings.weights = match facts["weights"].as_str() {
+        Some("nominal" | "rough") => Weights::Size,
+        Some("live") => Weights::Live,
+        _ => Weights::None,
+    };
+    let rules = &facts["rules"];
+    read(rules, "ask_within_ms", &mut settings.ask_within_ms)?;
+    read(rules, "cold_from", &mut settings.cold_from)?;
+    read(rules, "cold_ms", &mut settings.cold_ms)?;
+    read(rules, "tip_multiple", &mut settings.tip_multiple)?;
+    read(rules, "tip_after_ms", &mut settings.tip_after_ms)?;
+    let allowed = &facts["allowed"];
+    read_index(allowed, "max_attempts", &mut settings.max_attempts)?;
+    read_flag(allowed, "second_copies", &mut settings.second_copies)?;
+    read_flag(allowed, "cancel", &mut settings.cancel)?;
+    read_flag(allowed, "probes", &mut settings.probes)?;
+    read_flag(allowed, "peers", &mut settings.peers)?;
+    settings.answers_report = facts["stats"]["source"] == "inline";
+    read(&facts["prices"], "probe", &mut settings.probe_price)?;
+    read(&facts["prices"], "waste", &mut settings.waste_price)?;
+    read(&facts["prices"], "cross_zone", &mut settings.cross_zone_price)?;
+    Ok(settings)
+}
+
+fn read_class(class: &Value) -> Result<Class, WireError> {
+    // A class must say how long its clients wait; nothing can be guessed in its place.
+    let (mut aim, mut deadline, mut window) = (f64::NAN, f64::NAN, 0.0);
+    read(class, "deadline_ms", &mut deadline)?;
+    if deadline.is_nan() {
+        return wrong("`facts`: a class has no `deadline_ms`");
+    }
+    read(class, "promise_ms", &mut aim)?;
+    read(class, "dedup_window_ms", &mut window)?;
+    let effect = match class["effect"].as_str() {
+        Some("retryable") => Effect::Safe,
+        Some("dedup") => {
+            let group = match class["group"].as_str() {
+                Some("all") => Group::All,
+                Some("zone") => Group::Zone,
+                _ => Group::Cell,
+            };
+            Effect::Keyed { group, window_ms: window }
+        }
+        // An effect that is not known is treated as the one that allows least.
+        _ => Effect::Unsafe,
+    };
+    let mut read_class = Class::new(if aim.is_nan() { deadline } else { aim }, deadline, effect);
+    read(class, "worth", &mut read_class.worth)?;
+    read(class, "late_worth", &mut read_class.late_worth)?;
+    Ok(read_class)
+}
+
+fn read(from: &Value, key: &str, to: &mut f64) -> Result<(), WireError> {
+    match &from[key] {
+        Value::Null => Ok(()),
+        value => value.as_f64().map(|x| *to = x).map_or_else(|| mistyped(key, "number"), Ok),
+    }
+}
+
+fn read_index(from: &Value, key: &str, to: &mut usize) -> Result<(), WireError> {
+    match &from[key] {
+        Value::Null => Ok(()),
+        value => value.as_u64().map(|x| *to = x as usize).map_or_else(|| mistyped(key, "whole number"), Ok),
+    }
+}
+
+fn read_flag(from: &Value, key: &str, to: &mut bool) -> Result<(), WireError> {
+    match &from[key] {
+        Value::Null => Ok(()),
+        value => value.as_bool().map(|x| *to = x).map_or_else(|| mistyped(key, "yes or no"), Ok),
+    }
+}
+
+fn mistyped(key: &str, what: &str) -> Result<(), WireError> {
+    wrong(format!("`facts`: `{key}` is no {what}"))
+}
--- /dev/null
+++ b/test.sh
@@ -0,0 +1,9 @@
+#!/usr/bin/env bash
+# Everything a change must pass: format, lints, documentation, build and tests.
+set -euo pipefail
+cd "$(dirname "$0")"
+cargo fmt --check
+cargo clippy --locked --all-targets -- -D warnings
+RUSTDOCFLAGS="-D warnings" cargo doc --locked --no-deps --lib
+cargo build --locked --release
+cargo test --locked
--- /dev/null
+++ b/tests/rules.rs
@@ -0,0 +1,725 @@
+//! The four rules at their edges, and on generated days against a checker of its own.
+
+mod common;
+use common::*;
+
+use std::collections::BTreeMap;
+
+use sableproxy::*;
+
+// ---- Edges
+
+#[test]
+fn no_servers_still_gives_one_answer_at_once() {
+    for effect in [Effect::Safe, Effect::Keyed { group: Group::Cell, window_ms: 500.0 }, Effect::Unsafe] {
+        let mut node = Node::new(one_class(effect), 1);
+        assert!(refused(&node.request(1, 0, 100.0)), "nothing ran, so a refusal is true");
+        node.servers(Vec::new());
+        assert!(refused(&node.request(2, 0, 100.0)));
+    }
+}
+
+#[test]
+fn a_class_that_does_not_exist_is_answered() {
+    let mut node = Node::new(one_class(Effect::Safe), 1);
+    node.servers(ready(0..2));
+    assert!(failed(&node.request(1, 7, 100.0)));
+}
+
+/// An unsafe request is sent again only with proof that nothing ran, and otherwise not refused either.
+#[test]
+fn unsafe_after_each_ending() {
+    for (ending, again) in [
+        (Ending::Full, true),
+        (Ending::Unreachable, true),
+        (Ending::NotSent, true),
+        (Ending::Error, false),
+        (Ending::TimedOut, false),
+        (Ending::Reset, false),
+        (Ending::Cancelled, false),
+    ] {
+        let mut node = Node::new(one_class(Effect::Unsafe), 1);
+        node.servers(ready(0..3));
+        node.sent_to(1);
+        node.now += 5.0;
+        let actions = node.end(1, 0, 5.0, ending);
+        assert_eq!(send_of(&actions).is_some(), again, "{ending:?}");
+        assert_eq!(failed(&actions), !again, "{ending:?}");
+        assert!(!refused(&actions), "{ending:?}");
+    }
+}
+
+#[test]
+fn keyed_stays_in_its_cell_and_window() {
+    let settings = one_class(Effect::Keyed { group: Group::Cell, window_ms: 500.0 });
+    for (wait, again) in [(5.0, true), (399.0, true), (401.0, false), (600.0, false)] {
+        for seed in 0..20 {
+            let mut node = Node::new(settings.clone(), seed);
+            let mut entries = ready(0..6);
+            entries.iter_mut().enumerate().for_each(|(i, e)| e.cell = i / 2);
+            node.servers(entries);
+            let first = node.sent_to(1);
+            node.now += wait;
+            let actions = node.end(1, 0, wait, Ending::Error);
+            assert!(!refused(&actions), "a refusal would promise that nothing ran");
+            match send_of(&actions) {
+                Some(at) => assert!(again && at / 2 == first / 2, "{wait} ms: {first} then {at}"),
+                None => assert!(!again && failed(&actions), "{wait} ms"),
+            }
+        }
+    }
+}
+
+#[test]
+fn keyed_with_group_all_may_be_refused_after_it_ran() {
+    let mut settings = one_class(Effect::Keyed { group: Group::All, window_ms: 500.0 });
+    settings.max_attempts = 1;
+    let mut node = Node::new(settings, 1);
+    node.servers(ready(0..3));
+    node.sent_to(1);
+    node.now += 5.0;
+    assert!(refused(&node.end(1, 0, 5.0, Ending::Error)));
+}
+
+#[test]
+fn a_time_out_at_the_deadline_is_answered_at_once() {
+    let mut node = Node::new(one_class(Effect::Unsafe), 1);
+    node.servers(ready(0..3));
+    node.sent_to(1);
+    node.now += 800.0;
+    assert!(failed(&node.end(1, 0, 800.0, Ending::TimedOut)));
+    assert!(node.end(1, 0, 801.0, Ending::Served).is_empty(), "an ending comes once");
+}
+
+#[test]
+fn nothing_follows_a_final_answer() {
+    let mut node = Node::new(one_class(Effect::Safe), 1);
+    node.servers(ready(0..3));
+    node.sent_to(1);
+    node.feed(Event::ClientGone(RequestId(1)));
+    node.now += 5.0;
+    assert!(send_of(&node.end(1, 0, 5.0, Ending::Error)).is_none());
+    assert!(node.feed(Event::ClientGone(RequestId(1))).is_empty());
+}
+
+#[test]
+fn drained_and_gone_servers_get_nothing_new() {
+    let mut node = Node::new(one_class(Effect::Safe), 1);
+    node.servers(ready(0..3));
+    let mut entry = ServerEntry::new(ServerId(0), Availability::Draining);
+    node.feed(Event::Servers(Listing::Changes(vec![entry.clone()])));
+    entry.server = ServerId(1);
+    entry.availability = Availability::Gone;
+    node.feed(Event::Servers(Listing::Changes(vec![entry])));
+    assert!((0..20).all(|id| node.sent_to(id) == 2));
+    // A complete list without it removes the last one, too.
+    node.servers(ready(3..4));
+    assert!((20..40).all(|id| node.sent_to(id) == 3));
+}
+
+/// A cold server reports nothing queued and would draw everything; one node carrying most of the
+/// traffic must stay under the budget that all nodes share.
+#[test]
+fn a_cold_server_gets_no_more_than_its_budget() {
+    let mut settings = one_class(Effect::Safe);
+    settings.nodes = 3;
+    settings.cold_from = 0.3;
+    settings.cold_ms = 9_000.0;
+    settings.tip_multiple = 2.5;
+    settings.tip_after_ms = 3_000.0;
+    let mut node = Node::new(settings, 1);
+    node.servers(ready(0..10));
+    let mut at = BTreeMap::new();
+    let mut cold_sends = Vec::new();
+    for id in 0..3_000 {
+        if id == 1_500 {
+            let mut entries = ready(0..11);
+            entries[10].started_at = Some(node.now);
+            node.servers(entries);
+        }
+        at.insert(id, node.sent_to(id));
+        if at[&id] == 10 {
+            cold_sends.push(node.now);
+        }
+        node.now += 4.0;
+        if id >= 10 {
+            // Cold as it is, it answers fast and reports next to nothing held.
+            let cold = at[&(id - 10)] == 10;
+            let held = if cold { 0.1 * (id % 2) as f64 } else { (300 + id % 2) as f64 };
+            let elapsed = if cold { 10.0 } else { 40.0 };
+            node.report(id - 10, 0, elapsed, Ending::Served, Some(held));
+        }
+    }
+    // The fleet serves 250 a second on ten servers; a cold one's capacity begins at 0.3 of a tenth.
+    let start = 1_000.0 + 1_500.0 * 4.0;
+    for window in 0..6 {
+        let from = start + f64::from(window) * 500.0;
+        let sent = cold_sends.iter().filter(|t| (from..from + 3_000.0).contains(*t)).count() as f64;
+        let capacity = 25.0 * 3.0 * (0.3 + 0.7 * (from + 3_000.0 - start) / 9_000.0);
+        assert!(sent < 2.5 * capacity, "{sent} in window {window}, capacity {capacity}");
+    }
+    assert!(!cold_sends.is_empty(), "it gets some work");
+}
+
+/// A node that restarted has served nothing yet; what it knows of starts is in its list.
+#[test]
+fn a_restarted_node_spares_cold_servers() {
+    let mut settings = one_class(Effect::Safe);
+    (settings.cold_from, settings.cold_ms) = (0.3, 9_000.0);
+    (settings.tip_multiple, settings.tip_after_ms) = (2.5, 3_000.0);
+    let mut node = Node::new(settings, 1);
+    let mut entries = ready(0..2);
+    entries[1].started_at = Some(node.now - 100.0);
+    node.feed(Event::Servers(Listing::Cached(entries)));
+    let cold = (0..40).filter(|id| send_of(&node.request(*id, 0, 800.0)) == Some(1)).count();
+    // Had both all of their capacity, each would get twenty.
+    assert!(cold as f64 <= 2.5 * 0.3 * 20.0, "{cold} of 40");
+}
+
+/// Incidents ie11f3d and ia94218: a floor of one send a node and window let hundreds of nodes push a cold
+/// server over together. What counts is the sum over the nodes.
+#[test]
+fn hundreds_of_nodes_together_spare_a_cold_server() {
+    let mut settings = one_class(Effect::Safe);
+    (settings.nodes, settings.max_attempts) = (400, 1);
+    (settings.cold_from, settings.cold_ms) = (0.2, 20_000.0);
+    (settings.tip_multiple, settings.tip_after_ms) = (2.5, 1_500.0);
+    let (mut cold, mut sent) = (0, 0);
+    for me in 0..400 {
+        settings.me = me;
+        let mut node = Node::new(settings.clone(), me as u64);
+        let mut entries = ready(0..10);
+        entries[7].started_at = Some(node.now);
+        node.servers(entries);
+        for id in 0..30 {
+            node.now += 50.0;
+            let at = node.sent_to(id);
+            node.end(id, 0, 40.0, Ending::Served);
+            sent += 1;
+            cold += usize::from(at == 7);
+        }
+    }
+    // A warm server gets a tenth of it all; the cold one holds a fifth of that and a little more.
+    let fair = f64::from(sent) / 10.0;
+    assert!((cold as f64) < 2.5 * 0.2 * fair, "{cold} to the cold server, {fair} to a warm one");
+    assert!(cold > 0, "it gets some work");
+}
+
+// ---- Following the list
+
+#[test]
+fn it_subscribes_at_once_and_again_after_failures() {
+    let mut settings = one_class(Effect::Safe);
+    settings.discovery = Discovery::Subscribe;
+    settings.ask_within_ms = 10_000.0;
+    let mut node = Node::new(settings, 1);
+    let actions = node.feed(Event::Servers(Listing::Cached(ready(0..2))));
+    assert_eq!(actions, [Action::Subscribe]);
+    let mut waits = Vec::new();
+    for call in 0..8 {
+        let actions = node.feed(Event::Servers(Listing::Failed));
+        let notes = actions.iter().filter(|a| matches!(a, Action::Note(_))).count();
+        assert_eq!(notes, usize::from(call == 0), "the loss is noted once: {actions:?}");
+        let [.., Action::SetTimer { timer, after_ms }] = actions[..] else { panic!("{actions:?}") };
+        assert!(node.feed(Event::Servers(Listing::Failed)).is_empty(), "one call at a time");
+        waits.push(after_ms);
+        node.now += after_ms;
+        assert_eq!(node.feed(Event::Timer(timer)), [Action::Subscribe]);
+        assert!(node.feed(Event::Timer(timer)).is_empty(), "a timer is used once");
+    }
+    assert!(waits[0] < waits[4] && waits.iter().all(|w| *w <= 2_500.0), "{waits:?}");
+    let list = || Event::Servers(Listing::Full(ready(0..2)));
+    let noted = node.feed(list());
+    assert!(matches!(noted[..], [Action::Note(_)]), "and so is the end of it: {noted:?}");
+    assert!(node.feed(list()).is_empty(), "once");
+}
+
+// ---- Health
+
+/// A server that fails quickly reports a short queue and would draw more.
+#[test]
+fn quick_failures_take_a_server_out_and_success_brings_it_back() {
+    let mut node = Node::new(one_class(Effect::Safe), 1);
+    node.servers(ready(0..4));
+    let run = |node: &mut Node, from: u64, bad: bool| {
+        let mut sent = 0;
+        for id in from..from + 400 {
+            let at = node.sent_to(id);
+            node.now += 10.0;
+            sent += usize::from(at == 0);
+            if bad && at == 0 {
+                let again = node.report(id, 0, 2.0, Ending::Error, Some(0.0));
+                let attempt = usize::from(send_of(&again).is_some());
+                node.end(id, attempt, 30.0, Ending::Served);
+            } else {
+                node.end(id, 0, 30.0, Ending::Served);
+            }
+        }
+        sent
+    };
+    assert!(run(&mut node, 0, false) > 50);
+    assert!(run(&mut node, 1_000, true) < 25, "a failing server kept its traffic");
+    run(&mut node, 2_000, false);
+    node.now += 10_000.0;
+    run(&mut node, 2_500, false);
+    assert!(run(&mut node, 3_000, false) > 50, "it never came back");
+}
+
+/// A server that takes requests and answers none has an ordinary count.
+#[test]
+fn a_silent_server_is_passed_over() {
+    let mut node = Node::new(one_class(Effect::Safe), 1);
+    node.servers(ready(0..4));
+    let mut hung = 0;
+    for id in 0..600 {
+        let at = send_of(&node.request(id, 0, 800.0));
+        node.now += 10.0;
+        if id > 200 && at == Some(0) {
+            hung += 1;
+        } else if at.is_some() {
+            node.report(id, 0, 30.0, Ending::Served, Some((1 + id % 3) as f64));
+        }
+    }
+    assert!(hung < 12, "{hung} requests went to a silent server");
+}
+
+/// With everything failing there is nobody better: traffic must go on, and recover by itself.
+#[test]
+fn refusals_end_when_the_servers_recover() {
+    let mut settings = one_class(Effect::Safe);
+    settings.max_attempts = 1;
+    let mut node = Node::new(settings, 1);
+    node.servers(ready(0..4));
+    let mut last = (0, 0);
+    for id in 0..3_000 {
+        let broken = (500..1_000).contains(&id);
+        let sent = send_of(&node.request(id, 0, 800.0)).is_some();
+        node.now += 10.0;
+        if sent {
+            let (elapsed, ending) = if broken { (800.0, Ending::TimedOut) } else { (30.0, Ending::Served) };
+            node.end(id, 0, elapsed, ending);
+        }
+        if id >= 2_000 {
+            last = (last.0 + usize::from(sent), last.1 + 1);
+        }
+    }
+    assert!(last.0 * 100 > last.1 * 95, "{last:?} sent long after the trouble");
+}
+
+/// With everything late, nodes try idle servers to learn when that ends. Many nodes must not try so
+/// often that the trials alone keep the servers crowded.
+#[test]
+fn trials_of_many_nodes_stay_few() {
+    let mut settings = one_class(Effect::Safe);
+    (settings.nodes, settings.max_attempts) = (16, 1);
+    let mut node = Node::new(settings, 1);
+    node.servers(ready(0..10));
+    let mut tried = 0;
+    for id in 0..4_000 {
+        let sent = send_of(&node.request(id, 0, 800.0)).is_some();
+        node.now += 10.0;
+        if sent {
+            node.end(id, 0, 790.0, Ending::Served);
+            tried += u32::from(id >= 2_000);
+        }
+    }
+    // Twenty seconds are fifty aims; sixteen nodes together may try each server some hundred times.
+    assert!((10..=10 * 2 * 50 / 16 * 3 / 2).contains(&tried), "{tried} trials");
+}
+
+/// A node that sees little keeps few answers of each server: after a crowded start the slow ones must not be
+/// believed for long, or the node refuses what idle servers would take.
+#[test]
+fn a_crowded_start_is_soon_forgotten() {
+    let mut settings = one_class(Effect::Safe);
+    (settings.nodes, settings.max_attempts) = (12, 1);
+    let mut node = Node::new(settings, 1);
+    node.servers(ready(0..20));
+    let mut out = std::collections::VecDeque::new();
+    let (mut asked, mut refusals) = (0, 0);
+    for id in 0..620_u64 {
+        node.now += 10.0;
+        let crowded = id < 120;
+        while out.front().is_some_and(|(_, _, end)| *end <= node.now) {
+            let (id, elapsed, _) = out.pop_front().expect("checked");
+            node.end(id, 0, elapsed, Ending::Served);
+        }
+        let sent = send_of(&node.request(id, 0, 800.0)).is_some();
+        if sent {
+            let elapsed = if crowded { 600.0 } else { 50.0 };
+            out.push_back((id, elapsed, node.now + elapsed));
+        }
+        // From two seconds after the crowd has gone, for three seconds.
+        if (320..620).contains(&id) {
+            asked += 1;
+            refusals += u32::from(!sent);
+        }
+    }
+    assert!(refusals * 4 < asked, "{refusals} of {asked} refused by what was long past");
+}
+
+// ---- Overload
+
+/// Incident i007987: where each of hundreds of nodes sees a few requests a second, a bound that is all or nothing
+/// makes them refuse all together, then none. Over the bound a node of many takes a part of what comes.
+#[test]
+fn a_node_of_many_takes_a_part_of_what_is_over_the_bound() {
+    let mut settings = one_class(Effect::Safe);
+    (settings.nodes, settings.max_attempts) = (400, 1);
+    let mut node = Node::new(settings, 1);
+    node.servers(ready(0..4));
+    let mut sent = 0;
+    for id in 0..400 {
+        let taken = send_of(&node.request(id, 0, 800.0)).is_some();
+        node.now += 300.0;
+        if taken {
+            node.end(id, 0, 300.0, Ending::Served);
+        }
+        sent += usize::from(taken && id >= 100);
+    }
+    // 300 ms are expected where 180 are the bound: neither all 300 nor none.
+    assert!((60..240).contains(&sent), "{sent} of 300");
+}
+
+#[test]
+fn beyond_its_quota_a_tenant_is_refused_first() {
+    let mut settings = one_class(Effect::Safe);
+    settings.quotas_per_s = vec![1_000.0, 10.0];
+    settings.over_quota_worth = 0.1;
+    let mut node = Node::new(settings, 1);
+    node.servers(ready(0..2));
+    let mut refusals = [0; 2];
+    for id in 0..4_000_u64 {
+        let tenant = (id % 2) as usize;
+        let request = Request { tenant, ..Request::new(RequestId(id), 0, 800.0) };
+        let actions = node.feed(Event::Request(request));
+        refusals[tenant] += usize::from(refused(&actions));
+        node.now += 10.0;
+        // Two servers that each answer in 25 ms for every request they hold: near their limit.
+        if id >= 4 {
+            node.end(id - 4, 0, 100.0 + (id % 7) as f64 * 20.0, Ending::Served);
+        }
+    }
+    assert!(refusals[1] > refusals[0], "{refusals:?}");
+}
+
+/// Incident ie11f3d: with hundreds of nodes a tenant's part at one node is under one request a second, and a
+/// bucket with no room for one request never held any: every tenant was beyond its quota everywhere.
+#[test]
+fn a_small_part_of_a_quota_is_still_a_quota() {
+    let mut settings = one_class(Effect::Safe);
+    settings.nodes = 800;
+    settings.quotas_per_s = vec![400.0, 40.0];
+    settings.over_quota_worth = 0.1;
+    settings.max_attempts = 1;
+    let mut node = Node::new(settings, 1);
+    node.servers(ready(0..4));
+    let mut refusals = [0; 2];
+    for id in 0..2_000_u64 {
+        // One request in two seconds of the first tenant is within its part, of the second it is not.
+        let tenant = (id % 2) as usize;
+        let request = Request { tenant, ..Request::new(RequestId(id), 0, 800.0) };
+        refusals[tenant] += usize::from(refused(&node.feed(Event::Request(request))));
+        node.now += 1_000.0;
+        node.end(id, 0, 160.0, Ending::Served);
+    }
+    assert!(refusals[0] < 20 && refusals[1] > 400, "{refusals:?}");
+}
+
+/// A class of low worth with a distant aim could wait long; it must not fill the queues in which a worthier
+/// class with a near aim would be late.
+#[test]
+fn low_worth_does_not_crowd_out_what_is_worth_more() {
+    let mut near = Class::new(200.0, 2_000.0, Effect::Safe);
+    near.worth = 5.0;
+    let mut settings = Settings::new(vec![near, Class::new(4_000.0, 8_000.0, Effect::Safe)]);
+    settings.max_attempts = 1;
+    let mut node = Node::new(settings, 1);
+    node.servers(ready(0..2));
+    let mut refusals = [0; 2];
+    let mut out = std::collections::VecDeque::new();
+    for id in 0..4_000_u64 {
+        let class = (id % 2) as usize;
+        let sent = send_of(&node.request(id, class, 2_000.0)).is_some();
+        if sent {
+            out.push_back((id, node.now));
+        } else {
+            refusals[class] += 1;
+        }
+        node.now += 10.0;
+        // One answer in 20 ms is half of what is asked for; answers wait for all that is before them.
+        if id % 2 == 0 {
+            if let Some((id, since)) = out.pop_front() {
+                node.end(id, 0, node.now - since, Ending::Served);
+            }
+        }
+    }
+    assert!(refusals[1] > 2 * refusals[0], "{refusals:?}");
+}
+
+// ---- Generated days
+
+/// Keeps the four rules' books from events and actions alone.
+struct Checker {
+    settings: Settings,
+    requests: BTreeMap<u64, Entry>,
+    servers: BTreeMap<usize, ServerEntry>,
+    told_gone: BTreeMap<usize, f64>,
+    grace_ms: f64,
+}
+
+struct Entry {
+    class: usize,
+    deadline: f64,
+    attempts: Vec<(usize, f64, Option<Ending>)>,
+    done: bool,
+}
+
+impl Checker {
+    fn list(&mut self, now: f64, entries: &[ServerEntry], complete: bool) {
+        if complete {
+            let named: Vec<usize> = entries.iter().map(|e| e.server.0).collect();
+            for gone in self.servers.keys().filter(|s| !named.contains(s)) {
+                self.told_gone.entry(*gone).or_insert(now);
+            }
+        }
+        for entry in entries {
+            self.servers.insert(entry.server.0, entry.clone());
+            if entry.availability == Availability::Ready {
+                self.told_gone.remove(&entry.server.0);
+            } else {
+                self.told_gone.entry(entry.server.0).or_insert(now);
+            }
+        }
+    }
+
+    /// Notes what an event says just before the module hears it.
+    fn learn(&mut self, event: &mut Event) {
+        match event {
+            Event::Outcome(outcome) => {
+                let entry = self.requests.get_mut(&outcome.request.0).expect("sent");
+                entry.attempts[outcome.attempt].2 = Some(outcome.ending);
+                entry.done |= outcome.complete;
+                outcome.complete = entry.done;
+            }
+            Event::ClientGone(id) => drop(self.requests.get_mut(&id.0).map(|e| e.done = true)),
+            _ => {}
+        }
+    }
+
+    fn act(&mut self, now: f64, action: &Action) {
+        match action {
+            Action::Send { request, server } => {
+                let gone = self.told_gone.get(&server.0);
+                assert!(gone.is_none_or(|t| now <= t + self.grace_ms), "sent to a drained server");
+                let target = self.servers.get(&server.0).expect("a listed server");
+                let entry = self.requests.get_mut(&request.0).expect("a known request");
+                assert!(!entry.done, "sent after the final answer");
+                assert!(entry.attempts.len() < self.settings.max_attempts, "too many attempts");
+                assert!(entry.attempts.iter().all(|a| a.2.is_some()), "two attempts at once");
+                let ran = entry.attempts.iter().find(|a| a.2.is_none_or(Ending::may_have_run));
+                if let Some((first, at, _)) = ran {
+                    match self.settings.classes[entry.class].effect {
+                        Effect::Safe => {}
+                        Effect::Unsafe => panic!("an unsafe request was sent twice"),
+                        Effect::Keyed { group, window_ms } => {
+                            assert!(now - at < window_ms, "resent past its window");
+                            let first = &self.servers[first];
+                            assert!(match group {
+                                Group::All => true,
+                                Group::Zone => first.zone == target.zone,
+                                Group::Cell => first.cell == target.cell,
+                            });
+                        }
+                    }
+                }
+                entry.attempts.push((server.0, now, None));
+            }
+            Action::Refuse { request } | Action::Fail { request } => {
+                let entry = self.requests.get_mut(&request.0).expect("a known request");
+                assert!(!entry.done, "two final answers");
+                entry.done = true;
+                let ran = entry.attempts.iter().any(|a| a.2.is_none_or(Ending::may_have_run));
+                if matches!(action, Action::Refuse { .. }) && ran {
+                    let effect = self.settings.classes[entry.class].effect;
+                    let harmless = matches!(effect, Effect::Safe | Effect::Keyed { group: Group::All, .. });
+                    assert!(harmless, "a refusal that promises falsely");
+                }
+            }
+            Action::Cancel { request, attempt } => {
+                assert!(self.settings.cancel && self.requests[&request.0].attempts.len() > *attempt);
+            }
+            Action::Probe { server } => {
+                assert!(
+                    self.settings.probes && self.servers.contains_key(&server.0),
+                    "a probe that is not allowed"
+                );
+            }
+            Action::Subscribe | Action::SetTimer { .. } | Action::Note(_) => {}
+        }
+    }
+
+    fn overdue(&self, now: f64) {
+        let late = self.requests.iter().find(|(_, e)| !e.done && now > e.deadline + 20.0);
+        assert!(late.is_none(), "request {:?} got no answer in time", late.map(|(id, _)| id));
+    }
+}
+
+/// One legal day from a seed: lists that come and go, endings of every kind, clients that leave.
+fn generated_day(seed: u64) -> usize {
+    let mut random = fastrand::Rng::with_seed(seed);
+    let groups = [Group::All, Group::Zone, Group::Cell];
+    let mut settings = Settings::new(vec![
+        Class::new(200.0, 600.0, Effect::Safe),
+        Class::new(400.0, 900.0, Effect::Keyed { group: groups[seed as usize % 3], window_ms: 500.0 }),
+        Class::new(600.0, 2_000.0, Effect::Unsafe),
+    ]);
+    settings.nodes = 1 + random.usize(..4);
+    settings.kinds = 2;
+    (settings.probes, settings.answers_report) = (random.bool(), random.bool());
+    settings.cancel = random.bool();
+    settings.max_attempts = 1 + random.usize(..5);
+    (settings.cold_from, settings.cold_ms) = (0.3, 5_000.0);
+    if random.bool() {
+        settings.discovery = Discovery::Subscribe;
+    }
+    let mut checker = Checker {
+        settings: settings.clone(),
+        requests: BTreeMap::new(),
+        servers: BTreeMap::new(),
+        told_gone: BTreeMap::new(),
+        grace_ms: 0.0,
+    };
+    let mut node = Node::new(settings, seed);
+    let mut out: Vec<(f64, u64, usize, Ending)> = Vec::new();
+    let mut sends = 0;
+    let mut timers: Vec<(f64, u64)> = Vec::new();
+    let mut probes: Vec<(f64, ServerId)> = Vec::new();
+    for id in 0..1_500_u64 {
+        node.now += random.f64() * 20.0;
+        let now = node.now;
+        let mut events: Vec<Event> = Vec::new();
+        if random.u32(..30) == 0 || id == 0 {
+            let mut entries = Vec::new();
+            for i in 0..10 {
+                if random.u32(..5) == 0 {
+                    continue;
+                }
+                let states = [Availability::Ready, Availability::Draining, Availability::Gone];
+                entries.push(ServerEntry {
+                    started_at: (random.u32(..4) == 0).then_some(now - 1_000.0),
+                    cell: i / 3,
+                    zone: i % 3,
+                    kind: i % 3,
+                    ..ServerEntry::new(ServerId(i), states[random.usize(..5).saturating_sub(2)])
+                });
+            }
+            let complete = random.bool();
+            checker.list(now, &entries, complete);
+            events.push(Event::Servers(if complete {
+                Listing::Full(entries)
+            } else {
+                Listing::Changes(entries)
+            }));
+        }
+        if random.u32(..60) == 0 {
+            events.push(Event::Servers(Listing::Failed));
+        }
+        out.sort_by(|a, b| a.0.total_cmp(&b.0));
+        while out.first().is_some_and(|o| o.0 <= now) {
+            let (_, id, attempt, ending) = out.remove(0);
+            let entry = checker.requests.get_mut(&id).expect("sent");
+            let sent_at = entry.attempts[attempt].1;
+            events.push(Event::Outcome(Outcome {
+                request: RequestId(id),
+                attempt,
+                elapsed_ms: now - sent_at,
+                ending,
+                complete: ending == Ending::Served,
+                report: random.bool().then(|| Report { in_flight: Some(random.f64() * 9.0), queued: None }),
+            }));
+        }
+        timers.retain(|(at, timer)| {
+            let due = *at <= now;
+            if due {
+                events.push(Event::Timer(*timer));
+            }
+            !due
+        });
+        let due: Vec<_> = probes.iter().filter(|(at, _)| *at <= now).copied().collect();
+        probes.retain(|(at, _)| *at > now);
+        for (_, server) in due {
+            let ending = if random.u32(..4) > 0 { Ending::Served } else { Ending::TimedOut };
+            let report = (ending == Ending::Served)
+                .then(|| Report { in_flight: Some(random.f64() * 5.0), queued: None });
+            events.push(Event::Probed { server, ending, report });
+        }
+        if random.u32(..40) == 0 && id > 20 {
+            let gone = id - 1 - random.u64(..20);
+            events.push(Event::ClientGone(RequestId(gone)));
+        }
+        let class = random.usize(..3);
+        let budget = checker.settings.classes[class].deadline_ms * (0.3 + 0.7 * random.f64());
+        checker
+            .requests
+            .insert(id, Entry { class, deadline: now + budget, attempts: Vec::new(), done: false });
+        events.push(Event::Request(Request::new(RequestId(id), class, budget)));
+        for mut event in events {
+            checker.learn(&mut event);
+            for action in node.feed(event) {
+                checker.act(now, &action);
+                match action {
+                    Action::Send { request, .. } => {
+                        sends += 1;
+                        let entry = &checker.requests[&request.0];
+                        let endings = [
+                            Ending::Error,
+                            Ending::Full,
+                            Ending::Unreachable,
+                            Ending::Reset,
+                            Ending::TimedOut,
+                            Ending::NotSent,
+                        ];
+                        let ok = random.u32(..3) > 0;
+                        let ending = if ok { Ending::Served } else { endings[random.usize(..6)] };
+                        let at = now + random.f64() * random.f64() * 900.0;
+                        let (at, ending) = if at > entry.deadline {
+                            (entry.deadline, Ending::TimedOut)
+                        } else {
+                            (at, ending)
+                        };
+                        out.push((at, request.0, entry.attempts.len() - 1, ending));
+                    }
+                    Action::SetTimer { timer, after_ms } => timers.push((now + after_ms, timer)),
+                    Action::Probe { server } => probes.push((now + random.f64() * 40.0, server)),
+                    _ => {}
+                }
+            }
+        }
+        // The day moves in steps of up to 20 ms, which is the slack of the first rule.
+        checker.overdue(now - 20.0);
+    }
+    sends
+}
+
+#[test]
+fn generated_days_break_no_rule() {
+    let sends: usize = (0..72).map(generated_day).sum();
+    assert!(sends > 20_000, "{sends} sends are too few to mean much");
+}
+
+/// Events about things never heard of must not disturb anything.
+#[test]
+fn unknown_ids_are_passed_over() {
+    let mut node = Node::new(one_class(Effect::Safe), 1);
+    node.servers(ready(0..2));
+    assert!(node.end(77, 0, 5.0, Ending::Served).is_empty());
+    assert!(node.feed(Event::ClientGone(RequestId(77))).is_empty());
+    assert!(node.feed(Event::Timer(0)).is_empty() && node.feed(Event::Timer(5)).is_empty());
+    assert!(node.feed(Event::StreamStarted { request: RequestId(7), attempt: 0 }).is_empty());
+    let probed =
+        Event::Probed { server: ServerId(99), ending: Ending::Served, report: Some(Report::default()) };
+    assert!(node.feed(probed).is_empty());
+    node.sent_to(1);
+    assert!(node.end(1, 9, 5.0, Ending::Error).is_empty(), "an attempt that was never made");
+}
