--- a/src/bin/sableproxy-adapter.rs
+++ b/src/bin/spurdrum-simhost.rs
@@ -5,8 +5,8 @@
 use std::panic::{self, AssertUnwindSafe};
 use std::process::ExitCode;
 
-use sableproxy::wire::{one_line, Dialect, Line, Member, WireError};
-use sableproxy::{Action, Balancer};
+use spurdrum::wire::{one_line, Dialect, Line, Member, WireError};
+use spurdrum::{Action, Balancer};
 
 /// One instance: its balancer and the names only it has been told.
 struct Instance {
@@ -106,7 +106,7 @@
 
     fn note(&mut self, what: &str, why: &str) {
         if self.passed_over.insert(what.to_owned()) {
-            eprintln!("sableproxy-adapter: {why}: {}", one_line(what));
+            eprintln!("spurdrum-simhost: {why}: {}", one_line(what));
         }
     }
 }
@@ -122,7 +122,7 @@
             Ok(0) => return ExitCode::SUCCESS,
             Ok(_) => {}
             Err(error) => {
-                eprintln!("sableproxy-adapter: line {number}: {error}");
+                eprintln!("spurdrum-simhost: line {number}: {error}");
                 return ExitCode::FAILURE;
             }
         }
@@ -135,14 +135,14 @@
             Ok(Step::EndOfBatch) => {
                 let written = output.write_all(adapter.reply.as_bytes()).and_then(|()| output.flush());
                 if let Err(error) = written {
-                    eprintln!("sableproxy-adapter: line {number}: cannot reply: {error}");
+                    eprintln!("spurdrum-simhost: line {number}: cannot reply: {error}");
                     return ExitCode::FAILURE;
                 }
                 adapter.reply.clear();
             }
             Err(error) => {
                 let message = line.split(' ').next().unwrap_or_default();
-                eprintln!("sableproxy-adapter: line {number}: {message}: {error}");
+                eprintln!("spurdrum-simhost: line {number}: {message}: {error}");
                 return ExitCode::FAILURE;
             }
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,7 +10,7 @@
 //! A node's event loop calls [`Balancer::handle`] and carries out what it is told:
 //!
 //! ```
-//! use sableproxy::{
+//! use spurdrum::{
 //!     Action, Availability, Balancer, Class, Effect, Ending, Event, Listing, Outcome, Request,
 //!     RequestId, ServerEntry, ServerId, Settings,
 //! };
@@ -40,7 +40,7 @@
 //! };
 //! balancer.handle(19.5, Event::Outcome(outcome), &mut actions);
 //! # let _ = server;
-//! # Ok::<(), sableproxy::SettingsError>(())
+//! # Ok::<(), spurdrum::SettingsError>(())
 //! ```
 
 mod interface;
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -5,7 +5,7 @@
 
 use std::collections::BTreeMap;
 
-use sableproxy::*;
+use spurdrum::*;
 
 // ---- Edges
 
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -6,7 +6,7 @@
 const BOOT: &str = r#"BOOT node=node-1 seed=7 facts={"classes": [{"deadline_ms": 800.0, "promise_ms": 400.0, "effect": "retryable", "name": "a"}], "n_instances": 1, "stats": {"fields": ["waiting", "active"], "source": "inline"}}"#;
 
 fn adapter(input: &str) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_sableproxy-adapter"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_spurdrum-simhost"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
