--- /dev/null
+++ b/src/net/node.rs
@@ -0,0 +1,279 @@
+//! The node itself: it feeds the decisions what happens and carries out what they say.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use bytes::Bytes;
+use spurdrum::{
+    wire, Action, Availability, Balancer, Discovery, Ending, Event, Listing, Outcome, Request, RequestId,
+    ServerEntry, ServerId,
+};
+use tokio::sync::{oneshot, Notify};
+use tokio::time::{sleep, Instant};
+
+use super::config::{Config, List, Phase};
+use super::upstream::{self, Forward, Reply, Upstream};
+
+/// The one final answer to a request.
+pub enum Answer {
+    /// A server's body.
+    Served(Bytes),
+    /// Not taken: trying again is harmless.
+    Refused,
+    /// Failed, perhaps with an effect.
+    Failed,
+}
+
+/// A request that is held: until it is answered and its attempts have ended.
+struct Held {
+    forward: Rc<Forward>,
+    /// Taken by the final answer, or when the client leaves.
+    answer: Option<oneshot::Sender<Answer>>,
+    /// How to give each attempt up, while it is out.
+    attempts: Vec<Option<oneshot::Sender<()>>>,
+}
+
+/// One node; all of its parts hold it.
+pub struct Node {
+    /// What it was told at its start.
+    pub config: Config,
+    /// Connections to servers.
+    pub upstream: Upstream,
+    /// Raised when the decisions want the changes of the list.
+    pub subscribed: Notify,
+    balancer: RefCell<Balancer>,
+    requests: RefCell<HashMap<RequestId, Held>>,
+    last_id: Cell<u64>,
+    ids: RefCell<HashMap<String, ServerId>>,
+    revision: Cell<u64>,
+    started: Instant,
+    started_unix_ms: f64,
+}
+
+impl Node {
+    /// A node that has heard the list that it was given.
+    pub fn start(mut config: Config) -> Result<Rc<Self>, String> {
+        let balancer =
+            Balancer::new(config.settings.clone(), config.seed).map_err(|e| format!("`settings`: {e}"))?;
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).map_err(|e| format!("the clock: {e}"))?;
+        let known =
+            std::mem::replace(&mut config.known, List { revision: 0, complete: true, members: Vec::new() });
+        let node = Rc::new(Self {
+            upstream: Upstream::new(&config),
+            config,
+            subscribed: Notify::new(),
+            balancer: RefCell::new(balancer),
+            requests: RefCell::default(),
+            last_id: Cell::new(0),
+            ids: RefCell::default(),
+            revision: Cell::new(known.revision),
+            started: Instant::now(),
+            started_unix_ms: unix.as_secs_f64() * 1000.0,
+        });
+        let entries = node.entries(&known);
+        node.handle(Event::Servers(Listing::Cached(entries)));
+        if node.config.settings.discovery == Discovery::Push {
+            // The decisions expect such lists unasked; on sockets they come to a watch as well.
+            node.subscribed.notify_one();
+        }
+        Ok(node)
+    }
+
+    /// Unix time in milliseconds that never runs backwards: starts of servers are told in it.
+    fn now(&self) -> f64 {
+        self.started_unix_ms + self.started.elapsed().as_secs_f64() * 1000.0
+    }
+
+    fn handle(self: &Rc<Self>, event: Event) {
+        let mut actions = Vec::new();
+        self.balancer.borrow_mut().handle(self.now(), event, &mut actions);
+        for action in actions {
+            self.carry_out(action);
+        }
+    }
+
+    fn carry_out(self: &Rc<Self>, action: Action) {
+        match action {
+            Action::Send { request, server } => {
+                let mut requests = self.requests.borrow_mut();
+                let Some(held) = requests.get_mut(&request) else { return };
+                let (give_up, given_up) = oneshot::channel();
+                let attempt = held.attempts.len();
+                held.attempts.push(Some(give_up));
+                let (node, forward) = (Rc::clone(self), Rc::clone(&held.forward));
+                tokio::task::spawn_local(async move {
+                    let begun = Instant::now();
+                    let reply = upstream::attempt(&node, server, &forward, given_up).await;
+                    node.ended(request, attempt, begun.elapsed(), reply);
+                });
+            }
+            Action::Probe { server } => {
+                let node = Rc::clone(self);
+                tokio::task::spawn_local(async move {
+                    let reply = upstream::probe(&node, server).await;
+                    node.handle(Event::Probed { server, ending: reply.ending, report: reply.report });
+                });
+            }
+            Action::Cancel { request, attempt } => {
+                let mut requests = self.requests.borrow_mut();
+                let out = requests.get_mut(&request).and_then(|held| held.attempts.get_mut(attempt));
+                if let Some(give_up) = out.and_then(Option::take) {
+                    // It fails where the attempt has just ended by itself.
+                    let _ = give_up.send(());
+                }
+            }
+            Action::Refuse { request } => self.answer(request, Answer::Refused),
+            Action::Fail { request } => self.answer(request, Answer::Failed),
+            Action::Subscribe => self.subscribed.notify_one(),
+            Action::SetTimer { timer, after_ms } => {
+                let node = Rc::clone(self);
+                let after = Duration::try_from_secs_f64(after_ms / 1000.0).unwrap_or_default();
+                tokio::task::spawn_local(async move {
+                    sleep(after).await;
+                    node.handle(Event::Timer(timer));
+                });
+            }
+            Action::Note(text) => eprintln!("{}: {}", self.config.name, wire::one_line(&text)),
+        }
+    }
+
+    // ---- Requests
+
+    /// Takes a request, unless as many are held as may be. The answer comes through `answer`.
+    pub fn take(
+        self: &Rc<Self>,
+        forward: Forward,
+        request: Request,
+        answer: oneshot::Sender<Answer>,
+    ) -> Option<RequestId> {
+        if self.requests.borrow().len() >= self.config.most_held {
+            return None;
+        }
+        self.last_id.set(self.last_id.get() + 1);
+        let id = RequestId(self.last_id.get());
+        let held = Held { forward: Rc::new(forward), answer: Some(answer), attempts: Vec::new() };
+        self.requests.borrow_mut().insert(id, held);
+        self.handle(Event::Request(Request { id, ..request }));
+        Some(id)
+    }
+
+    /// The client has left, or its time is up: no answer is owed any more.
+    pub fn client_gone(self: &Rc<Self>, id: RequestId) {
+        let owed = self.requests.borrow_mut().get_mut(&id).and_then(|held| held.answer.take());
+        if owed.is_some() {
+            self.handle(Event::ClientGone(id));
+            self.forget_if_over(id);
+        }
+    }
+
+    /// Requests that still wait for something.
+    pub fn held(&self) -> usize {
+        self.requests.borrow().len()
+    }
+
+    fn answer(&self, id: RequestId, answer: Answer) {
+        let owed = self.requests.borrow_mut().get_mut(&id).and_then(|held| held.answer.take());
+        if let Some(owed) = owed {
+            // It fails where the client has just left.
+            let _ = owed.send(answer);
+        }
+        self.forget_if_over(id);
+    }
+
+    fn ended(self: &Rc<Self>, id: RequestId, attempt: usize, elapsed: Duration, reply: Reply) {
+        if let Some(held) = self.requests.borrow_mut().get_mut(&id) {
+            held.attempts[attempt] = None;
+        }
+        if let Some(body) = reply.body {
+            self.answer(id, Answer::Served(body));
+        }
+        let complete = self.requests.borrow().get(&id).is_none_or(|held| held.answer.is_none());
+        self.handle(Event::Outcome(Outcome {
+            request: id,
+            attempt,
+            elapsed_ms: elapsed.as_secs_f64() * 1000.0,
+            ending: reply.ending,
+            complete,
+            report: reply.report,
+        }));
+        self.forget_if_over(id);
+    }
+
+    fn forget_if_over(&self, id: RequestId) {
+        let mut requests = self.requests.borrow_mut();
+        let over = |held: &Held| held.answer.is_none() && held.attempts.iter().all(Option::is_none);
+        if requests.get(&id).is_some_and(over) {
+            requests.remove(&id);
+        }
+    }
+
+    // ---- The list of servers
+
+    /// The version of the list that is held.
+    pub fn revision(&self) -> u64 {
+        self.revision.get()
+    }
+
+    /// Discovery has answered a watch.
+    pub fn listed(self: &Rc<Self>, list: List) {
+        self.revision.set(list.revision);
+        let entries = self.entries(&list);
+        let listing = if list.complete { Listing::Full(entries) } else { Listing::Changes(entries) };
+        self.handle(Event::Servers(listing));
+    }
+
+    /// A watch failed or was silent.
+    pub fn list_failed(self: &Rc<Self>) {
+        self.handle(Event::Servers(Listing::Failed));
+    }
+
+    /// The entries of a list, their servers numbered and their addresses noted.
+    fn entries(&self, list: &List) -> Vec<ServerEntry> {
+        let mut ids = self.ids.borrow_mut();
+        if list.complete {
+            self.upstream.retire_all();
+        }
+        let place = |names: &[String], name| names.iter().position(|n| n == name).unwrap_or(names.len());
+        let mut entries = Vec::with_capacity(list.members.len());
+        for member in &list.members {
+            let next = ServerId(ids.len());
+            let server = *ids.entry(member.id.clone()).or_insert(next);
+            let availability = match member.phase {
+                Phase::Active => Availability::Ready,
+                Phase::Leaving => Availability::Draining,
+                Phase::Left => Availability::Gone,
+            };
+            self.upstream.list(server, member.host_port, availability == Availability::Ready);
+            entries.push(ServerEntry {
+                server,
+                availability,
+                started_at: Some(member.up_since_ms).filter(|at| *at > 0.0),
+                cell: member.cell,
+                zone: place(&self.config.names.zones, &member.locality),
+                kind: place(&self.config.names.kinds, &member.flavor),
+                weight: member.size,
+                key: wire::key(&member.id),
+            });
+        }
+        drop(ids);
+        self.upstream.close_retired();
+        entries
+    }
+
+    /// Closes connections to servers before the servers do, for as long as the node runs.
+    pub async fn reap(self: Rc<Self>) {
+        loop {
+            sleep(self.config.conn_idle / 20).await;
+            self.upstream.close_idle();
+        }
+    }
+}
+
+impl Reply {
+    /// An end without an answer.
+    pub fn none(ending: Ending) -> Self {
+        Self { ending, report: None, body: None }
+    }
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -170,7 +170,8 @@
 }
 
 /// FNV-1a of a server's name: stable over builds and nodes, which a library's default hash is not.
-fn key(name: &str) -> u64 {
+#[must_use]
+pub fn key(name: &str) -> u64 {
     name.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
 }
 
@@ -335,8 +336,12 @@
     })
 }
 
-/// The settings of a start; a key that is missing keeps its default, one of a wrong type is an error.
-fn read_settings(facts: &Value) -> Result<Settings, WireError> {
+/// The settings of a start; a key that is missing keeps its default.
+///
+/// # Errors
+///
+/// A key is of a wrong type.
+pub fn read_settings(facts: &Value) -> Result<Settings, WireError> {
     let class_list = facts["classes"].as_array().map_or(&[][..], Vec::as_slice);
     let classes = class_list.iter().map(read_class).collect::<Result<Vec<_>, _>>()?;
     let mut settings = Settings::new(classes);
