Refusals tell the client when to come back

Cause: a refusal carried no time, so clients came back by their own habits. The module now gives one, and adapter and node pass it on.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -112,6 +112,8 @@
     pub second_copies: bool,
     /// Whether an attempt may be cancelled.
     pub cancel: bool,
+    /// The longest that a client is told to stay away; `None` where it is told nothing.
+    pub retry_after_most_ms: Option<f64>,
     /// Whether servers may be probed.
     pub probes: bool,
     /// Whether nodes may send each other messages.
@@ -152,6 +154,7 @@
             max_attempts: 3,
             second_copies: false,
             cancel: true,
+            retry_after_most_ms: None,
             probes: false,
             peers: false,
             answers_report: true,
@@ -189,6 +192,7 @@
         need(self.nodes > 0, "nodes")?;
         need(some(self.ask_within_ms), "ask_within_ms")?;
         need(self.max_attempts > 0, "max_attempts")?;
+        need(self.retry_after_most_ms.is_none_or(zero_up), "max_retry_after_ms")?;
         need(some(self.cold_from) && self.cold_from <= 1.0, "cold_from")?;
         need(zero_up(self.cold_ms), "cold_ms")?;
         need(some(self.tip_multiple), "tip_multiple")?;
@@ -421,6 +425,8 @@
     Refuse {
         /// The request.
         request: RequestId,
+        /// When the client should come back, if it is told.
+        retry_after_ms: Option<f64>,
     },
     /// Final answer: failed, perhaps with an effect.
     Fail {
--- a/src/net/frontend.rs
+++ b/src/net/frontend.rs
@@ -11,7 +11,7 @@
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use hyper::header::{HeaderMap, HeaderValue, CONNECTION, HOST};
+use hyper::header::{HeaderMap, HeaderValue, CONNECTION, HOST, RETRY_AFTER};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
@@ -199,6 +199,15 @@
     response
 }
 
+fn refusal(retry_after_ms: Option<f64>) -> Response<Full<Bytes>> {
+    let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, "refused\n");
+    if let Some(ms) = retry_after_ms {
+        let seconds = format!("{:.3}", ms / 1000.0).parse().expect("digits");
+        response.headers_mut().insert(RETRY_AFTER, seconds);
+    }
+    response
+}
+
 /// Tells the node that the client has left, unless it has been answered: hyper drops what it waits for then.
 struct Waiting {
     node: Rc<Node>,
@@ -238,13 +247,14 @@
     let forward = Forward { method: head.method, uri: head.uri, headers, body, gives_up_at };
     let (answer, answered) = oneshot::channel();
     let Some(id) = node.take(forward, asked, answer) else {
-        return plain(StatusCode::SERVICE_UNAVAILABLE, "too many requests are held\n");
+        // The settings' bound, not a decision: how long it lasts is not known.
+        return refusal(node.config.settings.retry_after_most_ms);
     };
     let _waiting = Waiting { node: Rc::clone(node), id };
     // Guards against decisions that leave a request without an answer.
     match timeout_at(gives_up_at + MARGIN / 2, answered).await {
         Ok(Ok(Answer::Served(body))) => Response::new(Full::new(body)),
-        Ok(Ok(Answer::Refused)) => plain(StatusCode::SERVICE_UNAVAILABLE, "refused\n"),
+        Ok(Ok(Answer::Refused(retry_after_ms))) => refusal(retry_after_ms),
         Ok(Ok(Answer::Failed) | Err(_)) => plain(StatusCode::BAD_GATEWAY, "failed\n"),
         Err(_) => plain(StatusCode::GATEWAY_TIMEOUT, "no answer in time\n"),
     }
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -20,8 +20,8 @@
 pub enum Answer {
     /// A server's body.
     Served(Bytes),
-    /// Not taken: trying again is harmless.
-    Refused,
+    /// Not taken: trying again is harmless, and best after this time.
+    Refused(Option<f64>),
     /// Failed, perhaps with an effect.
     Failed,
 }
@@ -124,7 +124,9 @@
                     let _ = give_up.send(());
                 }
             }
-            Action::Refuse { request } => self.answer(request, Answer::Refused),
+            Action::Refuse { request, retry_after_ms } => {
+                self.answer(request, Answer::Refused(retry_after_ms));
+            }
             Action::Fail { request } => self.answer(request, Answer::Failed),
             Action::Subscribe => self.subscribed.notify_one(),
             Action::SetTimer { timer, after_ms } => {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -526,7 +526,12 @@
             Effect::Safe | Effect::Keyed { group: Group::All, .. } => true,
             Effect::Keyed { .. } | Effect::Unsafe => held.ran.is_none(),
         };
-        actions.push(if harmless { Action::Refuse { request: id } } else { Action::Fail { request: id } });
+        // As long as a server takes for one request of those it holds: the next place is free by then, and a
+        // longer wait would use up the aim, which goes on from the first try.
+        let turn = if self.all.seen > 0.0 { self.all.latency / self.all.depth } else { self.aim * EASY };
+        let retry_after_ms = self.settings.retry_after_most_ms.map(|most| turn.min(most));
+        let refuse = Action::Refuse { request: id, retry_after_ms };
+        actions.push(if harmless { refuse } else { Action::Fail { request: id } });
     }
 
     fn client_gone(&mut self, id: RequestId, actions: &mut Vec<Action>) {
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -303,7 +303,12 @@
             Action::Cancel { request, attempt } => {
                 write!(out, "STOP_ATTEMPT node={node} txn={} try={attempt}", request.0)
             }
-            Action::Refuse { request } => write!(out, "PUSH_BACK node={node} txn={}", request.0),
+            Action::Refuse { request, retry_after_ms: None } => {
+                write!(out, "PUSH_BACK node={node} txn={}", request.0)
+            }
+            Action::Refuse { request, retry_after_ms: Some(ms) } => {
+                write!(out, "PUSH_BACK node={node} txn={} stay_away_ms={ms:.3}", request.0)
+            }
             Action::Fail { request } => write!(out, "REPORT_FAILURE node={node} txn={}", request.0),
             Action::Subscribe => write!(out, "TRACK node={node} want=1"),
             Action::SetTimer { timer, after_ms } => {
@@ -374,6 +379,10 @@
     read_index(allowed, "max_attempts", &mut settings.max_attempts)?;
     read_flag(allowed, "second_copies", &mut settings.second_copies)?;
     read_flag(allowed, "cancel", &mut settings.cancel)?;
+    let (mut told, mut most) = (false, f64::MAX);
+    read_flag(allowed, "retry_after", &mut told)?;
+    read(allowed, "max_retry_after_ms", &mut most)?;
+    settings.retry_after_most_ms = told.then_some(most);
     read_flag(allowed, "probes", &mut settings.probes)?;
     read_flag(allowed, "peers", &mut settings.peers)?;
     settings.answers_report = facts["stats"]["source"] == "inline";
