Test the node over loopback sockets; a log that is gone does not end it

The tests start the real binary among scripted servers, clients and discovery. On reading the code: eprintln panics where the log cannot be written, so notes are written without it; buffers for heads are bounded by the body limit, since the defaults times 1,024 sockets would pass the memory limit.

--- a/src/net/frontend.rs
+++ b/src/net/frontend.rs
@@ -174,7 +174,7 @@
         }
     });
     let served =
-        http1::Builder::new().max_buf_size(2 * BODY_MOST).serve_connection(TokioIo::new(stream), service);
+        http1::Builder::new().max_buf_size(BODY_MOST).serve_connection(TokioIo::new(stream), service);
     let mut served = pin!(served);
     tokio::select! {
         // An error is the client's: it has left, or does not speak HTTP.
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::io::{self, Write};
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -137,7 +138,10 @@
                     node.handle(Event::Timer(timer));
                 });
             }
-            Action::Note(text) => eprintln!("{}: {}", self.config.name, wire::one_line(&text)),
+            Action::Note(text) => {
+                // A log that cannot be written must not end the node, as `eprintln` would.
+                let _ = writeln!(io::stderr(), "{}: {}", self.config.name, wire::one_line(&text));
+            }
         }
     }
 
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -233,7 +233,10 @@
         };
         stream.set_nodelay(true).map_err(|_| Ending::Unreachable)?;
         let socket = Rc::new(Socket { stream, _slot: slot });
-        let handshake = http1::handshake(TokioIo::new(Io(Rc::clone(&socket)))).await;
+        let handshake = http1::Builder::new()
+            .max_buf_size(2 * BODY_MOST)
+            .handshake(TokioIo::new(Io(Rc::clone(&socket))))
+            .await;
         let (sender, connection) = handshake.map_err(|_| Ending::Unreachable)?;
         tokio::task::spawn_local(connection);
         Ok(Connection { sender, socket, address, idle_since: Instant::now() })
--- /dev/null
+++ b/tests/node.rs
@@ -0,0 +1,437 @@
+//! The real node over loopback sockets, among scripted servers, clients and discovery.
+
+mod net;
+use net::*;
+
+use std::io::{Read, Write};
+use std::net::{Shutdown, TcpListener, TcpStream};
+use std::time::{Duration, Instant};
+
+use serde_json::{json, Value};
+
+const OK: &str = "200 OK";
+
+// ---- One request
+
+#[test]
+fn a_request_goes_on_and_its_answer_comes_back_unchanged() {
+    let server = Server::start();
+    let node = Node::before(&[&server]);
+    let mut client = node.client();
+    for _ in 0..2 {
+        client.send(&request("update", 20.0));
+        let got = server.request();
+        assert_eq!(got.request.first, "POST /api?k=7f3a HTTP/1.1");
+        assert_eq!(got.request.body, b"work");
+        assert_eq!(got.request.header("x-request-id"), Some("r1"));
+        assert_eq!(got.request.header("idempotency-key"), Some("k1"));
+        let left: f64 = got.request.header("x-deadline").and_then(|t| t.parse().ok()).expect("told");
+        assert!(left > 1.0 && left < 20.0, "{left}");
+        assert_eq!(got.connection, 0, "connections are kept");
+        got.answer(OK, "", b"an \x00 answer");
+        let answer = client.answer();
+        assert_eq!((answer.status(), &answer.body[..]), (200, &b"an \x00 answer"[..]));
+    }
+}
+
+// ---- Outcomes
+
+/// An unsafe request shows what the node believes: it is sent again only where it is known not to have run.
+#[test]
+fn what_proves_that_nothing_ran_leads_to_another_attempt() {
+    for (status, headers) in
+        [("503 Busy", "x-not-run: 1\r\n"), ("504 Late", "x-not-run: 1\r\nx-load: inflight=3,queue=1\r\n")]
+    {
+        let servers = [Server::start(), Server::start()];
+        let node = Node::before(&[&servers[0], &servers[1]]);
+        let mut client = node.client();
+        client.send(&request("pay", 20.0));
+        let (first, got) = either(&servers);
+        got.answer(status, headers, b"");
+        servers[1 - first].request().answer(OK, "", b"done");
+        assert_eq!(client.answer().status(), 200, "{status}");
+    }
+}
+
+#[test]
+fn what_may_have_run_is_a_failure() {
+    type Script = fn(Exchange);
+    let scripts: [(&str, Script); 7] = [
+        ("an error", |got| got.answer("500 Broken", "", b"")),
+        ("an error with a report", |got| got.answer("500 Broken", "x-load: inflight=2,queue=0\r\n", b"")),
+        ("a refusal with no proof", |got| got.answer("503 Busy", "", b"")),
+        ("another success", |got| got.answer("204 Nothing", "", b"")),
+        ("a reset", |got| drop(got.stream.shutdown(Shutdown::Both))),
+        ("a broken answer", |mut got| {
+            got.write(b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nhalf");
+            drop(got.stream.shutdown(Shutdown::Both));
+        }),
+        ("an answer too long", |mut got| {
+            got.write(b"HTTP/1.1 200 OK\r\ncontent-length: 65537\r\n\r\n");
+            got.write(&vec![b'x'; 65_537]);
+        }),
+    ];
+    for (name, script) in scripts {
+        let servers = [Server::start(), Server::start()];
+        let node = Node::before(&[&servers[0], &servers[1]]);
+        let mut client = node.client();
+        client.send(&request("pay", 20.0));
+        script(either(&servers).1);
+        assert_eq!(client.answer().status(), 502, "{name}");
+        assert!(!servers[0].has_request() && !servers[1].has_request(), "{name}: it was sent again");
+    }
+}
+
+#[test]
+fn a_server_that_cannot_be_reached_is_known_not_to_have_run_it() {
+    let server = Server::start();
+    let members = [member("dead", own_address(), "active"), member("s", server.address, "active")];
+    let node = Node::start(&config(&members));
+    // Both start with the same count: of three sends to the lowest, one at least is for the dead one.
+    for _ in 0..3 {
+        let mut client = node.client();
+        client.send(&request("pay", 20.0));
+        server.request().answer(OK, "", b"");
+        assert_eq!(client.answer().status(), 200);
+    }
+}
+
+/// The deadline counts from the client's sending; a silent server must not use it up.
+#[test]
+fn a_silent_server_is_left_and_its_client_answered_in_time() {
+    let server = Server::start();
+    let node = Node::before(&[&server]);
+    let mut client = node.client();
+    let since = Instant::now();
+    client.send(&request("pay", 3.0));
+    let mut got = server.request();
+    assert_eq!(client.answer().status(), 502);
+    assert!(since.elapsed() < Duration::from_secs(3), "{:?}", since.elapsed());
+    assert!(since.elapsed() > Duration::from_millis(1_500), "it was given its time");
+    got.await_end();
+    assert!(!server.has_request());
+}
+
+#[test]
+fn when_a_client_leaves_its_attempt_is_given_up() {
+    let server = Server::start();
+    let node = Node::before(&[&server]);
+    let mut client = node.client();
+    client.send(&request("read", 60.0));
+    let mut got = server.request();
+    drop(client);
+    got.await_end();
+    assert!(!server.has_request(), "nothing is sent for it afterwards");
+    // The node goes on.
+    let mut client = node.client();
+    client.send(&request("read", 20.0));
+    server.request().answer(OK, "", b"");
+    assert_eq!(client.answer().status(), 200);
+}
+
+/// Guards against two attempts at once: a future that was dropped is no proof that its socket is closed.
+#[test]
+fn an_attempt_given_up_is_closed_before_the_next_begins() {
+    for _ in 0..5 {
+        let servers = [Server::start(), Server::start()];
+        let node = Node::before(&[&servers[0], &servers[1]]);
+        let mut client = node.client();
+        client.send(&request("read", 20.0));
+        let (at, mut first) = either(&servers);
+        // Too long to be passed on, and not yet at its end: the server still has the connection open.
+        first.write(b"HTTP/1.1 200 OK\r\ncontent-length: 999999\r\n\r\n");
+        first.write(&vec![b'x'; 70_000]);
+        let next = servers[1 - at].request();
+        assert!(first.has_ended(), "two attempts were out");
+        next.answer(OK, "", b"");
+        assert_eq!(client.answer().status(), 200);
+    }
+}
+
+// ---- Connections to servers
+
+/// Guards against requests written to a connection that its server is about to close.
+#[test]
+fn an_idle_connection_is_closed_before_its_server_would() {
+    let server = Server::start();
+    let mut config = config(&members(&[&server]));
+    config["settings"]["allowed"]["conn_idle_ms"] = json!(4_000.0);
+    let node = Node::start(&config);
+    let mut client = node.client();
+    client.send(&request("pay", 20.0));
+    let got = server.request();
+    got.answer(OK, "", b"");
+    let since = Instant::now();
+    assert_eq!(client.answer().status(), 200);
+    assert!(matches!(server.seen(), Seen::Closed(0)));
+    assert!(since.elapsed() < Duration::from_millis(4_000), "{:?}", since.elapsed());
+    client.send(&request("pay", 20.0));
+    let got = server.request();
+    assert_eq!(got.connection, 1);
+    got.answer(OK, "", b"");
+    assert_eq!(client.answer().status(), 200);
+}
+
+/// A kept connection that its server has closed, or means to, costs no request: here none may be sent twice.
+#[test]
+fn a_kept_connection_that_is_dead_is_not_used() {
+    for headers in ["", "connection: close\r\n"] {
+        let server = Server::start();
+        let node = Node::before(&[&server]);
+        let mut client = node.client();
+        for round in 0..5 {
+            client.send(&request("pay", 20.0));
+            let got = server.request();
+            assert_eq!(got.connection, round, "{headers}");
+            let stream = got.stream.try_clone().expect("cloned");
+            got.answer(OK, headers, b"");
+            assert_eq!(client.answer().status(), 200);
+            if headers.is_empty() {
+                stream.shutdown(Shutdown::Both).expect("closed");
+            }
+        }
+    }
+}
+
+// ---- The list of servers
+
+/// Time passes between decision and send; a server that drains by then must get nothing new.
+#[test]
+fn a_drain_during_a_slow_connect_stops_the_send() {
+    // A listener whose queue is full leaves whoever connects waiting.
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+    socket.bind(&own_address().into()).expect("bound");
+    socket.listen(0).expect("listening");
+    let slow = TcpListener::from(socket);
+    let address = slow.local_addr().expect("bound");
+    let filler = TcpStream::connect(address).expect("queued");
+    let node = Node::start(&config(&[member("slow", address, "active")]));
+    let watch = node.discovery.request();
+    let mut client = node.client();
+    client.send(&request("pay", 25.0));
+    // The kernel tells when the node's connect is under way: state 02 is SYN sent.
+    let std::net::SocketAddr::V4(v4) = address else { panic!("IPv4") };
+    let remote = format!("{:08X}:{:04X} 02", u32::from_ne_bytes(v4.ip().octets()), v4.port());
+    let since = Instant::now();
+    while !std::fs::read_to_string("/proc/net/tcp").expect("Linux").contains(&remote) {
+        assert!(since.elapsed() < LONG, "the node does not connect");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    let leaving = list(2, false, &[member("slow", address, "leaving")]);
+    watch.answer(OK, "", leaving.to_string().as_bytes());
+    // The next watch shows that the list has been applied.
+    assert!(node.discovery.request().request.first.contains("since=2&"));
+    drop(slow.accept().expect("the filler"));
+    drop(filler);
+    let (mut stream, _) = slow.accept().expect("the node's connection");
+    stream.set_read_timeout(Some(LONG)).expect("set");
+    assert_eq!(stream.read(&mut [0; 1]).ok(), Some(0), "bytes went to a draining server");
+    assert_eq!(client.answer().status(), 503);
+}
+
+/// A lost watch, a malformed list and a break must each lead to another call, from the version held.
+#[test]
+fn the_list_is_followed_through_failures() {
+    let (old, new) = (Server::start(), Server::start());
+    let node = Node::before(&[&old]);
+    let ask = || {
+        let watch = node.discovery.request();
+        assert!(watch.request.first.starts_with("GET /catalog/members?since=1&timeout_ms="));
+        watch
+    };
+    ask().answer("503 Down", "", b"");
+    ask().answer(OK, "", b"{\"revision\": 7, \"complete\": true, \"members\": [{\"id\": 5}]}");
+    ask().stream.shutdown(Shutdown::Both).expect("broken");
+    // A change adds a server and takes the other's address away; then a full list leaves only the new one.
+    let moved = Server::start();
+    let change = list(2, false, &[member("s0", moved.address, "active")]);
+    ask().answer(OK, "", change.to_string().as_bytes());
+    let watch = node.discovery.request();
+    assert!(watch.request.first.contains("since=2&"), "{}", watch.request.first);
+    served_by(&node, &moved);
+    let full = list(9, true, &[member("s9", new.address, "active")]);
+    watch.answer(OK, "", full.to_string().as_bytes());
+    assert!(node.discovery.request().request.first.contains("since=9&"));
+    (0..4).for_each(|_| served_by(&node, &new));
+    assert!(!old.has_request() && !moved.has_request());
+}
+
+// ---- The end
+
+#[test]
+fn sigterm_lets_all_that_was_taken_end_well() {
+    let server = Server::start();
+    let mut config = config(&members(&[&server]));
+    config["settings"]["classes"][2]["deadline_ms"] = json!(60_000.0);
+    let mut node = Node::start(&config);
+    let mut clients: Vec<Client> = (0..8).map(|_| node.client()).collect();
+    let mut taken = Vec::new();
+    for client in &mut clients {
+        client.send(&request("pay", 20.0));
+        taken.push(server.request());
+    }
+    node.terminate();
+    // Health shows that it has heard, and connections still come.
+    let since = Instant::now();
+    while node.client().ask("GET /_health HTTP/1.1\r\nhost: n\r\n\r\n").status() == 200 {
+        assert!(since.elapsed() < LONG);
+    }
+    clients.push(node.client());
+    clients.last_mut().expect("pushed").send(&request("pay", 20.0));
+    taken.push(server.request());
+    taken.into_iter().for_each(|got| got.answer(OK, "", b"done"));
+    for client in &mut clients {
+        let answer = client.answer();
+        assert_eq!((answer.status(), &answer.body[..]), (200, &b"done"[..]));
+        assert_eq!(answer.header("connection"), Some("close"));
+    }
+    assert_eq!(node.wait().code(), Some(0));
+}
+
+// ---- Limits
+
+/// A refusal promises harmlessness, and says when to come back.
+#[test]
+fn what_is_not_taken_is_refused_with_a_time() {
+    let node = Node::start(&config(&[]));
+    let answer = node.client().ask(&request("pay", 20.0));
+    assert_eq!((answer.status(), answer.header("retry-after")), (503, Some("0.250")));
+
+    let server = Server::start();
+    let mut config = config(&members(&[&server]));
+    config["settings"]["allowed"]["most_held"] = json!(1);
+    let node = Node::start(&config);
+    let mut held = node.client();
+    held.send(&request("pay", 20.0));
+    let got = server.request();
+    let answer = node.client().ask(&request("pay", 20.0));
+    assert_eq!((answer.status(), answer.header("retry-after")), (503, Some("0.400")));
+    got.answer(OK, "", b"");
+    assert_eq!(held.answer().status(), 200);
+}
+
+/// Guards against clients that open connections and leave them: whoever comes next is still taken.
+#[test]
+fn idle_clients_make_room_for_new_ones() {
+    let server = Server::start();
+    let mut config = config(&members(&[&server]));
+    config["limits"]["sockets"] = json!(40);
+    let node = Node::start(&config);
+    let mut idle: Vec<Client> = (0..60).map(|_| node.client()).collect();
+    // One of them has sent a part of a request.
+    idle[30].send("POST /api HTTP/1.1\r\nhost:");
+    served_by(&node, &server);
+    assert_eq!(idle[0].stream.get_mut().read(&mut [0; 1]).ok(), Some(0), "the oldest was closed");
+}
+
+// ---- Bad input
+
+#[test]
+fn a_bad_configuration_ends_the_program_with_a_line_that_names_the_key() {
+    let sound = config(&[]);
+    let edit = |change: fn(&mut Value)| {
+        let mut config = sound.clone();
+        change(&mut config);
+        config.to_string()
+    };
+    let cases = [
+        ("GW_CONFIG", "{".to_owned()),
+        ("seed", edit(|c| c["seed"] = json!("xyz"))),
+        ("sockets", edit(|c| c["limits"] = json!({}))),
+        ("known", edit(|c| c["known"] = json!({"revision": 1}))),
+        ("settings", edit(|c| c["settings"] = json!(3))),
+        ("classes", edit(|c| c["settings"]["classes"] = json!([]))),
+        ("deadline_ms", edit(|c| c["settings"]["classes"][0]["deadline_ms"] = Value::Null)),
+        ("zones", edit(|c| c["settings"]["zones"] = json!(1))),
+        ("conn_idle_ms", edit(|c| c["settings"]["allowed"]["conn_idle_ms"] = json!("long"))),
+        ("dial_timeout_ms", edit(|c| c["settings"]["allowed"]["dial_timeout_ms"] = json!(-1))),
+        ("most_held", edit(|c| c["settings"]["allowed"]["most_held"] = Value::Null)),
+        ("max_attempts", edit(|c| c["settings"]["allowed"]["max_attempts"] = json!("many"))),
+    ];
+    for (key, text) in cases {
+        ends_naming(key, &mut command(&text, own_address(), own_address()));
+    }
+    for key in ["GW_NAME", "GW_LISTEN", "GW_DISCOVERY", "GW_CONFIG"] {
+        ends_naming(key, command(&sound.to_string(), own_address(), own_address()).env_remove(key));
+    }
+    ends_naming(
+        "GW_LISTEN",
+        command(&sound.to_string(), own_address(), own_address()).env("GW_LISTEN", "here"),
+    );
+}
+
+#[test]
+fn a_bad_request_is_answered_and_nothing_goes_on() {
+    let server = Server::start();
+    let node = Node::before(&[&server]);
+    let sound = request("update", 20.0);
+    let cases = [
+        (400, sound.replace("x-class: update", "x-class: other")),
+        (400, sound.replace("x-class: update\r\n", "")),
+        (400, sound.replace("x-tenant: acme", "x-tenant: other")),
+        (400, sound.replace("x-tenant: acme\r\n", "")),
+        (400, sound.replace("x-deadline: 20", "x-deadline: soon")),
+        (400, sound.replace("x-deadline: 20", "x-deadline: -1")),
+        (400, sound.replace("x-deadline: 20", "x-deadline: 0")),
+        (400, sound.replace("x-deadline: 20", "x-deadline: NaN")),
+        (400, sound.replace("x-deadline: 20\r\n", "")),
+        (400, sound.replace("x-request-id: r1\r\n", "")),
+        (400, sound.replace("idempotency-key: k1\r\n", "")),
+        (400, sound.replace("POST", "GET")),
+        (404, sound.replace("/api", "/other")),
+        (413, sound.replace("content-length: 4", "content-length: 70000") + &"x".repeat(69_996)),
+    ];
+    for (status, text) in cases {
+        assert_eq!(node.client().ask(&text).status(), status, "{}", &text[..text.len().min(300)]);
+    }
+    // What is not HTTP ends its own connection, and no more.
+    let mut client = node.client();
+    client.stream.get_mut().write_all(b"\x00\x01\x02 nonsense\r\n\r\n").expect("sent");
+    client.stream.read_to_end(&mut Vec::new()).expect("ended");
+    assert!(!server.has_request());
+    served_by(&node, &server);
+}
+
+/// Reports that are malformed are passed over, and the answers that bring them are not.
+#[test]
+fn a_malformed_load_report_does_no_harm() {
+    let server = Server::start();
+    let node = Node::before(&[&server]);
+    for load in ["", "inflight", "inflight=NaN,queue=1", "inflight=-1", "\u{e9}", "inflight=1,queue=2"] {
+        let mut client = node.client();
+        client.send(&request("read", 20.0));
+        server.request().answer(OK, &format!("x-load: {load}\r\n"), b"");
+        assert_eq!(client.answer().status(), 200, "{load}");
+    }
+}
+
+// ---- Helpers
+
+/// The request that came to one of two servers, and to which.
+fn either(servers: &[Server; 2]) -> (usize, Exchange) {
+    let since = Instant::now();
+    loop {
+        for (at, server) in servers.iter().enumerate() {
+            if let Some(exchange) = server.poll() {
+                return (at, exchange);
+            }
+        }
+        assert!(since.elapsed() < LONG, "no request comes");
+        std::thread::sleep(Duration::from_millis(1));
+    }
+}
+
+fn served_by(node: &Node, server: &Server) {
+    let mut client = node.client();
+    client.send(&request("update", 20.0));
+    server.request().answer(OK, "", b"");
+    assert_eq!(client.answer().status(), 200);
+}
+
+fn ends_naming(key: &str, command: &mut std::process::Command) {
+    let output = command.output().expect("started");
+    let said = String::from_utf8_lossy(&output.stderr);
+    assert!(!output.status.success(), "{key}");
+    assert_eq!(said.lines().count(), 1, "{key}: {said}");
+    assert!(said.contains(&format!("`{key}")), "{key}: {said}");
+}
