--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -13,8 +13,8 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::header::{HeaderMap, CONNECTION};
-use hyper::{Method, Request, Response, StatusCode, Uri, Version};
+use hyper::header::HeaderMap;
+use hyper::{Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
 use spurdrum::{Ending, Report, ServerId};
@@ -333,15 +333,13 @@
     request.body(Full::default()).expect("a sound request")
 }
 
-/// Reads an answer to its end. Only then is it known what it is worth, and whether the connection can be kept.
+/// Reads an answer to its end: only then is it known what it is worth, and whether the connection can be
+/// kept. Where the server wants it closed, hyper closes it.
 async fn read(response: Response<Incoming>) -> (Reply, bool) {
     let (head, body) = response.into_parts();
     let text = |name: &str| head.headers.get(name).and_then(|value| value.to_str().ok());
     let report = text("x-load").and_then(load_report);
     let not_run = text("x-not-run") == Some("1");
-    let close = head.headers.get_all(CONNECTION).iter().filter_map(|value| value.to_str().ok());
-    let close =
-        close.flat_map(|value| value.split(',')).any(|word| word.trim().eq_ignore_ascii_case("close"));
     let body = Limited::new(body, BODY_MOST).collect().await.ok().map(|body| body.to_bytes());
     let whole = body.is_some();
     let ending = match head.status {
@@ -351,5 +349,5 @@
         _ => Ending::Error,
     };
     let reply = Reply { ending, report, body: body.filter(|_| ending == Ending::Served) };
-    (reply, whole && !close && head.version == Version::HTTP_11)
+    (reply, whole)
 }
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -4,7 +4,7 @@
 use net::*;
 
 use std::io::{Read, Write};
-use std::net::{Shutdown, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::time::{Duration, Instant};
 
 use serde_json::{json, Value};
@@ -135,6 +135,11 @@
     for _ in 0..5 {
         let servers = [Server::start(), Server::start()];
         let node = Node::before(&[&servers[0], &servers[1]]);
+        // Both get a connection that is kept, so that the next attempt has nothing to wait for.
+        let mut clients = [node.client(), node.client()];
+        clients.iter_mut().for_each(|client| client.send(&request("read", 20.0)));
+        servers.iter().for_each(|server| server.request().answer(OK, "", b""));
+        clients.iter_mut().for_each(|client| assert_eq!(client.answer().status(), 200));
         let mut client = node.client();
         client.send(&request("read", 20.0));
         let (at, mut first) = either(&servers);
@@ -198,6 +203,12 @@
 /// Time passes between decision and send; a server that drains by then must get nothing new.
 #[test]
 fn a_drain_during_a_slow_connect_stops_the_send() {
+    drained_while_connecting(|slow| list(2, false, &[member("slow", slow, "leaving")]));
+    // A full list tells of a server that is gone by leaving it out.
+    drained_while_connecting(|_| list(2, true, &[]));
+}
+
+fn drained_while_connecting(news: fn(SocketAddr) -> Value) {
     // A listener whose queue is full leaves whoever connects waiting.
     let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
     socket.bind(&own_address().into()).expect("bound");
@@ -210,15 +221,14 @@
     let mut client = node.client();
     client.send(&request("pay", 25.0));
     // The kernel tells when the node's connect is under way: state 02 is SYN sent.
-    let std::net::SocketAddr::V4(v4) = address else { panic!("IPv4") };
+    let SocketAddr::V4(v4) = address else { panic!("IPv4") };
     let remote = format!("{:08X}:{:04X} 02", u32::from_ne_bytes(v4.ip().octets()), v4.port());
     let since = Instant::now();
     while !std::fs::read_to_string("/proc/net/tcp").expect("Linux").contains(&remote) {
         assert!(since.elapsed() < LONG, "the node does not connect");
         std::thread::sleep(Duration::from_millis(5));
     }
-    let leaving = list(2, false, &[member("slow", address, "leaving")]);
-    watch.answer(OK, "", leaving.to_string().as_bytes());
+    watch.answer(OK, "", news(address).to_string().as_bytes());
     // The next watch shows that the list has been applied.
     assert!(node.discovery.request().request.first.contains("since=2&"));
     drop(slow.accept().expect("the filler"));
