Read load reports by the settings' names

Cause: servers name their figures as the settings do (waiting, active); the node read only queue and inflight, passed every report over, and HSQ counted blindly. Test: load_reports_steer_what_follows, seen to fail without this.

--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -167,15 +167,16 @@
     named.ok_or_else(|| format!("`{key}` has an entry with no name"))
 }
 
-/// Reads a load report such as `inflight=7,queue=2`; one that is malformed tells nothing.
+/// Reads a load report such as `active=7,waiting=2`; one that is malformed tells nothing.
+/// Guards against counts that never hear a report: servers use the settings' names, but others are about.
 pub fn load_report(text: &str) -> Option<Report> {
     let mut report = Report::default();
     for pair in text.trim().split(',') {
         let (name, value) = pair.split_once('=')?;
         let value = value.trim().parse::<f64>().ok().filter(|x| x.is_finite() && *x >= 0.0)?;
         match name.trim() {
-            "inflight" => report.in_flight = Some(value),
-            "queue" => report.queued = Some(value),
+            "active" | "inflight" => report.in_flight = Some(value),
+            "waiting" | "queue" => report.queued = Some(value),
             _ => {}
         }
     }
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -402,12 +402,38 @@
     served_by(&node, &server);
 }
 
+/// A report overwrites its server's count, whichever names it uses and even where it comes with an error.
+/// Without it the other server's count, which own sends raise, would soon be the higher one.
+#[test]
+fn load_reports_steer_what_follows() {
+    for (status, load) in [
+        (OK, "waiting=3,active=5000"),
+        (OK, "inflight=5000,queue=3,util=0.61"),
+        ("500 Broken", "waiting=3,active=5000"),
+    ] {
+        let servers = [Server::start(), Server::start()];
+        let node = Node::before(&[&servers[0], &servers[1]]);
+        let mut client = node.client();
+        client.send(&request("pay", 20.0));
+        let (crowded, got) = either(&servers);
+        got.answer(status, &format!("x-load: {load}\r\n"), b"");
+        client.answer();
+        for _ in 0..6 {
+            client.send(&request("pay", 20.0));
+            let (at, got) = either(&servers);
+            assert_eq!(at, 1 - crowded, "{status}, {load}");
+            got.answer(OK, "", b"");
+            assert_eq!(client.answer().status(), 200);
+        }
+    }
+}
+
 /// Reports that are malformed are passed over, and the answers that bring them are not.
 #[test]
 fn a_malformed_load_report_does_no_harm() {
     let server = Server::start();
     let node = Node::before(&[&server]);
-    for load in ["", "inflight", "inflight=NaN,queue=1", "inflight=-1", "\u{e9}", "inflight=1,queue=2"] {
+    for load in ["", "inflight", "inflight=NaN,queue=1", "active=-1", "\u{e9}", "active=1,waiting=2"] {
         let mut client = node.client();
         client.send(&request("read", 20.0));
         server.request().answer(OK, &format!("x-load: {load}\r\n"), b"");
