Test the dial time-out and a silent discovery

Both are demanded and had no test: a listener with a full queue never lets a connection come up, and a discovery that is cut off says nothing (21 s: the wait of a watch and one more).

--- a/tests/node.rs
+++ b/tests/node.rs
@@ -155,6 +155,23 @@
 
 // ---- Connections to servers
 
+/// A connect that hangs ends at its time-out, and the request is known not to have run.
+#[test]
+fn a_connection_that_never_comes_up_is_given_up_in_time() {
+    let (_slow, address, _filler) = full_listener();
+    let server = Server::start();
+    let mut config = config(&[member("slow", address, "active"), member("s", server.address, "active")]);
+    config["settings"]["allowed"]["dial_timeout_ms"] = json!(300.0);
+    let node = Node::start(&config);
+    // Both start with the same count: of these sends one at least is for the slow one.
+    for _ in 0..3 {
+        let mut client = node.client();
+        client.send(&request("pay", 20.0));
+        server.request().answer(OK, "", b"");
+        assert_eq!(client.answer().status(), 200);
+    }
+}
+
 /// Guards against requests written to a connection that its server is about to close.
 #[test]
 fn an_idle_connection_is_closed_before_its_server_would() {
@@ -209,13 +226,7 @@
 }
 
 fn drained_while_connecting(news: fn(SocketAddr) -> Value) {
-    // A listener whose queue is full leaves whoever connects waiting.
-    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
-    socket.bind(&own_address().into()).expect("bound");
-    socket.listen(0).expect("listening");
-    let slow = TcpListener::from(socket);
-    let address = slow.local_addr().expect("bound");
-    let filler = TcpStream::connect(address).expect("queued");
+    let (slow, address, filler) = full_listener();
     let node = Node::start(&config(&[member("slow", address, "active")]));
     let watch = node.discovery.request();
     let mut client = node.client();
@@ -239,6 +250,16 @@
     assert_eq!(client.answer().status(), 503);
 }
 
+/// A discovery that is cut off says nothing, and its connection stays open: only time tells.
+#[test]
+fn a_silent_watch_is_given_up_and_asked_again() {
+    let node = Node::before(&[]);
+    let mut silent = node.discovery.request();
+    let again = node.discovery.request();
+    assert_ne!(silent.connection, again.connection);
+    silent.await_end();
+}
+
 /// A lost watch, a malformed list and a break must each lead to another call, from the version held.
 #[test]
 fn the_list_is_followed_through_failures() {
@@ -443,6 +464,17 @@
 
 // ---- Helpers
 
+/// A listener whose queue is full, so that whoever connects waits, with what fills it.
+fn full_listener() -> (TcpListener, SocketAddr, TcpStream) {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+    socket.bind(&own_address().into()).expect("bound");
+    socket.listen(0).expect("listening");
+    let slow = TcpListener::from(socket);
+    let address = slow.local_addr().expect("bound");
+    let filler = TcpStream::connect(address).expect("queued");
+    (slow, address, filler)
+}
+
 /// The request that came to one of two servers, and to which.
 fn either(servers: &[Server; 2]) -> (usize, Exchange) {
     let since = Instant::now();
