--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -1,4 +1,4 @@
-//! What a node is told at its start: the `GW_*` variables and the JSON that one of them names.
+//! What a node is told: the `GW_*` variables and the JSON that one of them names.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -13,7 +13,7 @@
     pub name: String,
     /// Where clients connect.
     pub listen: SocketAddr,
-    /// Where discovery answers.
+    /// Where discovery answers. What the file says counts over the variable: the file can be replaced.
     pub discovery: SocketAddr,
     /// For random numbers.
     pub seed: u64,
@@ -94,12 +94,15 @@
     pub fn from_env() -> Result<Self, String> {
         let name = variable("GW_NAME")?;
         let listen = address("GW_LISTEN")?;
-        let discovery = address("GW_DISCOVERY")?;
         let path = variable("GW_CONFIG")?;
         let text =
             std::fs::read_to_string(&path).map_err(|e| format!("`GW_CONFIG`: cannot read {path}: {e}"))?;
         let mut json: Value =
             serde_json::from_str(&text).map_err(|e| format!("`GW_CONFIG`: {path} is no JSON: {e}"))?;
+        let discovery = match &json["discovery"] {
+            Value::Null => address("GW_DISCOVERY")?,
+            value => parse_address("discovery", value.as_str().unwrap_or_default())?,
+        };
         let seed = json["seed"].as_str().and_then(|s| u64::from_str_radix(s, 16).ok());
         let known = List::deserialize(json["known"].take()).map_err(|e| format!("`known`: {e}"))?;
         let facts = &json["settings"];
@@ -141,7 +144,10 @@
 }
 
 fn address(key: &str) -> Result<SocketAddr, String> {
-    let text = variable(key)?;
+    parse_address(key, &variable(key)?)
+}
+
+fn parse_address(key: &str, text: &str) -> Result<SocketAddr, String> {
     text.parse().map_err(|_| format!("`{key}={text}` is no address with a port"))
 }
 
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -22,13 +22,26 @@
 /// A list may be this long.
 const LIST_MOST: usize = 1 << 20;
 
-/// Watches whenever the decisions want it, until a call fails; then they are told.
+/// Watches whenever the decisions want it, until a call fails; then they are told. Where discovery moves, the
+/// watch goes on there at once, whatever the decisions are waiting for.
 pub async fn follow(node: Rc<Node>) {
     let mut connection = None;
     loop {
-        node.subscribed.notified().await;
+        tokio::select! {
+            () = node.subscribed.notified() => {}
+            () = node.moved.notified() => {}
+        }
         // The next watch follows at once: what changes between watches is told by none.
-        while let Ok(Some(list)) = timeout(WAIT + SILENT, watch(&node, &mut connection)).await {
+        loop {
+            let list = tokio::select! {
+                biased;
+                () = node.moved.notified() => {
+                    connection = None;
+                    continue;
+                }
+                list = timeout(WAIT + SILENT, watch(&node, &mut connection)) => list,
+            };
+            let Ok(Some(list)) = list else { break };
             node.listed(list);
         }
         connection = None;
@@ -38,10 +51,14 @@
 
 type Sender = SendRequest<Empty<Bytes>>;
 
-/// One watch: what changed since the version held, or nothing where the call failed.
+/// One watch: what changed since the version held, or nothing where the call failed. Where none is held, the
+/// whole list.
 async fn watch(node: &Node, connection: &mut Option<Sender>) -> Option<List> {
-    let path = format!("/catalog/members?since={}&timeout_ms={}", node.revision(), WAIT.as_millis());
-    let request = Request::get(path).header("Host", node.config.discovery.to_string());
+    let path = node.revision().map_or_else(
+        || "/catalog/members".to_owned(),
+        |revision| format!("/catalog/members?since={revision}&timeout_ms={}", WAIT.as_millis()),
+    );
+    let request = Request::get(path).header("Host", node.discovery().to_string());
     let mut request = request.body(Empty::new()).expect("a sound request");
     let response = loop {
         let (mut sender, fresh) = match connection.take().filter(|sender| !sender.is_closed()) {
@@ -72,7 +89,7 @@
 }
 
 async fn connect(node: &Node) -> Option<Sender> {
-    let stream = timeout(SILENT, TcpStream::connect(node.config.discovery)).await.ok()?.ok()?;
+    let stream = timeout(SILENT, TcpStream::connect(node.discovery())).await.ok()?.ok()?;
     stream.set_nodelay(true).ok()?;
     let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
     tokio::task::spawn_local(connection);
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -3,6 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::io::{self, Write};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -44,11 +45,14 @@
     pub upstream: Upstream,
     /// Raised when the decisions want the changes of the list.
     pub subscribed: Notify,
+    /// Raised when discovery is to be found elsewhere.
+    pub moved: Notify,
+    discovery: Cell<SocketAddr>,
     balancer: RefCell<Balancer>,
     requests: RefCell<HashMap<RequestId, Held>>,
     last_id: Cell<u64>,
     ids: RefCell<HashMap<String, ServerId>>,
-    revision: Cell<u64>,
+    revision: Cell<Option<u64>>,
     started: Instant,
     started_unix_ms: f64,
 }
@@ -63,13 +67,15 @@
             std::mem::replace(&mut config.known, List { revision: 0, complete: true, members: Vec::new() });
         let node = Rc::new(Self {
             upstream: Upstream::new(&config),
+            discovery: Cell::new(config.discovery),
             config,
             subscribed: Notify::new(),
+            moved: Notify::new(),
             balancer: RefCell::new(balancer),
             requests: RefCell::default(),
             last_id: Cell::new(0),
             ids: RefCell::default(),
-            revision: Cell::new(known.revision),
+            revision: Cell::new(Some(known.revision)),
             started: Instant::now(),
             started_unix_ms: unix.as_secs_f64() * 1000.0,
         });
@@ -138,10 +144,31 @@
                     node.handle(Event::Timer(timer));
                 });
             }
-            Action::Note(text) => {
-                // A log that cannot be written must not end the node, as `eprintln` would.
-                let _ = writeln!(io::stderr(), "{}: {}", self.config.name, wire::one_line(&text));
+            Action::Note(text) => self.note(&text),
+        }
+    }
+
+    fn note(&self, text: &str) {
+        // A log that cannot be written must not end the node, as `eprintln` would.
+        let _ = writeln!(io::stderr(), "{}: {}", self.config.name, wire::one_line(text));
+    }
+
+    // ---- The configuration
+
+    /// Reads the configuration again, for where discovery is now; all else holds from the next start on.
+    /// One that cannot be read changes nothing.
+    pub async fn reload(&self) {
+        match tokio::task::spawn_blocking(Config::from_env).await {
+            Ok(Ok(config)) if config.discovery != self.discovery.get() => {
+                self.discovery.set(config.discovery);
+                // Its versions need not be those of the old one.
+                self.revision.set(None);
+                self.moved.notify_one();
+                self.note(&format!("discovery is now at {}", config.discovery));
             }
+            Ok(Ok(_)) => {}
+            Ok(Err(why)) => self.note(&format!("the configuration stays as it was: {why}")),
+            Err(_) => self.note("the configuration stays as it was: reading it failed"),
         }
     }
 
@@ -217,14 +244,19 @@
 
     // ---- The list of servers
 
-    /// The version of the list that is held.
-    pub fn revision(&self) -> u64 {
+    /// The version of the list that is held, where the present discovery gave it.
+    pub fn revision(&self) -> Option<u64> {
         self.revision.get()
     }
 
+    /// Where discovery is.
+    pub fn discovery(&self) -> SocketAddr {
+        self.discovery.get()
+    }
+
     /// Discovery has answered a watch.
     pub fn listed(self: &Rc<Self>, list: List) {
-        self.revision.set(list.revision);
+        self.revision.set(Some(list.revision));
         let entries = self.entries(&list);
         let listing = if list.complete { Listing::Full(entries) } else { Listing::Changes(entries) };
         self.handle(Event::Servers(listing));
--- a/tests/net/mod.rs
+++ b/tests/net/mod.rs
@@ -2,7 +2,7 @@
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::process::{Child, Command, ExitStatus, Stdio};
+use std::process::{Child, ChildStderr, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::mpsc::{self, Receiver, Sender};
 use std::thread;
@@ -208,12 +208,18 @@
     pub address: SocketAddr,
     pub discovery: Server,
     child: Child,
+    log: BufReader<ChildStderr>,
+}
+
+/// The file that a node at this address reads.
+pub fn config_path(address: SocketAddr) -> std::path::PathBuf {
+    let name = format!("{}.json", address.to_string().replace(':', "-"));
+    std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name)
 }
 
 /// The binary's command, with everything it is told.
 pub fn command(config: &str, address: SocketAddr, discovery: SocketAddr) -> Command {
-    let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR"))
-        .join(format!("{}.json", address.to_string().replace(':', "-")));
+    let path = config_path(address);
     std::fs::write(&path, config).expect("written");
     let mut command = Command::new(env!("CARGO_BIN_EXE_spurdrum"));
     command.env("GW_NAME", "n0").env("GW_LISTEN", address.to_string());
@@ -226,8 +232,9 @@
     pub fn start(config: &Value) -> Self {
         let (address, discovery) = (own_address(), Server::start());
         let mut command = command(&config.to_string(), address, discovery.address);
-        let child = command.stderr(Stdio::null()).spawn().expect("started");
-        let node = Self { address, discovery, child };
+        let mut child = command.stderr(Stdio::piped()).spawn().expect("started");
+        let log = BufReader::new(child.stderr.take().expect("piped"));
+        let node = Self { address, discovery, child, log };
         let since = Instant::now();
         while TcpStream::connect(address).is_err() {
             assert!(since.elapsed() < LONG, "the node does not listen");
@@ -247,10 +254,32 @@
     }
 
     pub fn terminate(&self) {
-        let sent = Command::new("kill").args(["-TERM", &self.child.id().to_string()]).status();
+        self.signal("-TERM");
+    }
+
+    /// Replaces the configuration's text, as a whole, and tells the node.
+    pub fn reload(&self, config: &str) {
+        let (path, new) = (config_path(self.address), config_path(self.address).with_extension("new"));
+        std::fs::write(&new, config).and_then(|()| std::fs::rename(&new, path)).expect("replaced");
+        self.hang_up();
+    }
+
+    pub fn hang_up(&self) {
+        self.signal("-HUP");
+    }
+
+    fn signal(&self, signal: &str) {
+        let sent = Command::new("kill").args([signal, &self.child.id().to_string()]).status();
         assert!(sent.expect("sent").success());
     }
 
+    /// The next line of the log.
+    pub fn logged(&mut self) -> String {
+        let mut line = String::new();
+        self.log.read_line(&mut line).expect("read");
+        line
+    }
+
     pub fn wait(&mut self) -> ExitStatus {
         let since = Instant::now();
         loop {
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -287,6 +287,71 @@
     assert!(!old.has_request() && !moved.has_request());
 }
 
+// ---- A new configuration
+
+/// SIGHUP used to end the node. The version held means nothing to the new discovery, which here would wait with
+/// it; and what waits for an answer meanwhile gets it.
+#[test]
+fn sighup_under_load_moves_the_watch_to_a_new_discovery() {
+    let (old, new) = (Server::start(), Server::start());
+    let mut config = config(&members(&[&old]));
+    let node = Node::start(&config);
+    let mut watch = node.discovery.request();
+    let mut held = node.client();
+    held.send(&request("pay", 20.0));
+    let got = old.request();
+
+    let elsewhere = Server::start();
+    config["discovery"] = json!(elsewhere.address.to_string());
+    for _ in 0..5 {
+        node.reload(&config.to_string());
+    }
+    let asked = elsewhere.request();
+    assert_eq!(asked.request.first, "GET /catalog/members HTTP/1.1");
+    watch.await_end();
+    let full = list(1, true, &[member("s9", new.address, "active")]);
+    asked.answer(OK, "", full.to_string().as_bytes());
+    let mut next = elsewhere.request();
+    assert!(next.request.first.contains("since=1&"), "{}", next.request.first);
+    served_by(&node, &new);
+    got.answer(OK, "", b"");
+    assert_eq!(held.answer().status(), 200);
+    // The same again changes nothing.
+    node.reload(&config.to_string());
+    served_by(&node, &new);
+    assert!(!next.has_ended() && !elsewhere.has_request() && !old.has_request());
+}
+
+/// A node that waits after failed calls must not wait on where the new discovery is up.
+#[test]
+fn a_new_discovery_is_asked_at_once_after_failures_of_the_old_one() {
+    let mut config = config(&[]);
+    config["settings"]["rules"]["ask_within_ms"] = json!(3_600_000.0);
+    let node = Node::start(&config);
+    node.discovery.request().answer("503 Down", "", b"");
+    let elsewhere = Server::start();
+    config["discovery"] = json!(elsewhere.address.to_string());
+    node.reload(&config.to_string());
+    elsewhere.request();
+}
+
+#[test]
+fn a_bad_new_configuration_is_named_and_the_old_one_stays() {
+    let mut sound = config(&[]);
+    let mut node = Node::start(&sound);
+    let mut watch = node.discovery.request();
+    sound["discovery"] = json!("here");
+    for (key, text) in [("GW_CONFIG", "{".to_owned()), ("discovery", sound.to_string())] {
+        node.reload(&text);
+        let line = node.logged();
+        assert!(line.contains(&format!("`{key}")), "{key}: {line}");
+    }
+    std::fs::remove_file(config_path(node.address)).expect("removed");
+    node.hang_up();
+    assert!(node.logged().contains("`GW_CONFIG`"));
+    assert!(!watch.has_ended());
+}
+
 // ---- The end
 
 #[test]
