--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -4,4 +4,5 @@
 pub mod discovery;
 pub mod frontend;
 pub mod node;
+mod socket;
 pub mod upstream;
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -1,13 +1,14 @@
 //! The node itself: it feeds the decisions what happens and carries out what they say.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::io::{self, Write};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use bytes::Bytes;
+use hyper::header::HeaderValue;
 use spurdrum::{
     wire, Action, Availability, Balancer, Discovery, Ending, Event, Listing, Outcome, Request, RequestId,
     ServerEntry, ServerId,
@@ -28,6 +29,14 @@
     Failed,
 }
 
+/// Why a request is not taken.
+pub enum NotTaken {
+    /// As many are held as may be.
+    Full,
+    /// One of the same id is held.
+    Known,
+}
+
 /// A request that is held: until it is answered and its attempts have ended.
 struct Held {
     forward: Rc<Forward>,
@@ -50,6 +59,8 @@
     discovery: Cell<SocketAddr>,
     balancer: RefCell<Balancer>,
     requests: RefCell<HashMap<RequestId, Held>>,
+    /// What clients call them. Guards against two requests that servers would take for one.
+    names: RefCell<HashSet<HeaderValue>>,
     last_id: Cell<u64>,
     ids: RefCell<HashMap<String, ServerId>>,
     revision: Cell<Option<u64>>,
@@ -73,6 +84,7 @@
             moved: Notify::new(),
             balancer: RefCell::new(balancer),
             requests: RefCell::default(),
+            names: RefCell::default(),
             last_id: Cell::new(0),
             ids: RefCell::default(),
             revision: Cell::new(Some(known.revision)),
@@ -174,22 +186,25 @@
 
     // ---- Requests
 
-    /// Takes a request, unless as many are held as may be. The answer comes through `answer`.
+    /// Takes a request, where that can be. The answer comes through `answer`.
     pub fn take(
         self: &Rc<Self>,
         forward: Forward,
         request: Request,
         answer: oneshot::Sender<Answer>,
-    ) -> Option<RequestId> {
+    ) -> Result<RequestId, NotTaken> {
         if self.requests.borrow().len() >= self.config.most_held {
-            return None;
+            return Err(NotTaken::Full);
+        }
+        if !self.names.borrow_mut().insert(forward.name().clone()) {
+            return Err(NotTaken::Known);
         }
         self.last_id.set(self.last_id.get() + 1);
         let id = RequestId(self.last_id.get());
         let held = Held { forward: Rc::new(forward), answer: Some(answer), attempts: Vec::new() };
         self.requests.borrow_mut().insert(id, held);
         self.handle(Event::Request(Request { id, ..request }));
-        Some(id)
+        Ok(id)
     }
 
     /// The client has left, or its time is up: no answer is owed any more.
@@ -238,7 +253,8 @@
         let mut requests = self.requests.borrow_mut();
         let over = |held: &Held| held.answer.is_none() && held.attempts.iter().all(Option::is_none);
         if requests.get(&id).is_some_and(over) {
-            requests.remove(&id);
+            let held = requests.remove(&id).expect("found");
+            self.names.borrow_mut().remove(held.forward.name());
         }
     }
 
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -2,29 +2,26 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
-use std::io;
 use std::net::{Shutdown, SocketAddr};
-use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{ready, Context, Poll};
 use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::header::HeaderMap;
+use hyper::header::{HeaderMap, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
 use spurdrum::{Ending, Report, ServerId};
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::oneshot;
 use tokio::time::{sleep_until, timeout, Instant};
 
 use super::config::{load_report, Config};
 use super::node::Node;
+use super::socket::{self, has_input, Io};
 
 /// Bodies hold this much at most.
 pub const BODY_MOST: usize = 64 * 1024;
@@ -45,6 +42,13 @@
     pub gives_up_at: Instant,
 }
 
+impl Forward {
+    /// What the client calls the request.
+    pub fn name(&self) -> &HeaderValue {
+        &self.headers["x-request-id"]
+    }
+}
+
 /// How an attempt or a probe ended.
 pub struct Reply {
     /// The outcome.
@@ -69,38 +73,9 @@
     _slot: Slot,
 }
 
-/// A connection's socket as hyper drives it; [`Connection`] holds the socket as well.
-struct Io(Rc<Socket>);
-
-impl AsyncRead for Io {
-    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
-        loop {
-            ready!(self.0.stream.poll_read_ready(cx))?;
-            match self.0.stream.try_read(buf.initialize_unfilled()) {
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                result => return Poll::Ready(result.map(|n| buf.advance(n))),
-            }
-        }
-    }
-}
-
-impl AsyncWrite for Io {
-    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        loop {
-            ready!(self.0.stream.poll_write_ready(cx))?;
-            match self.0.stream.try_write(buf) {
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                result => return Poll::Ready(result),
-            }
-        }
-    }
-
-    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(Ok(()))
-    }
-
-    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(SockRef::from(&self.0.stream).shutdown(Shutdown::Write))
+impl socket::Socket for Socket {
+    fn stream(&self) -> &TcpStream {
+        &self.stream
     }
 }
 
@@ -112,12 +87,9 @@
 }
 
 impl Connection {
-    /// Whether the server has neither closed nor spoken unasked. The socket itself is looked at: the event
-    /// loop may not yet have heard of what has come.
+    /// Whether the server has neither closed nor spoken unasked.
     fn is_sound(&self) -> bool {
-        let mut byte = [std::mem::MaybeUninit::uninit()];
-        let peeked = SockRef::from(&self.socket.stream).peek(&mut byte);
-        !self.sender.is_closed() && peeked.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
+        !self.sender.is_closed() && !has_input(&self.socket.stream)
     }
 }
 
--- a/tests/net/mod.rs
+++ b/tests/net/mod.rs
@@ -325,14 +325,25 @@
         Message::read(&mut self.stream).expect("a whole answer")
     }
 
+    /// All that comes until the node closes the connection.
+    pub fn rest(&mut self) -> String {
+        let mut all = Vec::new();
+        if let Err(error) = self.stream.read_to_end(&mut all) {
+            assert_eq!(error.kind(), std::io::ErrorKind::ConnectionReset);
+        }
+        String::from_utf8_lossy(&all).into_owned()
+    }
+
     pub fn ask(&mut self, request: &str) -> Message {
         self.send(request);
         self.answer()
     }
 }
 
-/// A sound request of a class, whose client waits so long.
+/// A sound request of a class, whose client waits so long. Each has an id of its own.
 pub fn request(class: &str, seconds: f64) -> String {
+    static NEXT: AtomicU32 = AtomicU32::new(1);
+    let id = NEXT.fetch_add(1, Ordering::Relaxed);
     let (method, extra) = match class {
         "read" => ("GET", ""),
         "update" => ("POST", "idempotency-key: k1\r\ncontent-length: 4\r\n"),
@@ -340,7 +351,7 @@
     };
     let body = if class == "read" { "" } else { "work" };
     format!(
-        "{method} /api?k=7f3a HTTP/1.1\r\nhost: origin.svc\r\nx-request-id: r1\r\nx-class: {class}\r\n\
+        "{method} /api?k=7f3a HTTP/1.1\r\nhost: origin.svc\r\nx-request-id: r{id}\r\nx-class: {class}\r\n\
          x-tenant: acme\r\nx-deadline: {seconds}\r\n{extra}\r\n{body}"
     )
 }
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -19,11 +19,13 @@
     let node = Node::before(&[&server]);
     let mut client = node.client();
     for _ in 0..2 {
-        client.send(&request("update", 20.0));
+        let sent = request("update", 20.0);
+        client.send(&sent);
         let got = server.request();
         assert_eq!(got.request.first, "POST /api?k=7f3a HTTP/1.1");
         assert_eq!(got.request.body, b"work");
-        assert_eq!(got.request.header("x-request-id"), Some("r1"));
+        let id = got.request.header("x-request-id").expect("passed on");
+        assert!(sent.contains(&format!("x-request-id: {id}\r\n")));
         assert_eq!(got.request.header("idempotency-key"), Some("k1"));
         let left: f64 = got.request.header("x-deadline").and_then(|t| t.parse().ok()).expect("told");
         assert!(left > 1.0 && left < 20.0, "{left}");
@@ -420,6 +422,44 @@
     assert_eq!(idle[0].stream.get_mut().read(&mut [0; 1]).ok(), Some(0), "the oldest was closed");
 }
 
+/// Guards against silence that crowds out clients that are served.
+#[test]
+fn clients_that_never_asked_go_first() {
+    let server = Server::start();
+    let mut config = config(&members(&[&server]));
+    config["limits"]["sockets"] = json!(40);
+    let node = Node::start(&config);
+    let mut known = node.client();
+    known.send(&request("update", 20.0));
+    server.request().answer(OK, "", b"");
+    assert_eq!(known.answer().status(), 200);
+    let silent: Vec<Client> = (0..60).map(|_| node.client()).collect();
+    // Health shows that all of them have been accepted.
+    assert_eq!(node.client().ask("GET /_health HTTP/1.1\r\nhost: n\r\n\r\n").status(), 200);
+    known.send(&request("update", 20.0));
+    server.request().answer(OK, "", b"");
+    assert_eq!(known.answer().status(), 200);
+    drop(silent);
+}
+
+/// Whoever finds every place busy is told so by a close, and need not wait in vain.
+#[test]
+fn accepting_goes_on_while_all_places_are_busy() {
+    let mut config = config(&[]);
+    config["limits"]["sockets"] = json!(64);
+    let node = Node::start(&config);
+    let whole = request("update", 20.0);
+    let mut clients: Vec<Client> = (0..60).map(|_| node.client()).collect();
+    for client in &mut clients {
+        // It fails where the connection is closed already.
+        let _ = client.stream.get_mut().write_all(&whole.as_bytes()[..whole.len() - 1]);
+    }
+    let answered =
+        clients.iter_mut().filter_map(|client| Some(client.rest()).filter(|said| !said.is_empty()));
+    let answered = answered.count();
+    assert!((20..=40).contains(&answered), "{answered}");
+}
+
 // ---- Bad input
 
 #[test]
@@ -471,7 +511,15 @@
         (400, sound.replace("x-deadline: 20", "x-deadline: 0")),
         (400, sound.replace("x-deadline: 20", "x-deadline: NaN")),
         (400, sound.replace("x-deadline: 20\r\n", "")),
-        (400, sound.replace("x-request-id: r1\r\n", "")),
+        (400, sound.replace("x-request-id", "x-other")),
+        (400, sound.replace("x-class", "x-class: update\r\nx-class")),
+        (400, sound.replace("x-request-id", "x-request-id: r0\r\nx-request-id")),
+        (400, sound.replace("host", "host: b\r\nhost")),
+        (400, sound.replace("content-length: 4", "content-length: 4\r\ncontent-length: 4")),
+        (400, sound.replace("content-length: 4", "content-length: -4")),
+        (400, sound.replace("content-length: 4", "content-length: 99999999999999999999")),
+        (400, request("read", 20.0).replace("\r\n\r\n", "\r\ncontent-length: 4\r\n\r\nwork")),
+        (431, sound.replace("x-class", &("x-long: ".to_owned() + &"x".repeat(20_000) + "\r\nx-class"))),
         (400, sound.replace("idempotency-key: k1\r\n", "")),
         (400, sound.replace("POST", "GET")),
         (404, sound.replace("/api", "/other")),
@@ -488,6 +536,94 @@
     served_by(&node, &server);
 }
 
+/// hyper drops one of the two fields; to a server that goes by it, the body would hold another request.
+#[test]
+fn a_request_with_two_lengths_ends_its_connection() {
+    let server = Server::start();
+    let node = Node::before(&[&server]);
+    let (length, chunks) = ("content-length: 5\r\n", "transfer-encoding: chunked\r\n");
+    for lengths in [[length, chunks], [chunks, length], [chunks, chunks], [length, length]] {
+        let hiding = request("update", 20.0).replace("content-length: 4\r\n", &lengths.concat());
+        let hidden = hiding.replace("\r\n\r\nwork", "\r\n\r\n0\r\n\r\n") + &request("update", 20.0);
+        let mut client = node.client();
+        client.send(&hidden);
+        let all = client.rest();
+        assert!(all.starts_with("HTTP/1.1 400 "), "{lengths:?}: {all}");
+        assert_eq!(all.matches("HTTP/1.1 ").count(), 1, "{lengths:?}: {all}");
+    }
+    assert!(!server.has_request());
+    served_by(&node, &server);
+}
+
+#[test]
+fn requests_in_unusual_but_sound_forms_are_served() {
+    let server = Server::start();
+    let node = Node::before(&[&server]);
+    let mut client = node.client();
+    let pipelined = [request("update", 20.0), request("read", 20.0), request("pay", 20.0)];
+    client.send(&pipelined.concat());
+    for text in ["first", "second", "third"] {
+        server.request().answer(OK, "", text.as_bytes());
+    }
+    for text in ["first", "second", "third"] {
+        assert_eq!(client.answer().body, text.as_bytes());
+    }
+    client.send(&request("update", 20.0).replace("/api", "http://other.svc/api"));
+    let got = server.request();
+    assert_eq!(got.request.first, "POST /api?k=7f3a HTTP/1.1");
+    assert_eq!(got.request.header("host"), Some("other.svc"));
+    got.answer(OK, "", b"");
+    assert_eq!(client.answer().status(), 200);
+    let chunked = request("update", 20.0).replace("content-length: 4", "transfer-encoding: chunked");
+    client.send(&chunked.replace("\r\n\r\nwork", "\r\n\r\n2\r\nwo\r\n2\r\nrk\r\n0\r\n\r\n"));
+    let got = server.request();
+    assert_eq!(got.request.body, b"work");
+    got.answer(OK, "", b"");
+    assert_eq!(client.answer().status(), 200);
+}
+
+#[test]
+fn the_id_of_an_open_request_is_not_taken_again() {
+    let server = Server::start();
+    let node = Node::before(&[&server]);
+    let (mut first, again) = (node.client(), request("update", 20.0));
+    first.send(&again);
+    let got = server.request();
+    assert_eq!(node.client().ask(&again).status(), 409);
+    got.answer(OK, "", b"mine");
+    assert_eq!(first.answer().body, b"mine");
+    assert!(!server.has_request());
+    // Once it is over, nothing is in the way.
+    first.send(&again);
+    server.request().answer(OK, "", b"");
+    assert_eq!(first.answer().status(), 200);
+}
+
+/// Each of these would hold its place for as long as it likes.
+#[test]
+fn slow_clients_are_shown_out() {
+    let server = Server::start();
+    let node = Node::before(&[&server]);
+    let whole = request("update", 3600.0);
+    let cases = [("", ""), (&whole[..40], ""), (&whole[..whole.len() - 1], "HTTP/1.1 408 ")];
+    let clients = cases.map(|(part, answer)| {
+        let mut client = node.client();
+        client.send(part);
+        (client, answer)
+    });
+    for (mut client, answer) in clients {
+        let said = client.rest();
+        assert!(said.starts_with(answer) && said.is_empty() == answer.is_empty(), "{said}");
+    }
+    // So is one that was served and then stays.
+    let mut client = node.client();
+    client.send(&request("update", 20.0));
+    server.request().answer(OK, "", b"");
+    assert_eq!(client.answer().status(), 200);
+    assert_eq!(client.rest(), "");
+    assert!(!server.has_request());
+}
+
 /// A report overwrites its server's count, whichever names it uses and even where it comes with an error.
 /// Without it the other server's count, which own sends raise, would soon be the higher one.
 #[test]
