Forget servers that have gone

Suspected from reading: Node::ids, Upstream::servers and Balancer::servers kept an entry for every server ever listed.

Now a server leaves the list's tables when the list drops it; attempts and probes hold their own handle, the module keeps it while something is out, and numbers are never used again. The attempt itself remembers cell and zone for the rule on keyed repeats.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -5,7 +5,7 @@
 
 use std::fmt;
 
-/// A server, numbered by the embedding node: small numbers, never reused for another server.
+/// A server, numbered by the embedding node and never reused for another one.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ServerId(pub usize);
 
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -62,7 +62,9 @@
     /// What clients call them. Guards against two requests that servers would take for one.
     names: RefCell<HashSet<HeaderValue>>,
     last_id: Cell<u64>,
+    /// The numbers of the servers that are listed.
     ids: RefCell<HashMap<String, ServerId>>,
+    last_server: Cell<usize>,
     revision: Cell<Option<u64>>,
     started: Instant,
     started_unix_ms: f64,
@@ -87,6 +89,7 @@
             names: RefCell::default(),
             last_id: Cell::new(0),
             ids: RefCell::default(),
+            last_server: Cell::new(0),
             revision: Cell::new(Some(known.revision)),
             started: Instant::now(),
             started_unix_ms: unix.as_secs_f64() * 1000.0,
@@ -287,19 +290,33 @@
     fn entries(&self, list: &List) -> Vec<ServerEntry> {
         let mut ids = self.ids.borrow_mut();
         if list.complete {
-            self.upstream.retire_all();
+            let listed: HashSet<_> = list.members.iter().map(|member| &member.id).collect();
+            ids.retain(|id, server| {
+                let stays = listed.contains(id);
+                if !stays {
+                    self.upstream.forget(*server);
+                }
+                stays
+            });
         }
         let place = |names: &[String], name| names.iter().position(|n| n == name).unwrap_or(names.len());
         let mut entries = Vec::with_capacity(list.members.len());
         for member in &list.members {
-            let next = ServerId(ids.len());
-            let server = *ids.entry(member.id.clone()).or_insert(next);
             let availability = match member.phase {
                 Phase::Active => Availability::Ready,
                 Phase::Leaving => Availability::Draining,
                 Phase::Left => Availability::Gone,
             };
-            self.upstream.list(server, member.host_port, availability == Availability::Ready);
+            // Numbers are not used again: what was sent to a server that has gone may end late.
+            let next = ServerId(self.last_server.get() + 1);
+            let server = *ids.entry(member.id.clone()).or_insert(next);
+            self.last_server.set(self.last_server.get().max(server.0));
+            if availability == Availability::Gone {
+                ids.remove(&member.id);
+                self.upstream.forget(server);
+            } else {
+                self.upstream.list(server, member.host_port, availability == Availability::Ready);
+            }
             entries.push(ServerEntry {
                 server,
                 availability,
@@ -311,8 +328,6 @@
                 key: wire::key(&member.id),
             });
         }
-        drop(ids);
-        self.upstream.close_retired();
         entries
     }
 
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -1,7 +1,7 @@
 //! Connections to servers, and the attempts and probes that are made on them.
 
 use std::cell::{Cell, RefCell};
-use std::collections::VecDeque;
+use std::collections::{HashMap, VecDeque};
 use std::net::{Shutdown, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
@@ -102,17 +102,38 @@
     }
 }
 
+/// A server of the list. Attempts and probes hold it for as long as they are out, also past its time there.
 struct Server {
-    address: SocketAddr,
+    address: Cell<SocketAddr>,
     /// Whether the list lets it have new requests.
-    ready: bool,
-    /// The one used last is at the back.
-    idle: VecDeque<Connection>,
+    ready: Cell<bool>,
+    /// Connections that stand idle; the one used last is at the back.
+    idle: RefCell<VecDeque<Connection>>,
+}
+
+impl Server {
+    /// A kept connection that its server does not soon close.
+    fn idle(&self, keep: Duration) -> Option<Connection> {
+        let mut idle = self.idle.borrow_mut();
+        let connection = idle.pop_back().filter(|c| c.idle_since.elapsed() < keep);
+        // Where the one used last is too old, so are the others.
+        connection.or_else(|| {
+            idle.clear();
+            None
+        })
+    }
+
+    fn keep(&self, mut connection: Connection) {
+        if self.ready.get() && self.address.get() == connection.address {
+            connection.idle_since = Instant::now();
+            self.idle.borrow_mut().push_back(connection);
+        }
+    }
 }
 
-/// The servers as the list names them, with the connections that stand idle.
+/// The servers that are listed.
 pub struct Upstream {
-    servers: RefCell<Vec<Server>>,
+    servers: RefCell<HashMap<ServerId, Rc<Server>>>,
     open: Rc<Cell<usize>>,
     most: usize,
     keep: Duration,
@@ -129,76 +150,55 @@
         }
     }
 
-    /// Notes a server of the list.
+    /// Notes a server of the list. Idle connections to one that gets nothing more are closed.
     pub fn list(&self, server: ServerId, address: SocketAddr, ready: bool) {
         let mut servers = self.servers.borrow_mut();
-        if server.0 == servers.len() {
-            servers.push(Server { address, ready, idle: VecDeque::new() });
-        }
-        let known = &mut servers[server.0];
-        if known.address != address {
-            known.idle.clear();
+        let known = servers.entry(server).or_insert_with(|| {
+            let (address, ready) = (Cell::new(address), Cell::new(ready));
+            Rc::new(Server { address, ready, idle: RefCell::default() })
+        });
+        let moved = known.address.replace(address) != address;
+        known.ready.set(ready);
+        if moved || !ready {
+            known.idle.borrow_mut().clear();
         }
-        (known.address, known.ready) = (address, ready);
-    }
-
-    /// A complete list follows: what it does not name is gone.
-    pub fn retire_all(&self) {
-        self.servers.borrow_mut().iter_mut().for_each(|server| server.ready = false);
     }
 
-    /// A list has been read: idle connections to servers that get nothing more are closed.
-    pub fn close_retired(&self) {
-        self.servers.borrow_mut().iter_mut().filter(|s| !s.ready).for_each(|s| s.idle.clear());
+    /// A server is gone: what is out to it may end, and nothing new begins.
+    pub fn forget(&self, server: ServerId) {
+        if let Some(gone) = self.servers.borrow_mut().remove(&server) {
+            gone.ready.set(false);
+            gone.idle.borrow_mut().clear();
+        }
     }
 
     /// Closes what has stood idle for so long that the server may soon close it.
     pub fn close_idle(&self) {
-        for server in self.servers.borrow_mut().iter_mut() {
-            while server.idle.front().is_some_and(|c| c.idle_since.elapsed() >= self.keep) {
-                server.idle.pop_front();
+        for server in self.servers.borrow().values() {
+            let mut idle = server.idle.borrow_mut();
+            while idle.front().is_some_and(|c| c.idle_since.elapsed() >= self.keep) {
+                idle.pop_front();
             }
         }
     }
 
-    fn is_ready(&self, server: ServerId) -> bool {
-        self.servers.borrow()[server.0].ready
-    }
-
-    fn idle(&self, server: ServerId) -> Option<Connection> {
-        let idle = &mut self.servers.borrow_mut()[server.0].idle;
-        let connection = idle.pop_back().filter(|c| c.idle_since.elapsed() < self.keep);
-        // Where the one used last is too old, so are the others.
-        connection.or_else(|| {
-            idle.clear();
-            None
-        })
-    }
-
-    fn keep(&self, server: ServerId, mut connection: Connection) {
-        let known = &mut self.servers.borrow_mut()[server.0];
-        if known.ready && known.address == connection.address {
-            connection.idle_since = Instant::now();
-            known.idle.push_back(connection);
-        }
-    }
-
     /// A place for one more socket, for which the one that stood idle longest is closed if need be.
     fn slot(&self) -> Option<Slot> {
         if self.open.get() >= self.most {
-            let mut servers = self.servers.borrow_mut();
-            let oldest =
-                servers.iter_mut().filter(|s| !s.idle.is_empty()).min_by_key(|s| s.idle[0].idle_since);
-            drop(oldest?.idle.pop_front());
+            let servers = self.servers.borrow();
+            let since = |server: &&Rc<Server>| server.idle.borrow().front().map(|c| c.idle_since);
+            let idle = servers.values().filter(|server| since(server).is_some());
+            let oldest = idle.min_by_key(since)?;
+            drop(oldest.idle.borrow_mut().pop_front());
         }
         self.open.set(self.open.get() + 1);
         Some(Slot(Rc::clone(&self.open)))
     }
 
-    async fn connect(&self, server: ServerId, dial_timeout: Duration) -> Result<Connection, Ending> {
+    async fn connect(&self, server: &Server, dial_timeout: Duration) -> Result<Connection, Ending> {
         // Without a place the attempt ends unsent, and that is not the server's fault.
         let slot = self.slot().ok_or(Ending::NotSent)?;
-        let address = self.servers.borrow()[server.0].address;
+        let address = server.address.get();
         let stream = match timeout(dial_timeout, TcpStream::connect(address)).await {
             Ok(Ok(stream)) => stream,
             Ok(Err(_)) | Err(_) => return Err(Ending::Unreachable),
@@ -249,10 +249,14 @@
 /// have gone out.
 async fn exchange(node: &Node, server: ServerId, forward: Option<&Forward>, sent: &Cell<bool>) -> Reply {
     let upstream = &node.upstream;
+    // It may have gone since the decision.
+    let Some(server) = upstream.servers.borrow().get(&server).cloned() else {
+        return Reply::none(Ending::NotSent);
+    };
     loop {
-        let (mut connection, kept) = match upstream.idle(server) {
+        let (mut connection, kept) = match server.idle(upstream.keep) {
             Some(connection) => (connection, true),
-            None => match upstream.connect(server, node.config.dial_timeout).await {
+            None => match upstream.connect(&server, node.config.dial_timeout).await {
                 Ok(connection) => (connection, false),
                 Err(ending) => return Reply::none(ending),
             },
@@ -264,7 +268,7 @@
             return Reply::none(Ending::Unreachable);
         }
         // Time has passed since the decision: a server that drains by now gets nothing new.
-        if forward.is_some() && !upstream.is_ready(server) {
+        if forward.is_some() && !server.ready.get() {
             return Reply::none(Ending::NotSent);
         }
         let request = forward.map_or_else(|| probe_request(connection.address), forward_request);
@@ -283,7 +287,7 @@
         };
         let (reply, sound) = read(response).await;
         if sound {
-            upstream.keep(server, connection);
+            server.keep(connection);
         }
         return reply;
     }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -4,7 +4,7 @@
 //! the lowest count and adds one, `Balancer::report` lets a fresh report overwrite its server's count.
 //! All else decides which servers may be picked, and what becomes of a request that was not served.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 
 use crate::interface::*;
 
@@ -100,8 +100,17 @@
     ejected_until: Option<f64>,
 }
 
+impl Server {
+    /// Gone, with nothing out to it: nothing more is heard of it.
+    fn is_over(&self) -> bool {
+        self.entry.availability == Availability::Gone && self.out == 0
+    }
+}
+
 struct Attempt {
     server: usize,
+    zone: usize,
+    cell: usize,
     sent_at: f64,
     depth: f64,
     open: bool,
@@ -134,7 +143,8 @@
 pub struct Balancer {
     settings: Settings,
     random: fastrand::Rng,
-    servers: Vec<Option<Server>>,
+    /// Those that are listed, or gone with attempts still out.
+    servers: BTreeMap<usize, Server>,
     /// The ready servers in this node's order, near ones first, and the near and far stretch that it uses.
     ring: Vec<usize>,
     slice: [std::ops::Range<usize>; 2],
@@ -171,7 +181,7 @@
             quotas: vec![(f64::INFINITY, 0.0); settings.quotas_per_s.len()],
             classes: vec![Pace::default(); settings.classes.len()],
             random: fastrand::Rng::with_seed(seed),
-            servers: Vec::new(),
+            servers: BTreeMap::new(),
             ring: Vec::new(),
             slice: [0..0, 0..0],
             held: HashMap::new(),
@@ -221,18 +231,19 @@
             self.subscribed = true;
             actions.push(Action::Subscribe);
         }
-        for server in self.servers.iter_mut().flatten().filter(|_| complete) {
+        for server in self.servers.values_mut().filter(|_| complete) {
             server.entry.availability = Availability::Gone;
         }
         for entry in entries {
             let at = entry.server.0;
-            self.servers.resize_with(self.servers.len().max(at + 1), || None);
             // What was learned of a process does not hold for its successor.
-            let old = self.servers[at].take().unwrap_or_default();
+            let old = self.servers.remove(&at).unwrap_or_default();
             let same = old.entry.started_at == entry.started_at;
             let kept = if same { old } else { Server { out: old.out, ..Server::default() } };
-            self.servers[at] = Some(Server { entry, ..kept });
+            self.servers.insert(at, Server { entry, ..kept });
         }
+        // Guards against growth with every server that ever was.
+        self.servers.retain(|_, server| !server.is_over());
         self.lay_out();
     }
 
@@ -240,7 +251,7 @@
     /// of servers that all nodes order alike.
     /// Guards against connections from every node to every server, and against too few reports of each.
     fn lay_out(&mut self) {
-        let listed = self.servers.iter().flatten().map(|s| &s.entry);
+        let listed = self.servers.values().map(|s| &s.entry);
         let listed = listed.filter(|e| e.availability == Availability::Ready);
         let mut listed: Vec<_> = listed.map(|e| (e.zone != self.settings.zone, e.key, e.server.0)).collect();
         listed.sort_unstable();
@@ -276,7 +287,7 @@
     fn report(&mut self, at: usize, report: Report) {
         let Some(reading) = report.in_flight.or(report.queued) else { return };
         let part = if self.asks > 0 { 1.0 } else { self.settings.nodes as f64 };
-        self.servers[at].as_mut().expect("sent to").count = Some(reading / part);
+        self.servers.entry(at).and_modify(|server| server.count = Some(reading / part));
     }
 
     /// The eligible servers with the lowest counts, ties broken at random.
@@ -305,23 +316,21 @@
         let lasting = self.all.or(now, f64::INFINITY, (self.aim * EASY, 1.0));
         let all = self.all.or(now, half_life.max(GAPS * self.gap), (latency.min(self.aim * EASY), depth));
         let slice = self.slice.clone().into_iter().flatten();
-        let counts = slice.filter_map(|i| self.servers[self.ring[i]].as_ref().and_then(|s| s.count));
+        let counts = slice.filter_map(|i| self.servers[&self.ring[i]].count);
         let mean = counts.clone().sum::<f64>() / counts.count().max(1) as f64;
         let total = self.slice[0].len() + self.slice[1].len();
         // A crossing counts as its price in aims.
         let crossing = self.settings.cross_zone_price * class.aim_ms;
         let blur = if self.asks > 0 && held.reported.is_empty() { BLUR } else { 0.0 };
-        let home = held
-            .ran
-            .map(|first| self.servers[held.attempts[first].server].as_ref().expect("sent to").entry.clone());
+        let home = held.ran.map(|first| &held.attempts[first]);
         let mut candidates = Vec::new();
         // A request that may have run is bound to its group, wherever that is; any other stays in the slice.
         let [near, far] = if home.is_some() { [0..self.ring.len(), 0..0] } else { self.slice.clone() };
         for at in near.chain(far).map(|i| self.ring[i]) {
             let first = held.attempts.is_empty();
             let asked = first && held.reported.contains(&at);
-            let server = self.servers[at].as_mut().expect("listed");
-            let bound = home.as_ref().is_some_and(|home| !may_move(class.effect, home, &server.entry));
+            let server = self.servers.get_mut(&at).expect("listed");
+            let bound = home.is_some_and(|home| !may_move(class.effect, home, &server.entry));
             if bound || first && !asked && !held.reported.is_empty() {
                 continue;
             }
@@ -379,7 +388,7 @@
         }
         for at in &held.asked {
             // Guards against asking a silent server over and over: an ask counts like a send until a report.
-            self.servers[*at].as_mut().expect("picked").count.iter_mut().for_each(|count| *count += 1.0);
+            self.servers.get_mut(at).expect("picked").count.iter_mut().for_each(|count| *count += 1.0);
             actions.push(Action::Probe { server: ServerId(*at) });
         }
         let after_ms = self.settings.classes[held.class].aim_ms.min(request.budget_ms) * ASK_PART;
@@ -407,8 +416,7 @@
     }
 
     fn probed(&mut self, now: f64, at: usize, ending: Ending, report: Option<Report>, to: &mut Vec<Action>) {
-        let known = self.servers.get(at).is_some_and(Option::is_some);
-        report.filter(|_| known).into_iter().for_each(|report| self.report(at, report));
+        report.into_iter().for_each(|report| self.report(at, report));
         let mut due = Vec::new();
         for id in &self.asking_for {
             let Some(held) = self.held.get_mut(id).filter(|held| held.asked.contains(&at)) else { continue };
@@ -466,11 +474,12 @@
     }
 
     fn send(&mut self, now: f64, id: RequestId, held: &mut Held, at: usize, actions: &mut Vec<Action>) {
-        let server = self.servers[at].as_mut().expect("picked");
+        let server = self.servers.get_mut(&at).expect("picked");
         server.out += 1;
         server.count = server.count.map(|count| count + 1.0);
         let depth = server.count.filter(|_| self.asks > 0).unwrap_or(server.out as f64);
-        held.attempts.push(Attempt { server: at, sent_at: now, depth, open: true });
+        let (zone, cell) = (server.entry.zone, server.entry.cell);
+        held.attempts.push(Attempt { server: at, zone, cell, sent_at: now, depth, open: true });
         actions.push(Action::Send { request: id, server: ServerId(at) });
     }
 
@@ -552,8 +561,12 @@
         let (at, depth, elapsed) = (attempt.server, attempt.depth, outcome.elapsed_ms);
         let (relative, half_life) = (self.relative(class), HALF_LIFE * self.aim);
         self.served += (f64::from(u8::from(outcome.ending == Ending::Served)) - self.served) / RECENT;
-        let server = self.servers[at].as_mut().expect("sent to");
+        let server = self.servers.get_mut(&at).expect("kept while something is out");
         server.out = server.out.saturating_sub(1);
+        if server.is_over() {
+            self.servers.remove(&at);
+            return;
+        }
         let failed = match outcome.ending {
             // A full server is busy, not ill; a time-out within the aim says nothing of it.
             Ending::Served | Ending::Full => false,
@@ -583,7 +596,7 @@
 }
 
 /// Whether a request that may have run on `first` may be sent to `other`.
-fn may_move(effect: Effect, first: &ServerEntry, other: &ServerEntry) -> bool {
+fn may_move(effect: Effect, first: &Attempt, other: &ServerEntry) -> bool {
     match effect {
         Effect::Safe | Effect::Keyed { group: Group::All, .. } => true,
         Effect::Keyed { group: Group::Zone, .. } => first.zone == other.zone,
--- a/tests/net/mod.rs
+++ b/tests/net/mod.rs
@@ -273,6 +273,13 @@
         assert!(sent.expect("sent").success());
     }
 
+    /// Memory that it holds, in bytes.
+    pub fn memory(&self) -> u64 {
+        let text = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).expect("running");
+        let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:")).expect("told");
+        line.trim().trim_end_matches(" kB").parse::<u64>().expect("a number") * 1024
+    }
+
     /// The next line of the log.
     pub fn logged(&mut self) -> String {
         let mut line = String::new();
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -289,6 +289,61 @@
     assert!(!old.has_request() && !moved.has_request());
 }
 
+/// Servers come and go under new ids for as long as the node runs; it must not keep them.
+#[test]
+fn servers_that_have_gone_take_no_memory() {
+    let server = Server::start();
+    let node = Node::before(&[&server]);
+    let stays = member("s0", server.address, "active");
+    let mut revision = 1;
+    let mut round = |watches: usize| {
+        for _ in 0..watches {
+            revision += 1;
+            let id = |i| format!("{}-{revision}-{i}", "x".repeat(200));
+            let mut members: Vec<Value> =
+                (0..400).map(|i| member(&id(i), server.address, "active")).collect();
+            members.push(stays.clone());
+            let watch = node.discovery.request();
+            watch.answer(OK, "", list(revision, true, &members).to_string().as_bytes());
+            // And by changes, some of servers that are not known.
+            members.iter_mut().skip(200).take(200).for_each(|member| member["phase"] = json!("left"));
+            revision += 1;
+            let change = list(revision, false, &members[200..400]).to_string();
+            node.discovery.request().answer(OK, "", change.as_bytes());
+        }
+        revision += 1;
+        let last = list(revision, true, std::slice::from_ref(&stays)).to_string();
+        node.discovery.request().answer(OK, "", last.as_bytes());
+    };
+    round(10);
+    let before = node.memory();
+    round(100);
+    let grown = node.memory().saturating_sub(before);
+    assert!(grown < 8 << 20, "{grown} bytes more for 40,000 servers that have gone");
+    served_by(&node, &server);
+}
+
+/// An answer that comes after its server has left the list still goes to its client, and the next server at
+/// that address is one of its own.
+#[test]
+fn an_answer_outlives_its_server() {
+    let server = Server::start();
+    let node = Node::before(&[&server]);
+    let mut client = node.client();
+    client.send(&request("pay", 20.0));
+    let got = server.request();
+    let next = list(2, true, &[member("s1", server.address, "active")]);
+    node.discovery.request().answer(OK, "", next.to_string().as_bytes());
+    assert!(node.discovery.request().request.first.contains("since=2&"));
+    got.answer(OK, "", b"late");
+    assert_eq!(client.answer().body, b"late");
+    client.send(&request("pay", 20.0));
+    let got = server.request();
+    assert_eq!(got.connection, 1, "the old server's connection is not used for the new one");
+    got.answer(OK, "", b"");
+    assert_eq!(client.answer().status(), 200);
+}
+
 // ---- A new configuration
 
 /// SIGHUP used to end the node. The version held means nothing to the new discovery, which here would wait with
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -138,6 +138,25 @@
 
 /// A cold server reports nothing queued and would draw everything; one node carrying most of the
 /// traffic must stay under the budget that all nodes share.
+/// A server that has gone is forgotten once nothing is out to it: what ends late finds nothing amiss, and a
+/// keyed request keeps to its cell though the server that may have run it is no longer known.
+#[test]
+fn what_ends_late_on_a_forgotten_server_does_no_harm() {
+    let cell = |i, cell| ServerEntry { cell, ..ServerEntry::new(ServerId(i), Availability::Ready) };
+    let mut node = Node::new(one_class(Effect::Keyed { group: Group::Cell, window_ms: 500.0 }), 1);
+    node.servers(vec![cell(0, 7)]);
+    assert_eq!((node.sent_to(1), node.sent_to(2)), (0, 0));
+    node.servers(vec![cell(1, 8), cell(2, 7)]);
+    assert_eq!(send_of(&node.report(1, 0, 50.0, Ending::Reset, Some(3.0))), Some(2));
+    assert_eq!(send_of(&node.report(2, 0, 50.0, Ending::Reset, Some(3.0))), Some(2));
+    let report = Some(Report { in_flight: Some(9.0), queued: None });
+    node.feed(Event::Probed { server: ServerId(0), ending: Ending::Served, report });
+    node.end(1, 1, 50.0, Ending::Served);
+    let gone = ServerEntry { availability: Availability::Gone, ..cell(2, 7) };
+    node.feed(Event::Servers(Listing::Changes(vec![gone])));
+    assert!(failed(&node.end(2, 1, 50.0, Ending::Reset)));
+}
+
 #[test]
 fn a_cold_server_gets_no_more_than_its_budget() {
     let mut settings = one_class(Effect::Safe);
