Let server connections rest; a 200 that ends with its connection is a break

A body with neither length nor chunks was served though it may have been cut, and an answer with both was served.

Answers need one clear end, heads hold 16 KiB, and a length over the limit ends the attempt before its body.

The test on broken answers fails without the change; that on copies right behind passed before, hyper sees to it.

--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -8,9 +8,10 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::header::{HeaderMap, HeaderValue};
+use hyper::header::{HeaderMap, HeaderValue, CONTENT_LENGTH, TRANSFER_ENCODING};
+use hyper::http::response;
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
@@ -27,6 +28,11 @@
 pub const BODY_MOST: usize = 64 * 1024;
 /// Part of the idle limit for which a connection is kept: a server that closes it meanwhile resets a request.
 const IDLE_PART: f64 = 0.9;
+/// A connection is used again this long after an answer at the earliest. What a server sends right behind an
+/// answer, as a second copy of it, has shown by then; the next request must not get it.
+const REST: Duration = Duration::from_millis(5);
+/// The head of an answer may be this long.
+const HEAD_MOST: usize = 16 * 1024;
 
 /// What of a client's request goes on to a server.
 pub struct Forward {
@@ -112,15 +118,20 @@
 }
 
 impl Server {
-    /// A kept connection that its server does not soon close.
+    /// A kept connection that its server does not soon close: the last used of those that have rested.
     fn idle(&self, keep: Duration) -> Option<Connection> {
+        self.close_idle(keep);
         let mut idle = self.idle.borrow_mut();
-        let connection = idle.pop_back().filter(|c| c.idle_since.elapsed() < keep);
-        // Where the one used last is too old, so are the others.
-        connection.or_else(|| {
-            idle.clear();
-            None
-        })
+        let rested = idle.iter().rposition(|c| c.idle_since.elapsed() >= REST);
+        let at = rested.or_else(|| idle.len().checked_sub(1))?;
+        idle.remove(at)
+    }
+
+    /// Closes what has stood idle for too long.
+    fn close_idle(&self, keep: Duration) {
+        let mut idle = self.idle.borrow_mut();
+        let young = idle.iter().position(|c| c.idle_since.elapsed() < keep).unwrap_or(idle.len());
+        idle.drain(..young);
     }
 
     fn keep(&self, mut connection: Connection) {
@@ -174,12 +185,7 @@
 
     /// Closes what has stood idle for so long that the server may soon close it.
     pub fn close_idle(&self) {
-        for server in self.servers.borrow().values() {
-            let mut idle = server.idle.borrow_mut();
-            while idle.front().is_some_and(|c| c.idle_since.elapsed() >= self.keep) {
-                idle.pop_front();
-            }
-        }
+        self.servers.borrow().values().for_each(|server| server.close_idle(self.keep));
     }
 
     /// A place for one more socket, for which the one that stood idle longest is closed if need be.
@@ -207,6 +213,7 @@
         let socket = Rc::new(Socket { stream, _slot: slot });
         let handshake = http1::Builder::new()
             .max_buf_size(2 * BODY_MOST)
+            .max_header_size(HEAD_MOST)
             .handshake(TokioIo::new(Io(Rc::clone(&socket))))
             .await;
         let (sender, connection) = handshake.map_err(|_| Ending::Unreachable)?;
@@ -261,6 +268,9 @@
                 Err(ending) => return Reply::none(ending),
             },
         };
+        if kept {
+            sleep_until(connection.idle_since + REST).await;
+        }
         if connection.sender.ready().await.is_err() || kept && !connection.is_sound() {
             if kept {
                 continue;
@@ -316,7 +326,10 @@
     let text = |name: &str| head.headers.get(name).and_then(|value| value.to_str().ok());
     let report = text("x-load").and_then(load_report);
     let not_run = text("x-not-run") == Some("1");
-    let body = Limited::new(body, BODY_MOST).collect().await.ok().map(|body| body.to_bytes());
+    let body = match has_end(&head, &body) {
+        true => Limited::new(body, BODY_MOST).collect().await.ok().map(|body| body.to_bytes()),
+        false => None,
+    };
     let whole = body.is_some();
     let ending = match head.status {
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if not_run => Ending::Full,
@@ -327,3 +340,14 @@
     let reply = Reply { ending, report, body: body.filter(|_| ending == Ending::Served) };
     (reply, whole)
 }
+
+/// Whether an answer that has come to its end can be told from one that was cut off, and its end can be awaited.
+fn has_end(head: &response::Parts, body: &Incoming) -> bool {
+    let chunked = |value: &HeaderValue| value.as_bytes().eq_ignore_ascii_case(b"chunked");
+    match (body.size_hint().exact(), head.headers.get(TRANSFER_ENCODING)) {
+        _ if head.status == StatusCode::SWITCHING_PROTOCOLS => false,
+        (Some(length), None) => length <= BODY_MOST as u64,
+        (None, Some(value)) => chunked(value) && !head.headers.contains_key(CONTENT_LENGTH),
+        _ => false,
+    }
+}
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -58,7 +58,27 @@
 #[test]
 fn what_may_have_run_is_a_failure() {
     type Script = fn(Exchange);
-    let scripts: [(&str, Script); 7] = [
+    let scripts: [(&str, Script); 14] = [
+        ("an end that may be a break", |mut got| {
+            got.write(b"HTTP/1.1 200 OK\r\n\r\nhalf");
+            drop(got.stream.shutdown(Shutdown::Both));
+        }),
+        ("two lengths", |mut got| {
+            got.write(b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\ncontent-length: 2\r\n\r\nwork");
+        }),
+        ("a length and chunks", |mut got| {
+            got.write(b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n");
+            got.write(b"transfer-encoding: chunked\r\n\r\n4\r\nwork\r\n0\r\n\r\n");
+        }),
+        ("another protocol", |mut got| {
+            got.write(b"HTTP/1.1 101 Other\r\nconnection: upgrade\r\nupgrade: other\r\n\r\n");
+        }),
+        ("3 GB", |mut got| got.write(b"HTTP/1.1 200 OK\r\ncontent-length: 3000000000\r\n\r\nhalf")),
+        ("a head too long", |mut got| {
+            got.write(b"HTTP/1.1 200 OK\r\nx-more: ");
+            got.write(&vec![b'x'; 40_000]);
+        }),
+        ("noise", |mut got| got.write(b"\x00\x01\x02\r\n\r\n")),
         ("an error", |got| got.answer("500 Broken", "", b"")),
         ("an error with a report", |got| got.answer("500 Broken", "x-load: inflight=2,queue=0\r\n", b"")),
         ("a refusal with no proof", |got| got.answer("503 Busy", "", b"")),
@@ -705,6 +725,46 @@
     }
 }
 
+/// What follows a good answer belongs to nobody; the next request on that connection would get it.
+#[test]
+fn what_comes_behind_a_good_answer_is_not_the_next_one() {
+    let server = Server::start();
+    let node = Node::before(&[&server]);
+    let good = "HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nmine";
+    for (n, (behind, apart)) in
+        [(good, false), (good, true), ("noise", false), ("noise", true)].into_iter().enumerate()
+    {
+        let mut client = node.client();
+        client.send(&request("pay", 20.0));
+        let mut got = server.request();
+        assert_eq!(got.connection, n);
+        if apart {
+            got.write(good.as_bytes());
+            got.write(behind.as_bytes());
+        } else {
+            got.write(&[good, behind].concat().into_bytes());
+        }
+        assert_eq!(client.answer().body, b"mine");
+    }
+}
+
+/// Interim answers come ahead of the one that counts.
+#[test]
+fn interim_answers_are_skipped() {
+    let server = Server::start();
+    let node = Node::before(&[&server]);
+    let mut client = node.client();
+    for _ in 0..2 {
+        client.send(&request("update", 20.0));
+        let mut got = server.request();
+        assert_eq!(got.connection, 0, "the connection is as good as before");
+        got.write(b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early\r\nlink: x\r\n\r\n");
+        got.answer(OK, "", b"done");
+        let answer = client.answer();
+        assert_eq!((answer.status(), &answer.body[..]), (200, &b"done"[..]));
+    }
+}
+
 /// Reports that are malformed are passed over, and the answers that bring them are not.
 #[test]
 fn a_malformed_load_report_does_no_harm() {
