Cut attempts on silent servers; bound dials; pass over absurd reports

An attempt had no limit but the deadline. From reading: a dial may take 200 of 400 ms, and one report of 1e300 would keep its server out for good and lift the mean of the others.

A dial gets a quarter of the time left. Reports over 100,000 are passed over. Tests in rules.rs and node.rs; without the change they wait for their end.

--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -31,6 +31,8 @@
 /// A connection is used again this long after an answer at the earliest. What a server sends right behind an
 /// answer, as a second copy of it, has shown by then; the next request must not get it.
 const REST: Duration = Duration::from_millis(5);
+/// Part of a request's time that a connection to a server may take to come up: another may be had after it.
+const DIAL_PART: f64 = 0.25;
 /// The head of an answer may be this long.
 const HEAD_MOST: usize = 16 * 1024;
 
@@ -263,7 +265,7 @@
     loop {
         let (mut connection, kept) = match server.idle(upstream.keep) {
             Some(connection) => (connection, true),
-            None => match upstream.connect(&server, node.config.dial_timeout).await {
+            None => match upstream.connect(&server, dial_most(node, forward)).await {
                 Ok(connection) => (connection, false),
                 Err(ending) => return Reply::none(ending),
             },
@@ -303,6 +305,11 @@
     }
 }
 
+fn dial_most(node: &Node, forward: Option<&Forward>) -> Duration {
+    let left = forward.map(|f| f.gives_up_at.saturating_duration_since(Instant::now()).mul_f64(DIAL_PART));
+    left.map_or(node.config.dial_timeout, |left| left.min(node.config.dial_timeout))
+}
+
 fn forward_request(forward: &Forward) -> Request<Full<Bytes>> {
     let mut request = Request::new(Full::new(forward.body.clone()));
     *request.method_mut() = forward.method.clone();
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -51,10 +51,19 @@
 const ASKED_SURE: f64 = 0.4;
 /// How far chance moves an old count where it only decides whom to ask. Guards against crowding the lowest.
 const BLUR: f64 = 0.7;
+/// An attempt may be cut after so many of its aims. Sooner, more work is done twice than is won by it ...
+const CUT_AIMS: f64 = 1.5;
+/// ... and after so many times the answer expected of its server, where that has said nothing meanwhile ...
+const CUT_WAITS: f64 = 3.0;
+/// ... to so many attempts.
+const CUT_OUT: usize = 3;
+/// A server is not believed to hold more than this: a count of that size would never be the lowest again.
+const HELD_MOST: f64 = 100_000.0;
 /// Part of its aim that a request waits for those asked.
 const ASK_PART: f64 = 0.1;
 
-/// The timers: for a new subscription, and above it for the request of that number less one.
+/// The timers: for a new subscription, and above it for the request of that number less one, whose servers
+/// have been asked or whose attempt has been out for long.
 const RESUBSCRIBE: u64 = 0;
 
 /// Running means of the latency, and of how many requests the server held meanwhile.
@@ -96,6 +105,8 @@
     out: usize,
     pace: Pace,
     strikes: u32,
+    /// When it last gave any answer.
+    heard_at: f64,
     /// Set while it is taken out, and past that while it is on trial.
     ejected_until: Option<f64>,
 }
@@ -114,6 +125,9 @@
     sent_at: f64,
     depth: f64,
     open: bool,
+    /// When it may be cut, and whether it was.
+    cut_at: f64,
+    cut: bool,
 }
 
 #[derive(Default)]
@@ -209,7 +223,10 @@
             Event::Outcome(outcome) => self.outcome(now, &outcome, actions),
             Event::ClientGone(id) => self.client_gone(id, actions),
             Event::Timer(RESUBSCRIBE) if std::mem::take(&mut self.asking) => actions.push(Action::Subscribe),
-            Event::Timer(timer) if timer > RESUBSCRIBE => self.dispatch(now, RequestId(timer - 1), actions),
+            Event::Timer(timer) if timer > RESUBSCRIBE => {
+                self.dispatch(now, RequestId(timer - 1), actions);
+                self.cut(now, RequestId(timer - 1), actions);
+            }
             Event::Probed { server, ending, report } => self.probed(now, server.0, ending, report, actions),
             Event::Timer(_) | Event::StreamStarted { .. } => {}
         }
@@ -285,7 +302,8 @@
     /// A report overwrites the count of its server alone.
     /// It counts the requests of all nodes; where it was not just asked for, each evens out its own part.
     fn report(&mut self, at: usize, report: Report) {
-        let Some(reading) = report.in_flight.or(report.queued) else { return };
+        let reading = report.in_flight.or(report.queued).filter(|held| *held <= HELD_MOST);
+        let Some(reading) = reading else { return };
         let part = if self.asks > 0 { 1.0 } else { self.settings.nodes as f64 };
         self.servers.entry(at).and_modify(|server| server.count = Some(reading / part));
     }
@@ -478,9 +496,64 @@
         server.out += 1;
         server.count = server.count.map(|count| count + 1.0);
         let depth = server.count.filter(|_| self.asks > 0).unwrap_or(server.out as f64);
-        let (zone, cell) = (server.entry.zone, server.entry.cell);
-        held.attempts.push(Attempt { server: at, zone, cell, sent_at: now, depth, open: true });
+        let (zone, cell, out) = (server.entry.zone, server.entry.cell, server.out);
+        let expected = out as f64 * self.all.latency / self.all.depth.max(1.0);
+        let aim_ms = self.settings.classes[held.class].aim_ms;
+        let after_ms = (aim_ms * CUT_AIMS).max(expected * CUT_WAITS);
+        held.attempts.push(Attempt {
+            server: at,
+            zone,
+            cell,
+            sent_at: now,
+            depth,
+            open: true,
+            cut_at: now + after_ms,
+            cut: false,
+        });
         actions.push(Action::Send { request: id, server: ServerId(at) });
+        let more = held.attempts.len() < self.settings.max_attempts && out >= CUT_OUT;
+        let in_time = now + after_ms < held.gives_up_at && self.may_follow(now + after_ms, held, true);
+        if self.settings.cancel && more && in_time {
+            actions.push(Action::SetTimer { timer: id.0 + 1, after_ms });
+        }
+    }
+
+    /// Gives up the attempts that a server leaves unanswered, where their requests may go elsewhere instead.
+    /// Guards against servers that fall silent: without a cut each costs a request its whole time.
+    fn cut(&mut self, now: f64, id: RequestId, actions: &mut Vec<Action>) {
+        let out_to = |held: &Held| held.attempts.last().filter(|last| last.open).map(|last| last.server);
+        let Some(at) = self.held.get(&id).and_then(out_to) else { return };
+        let waiting = self.held.iter().filter(|(_, held)| out_to(held) == Some(at));
+        let mut waiting: Vec<RequestId> = waiting.map(|(id, _)| *id).collect();
+        waiting.sort_unstable();
+        for id in waiting {
+            let Some(mut held) = self.held.remove(&id) else { continue };
+            if let Some(attempt) = self.cut_due(now, &mut held) {
+                held.attempts[attempt].cut = true;
+                actions.push(Action::Cancel { request: id, attempt });
+            }
+            self.held.insert(id, held);
+        }
+    }
+
+    fn cut_due(&mut self, now: f64, held: &mut Held) -> Option<usize> {
+        let last = held.attempts.len().checked_sub(1)?;
+        let attempt = &held.attempts[last];
+        let due =
+            self.settings.cancel && attempt.open && !attempt.cut && now >= attempt.cut_at && !held.answered;
+        let silent = self.servers.get(&attempt.server);
+        let silent = silent.is_some_and(|s| s.heard_at < attempt.sent_at && s.out >= CUT_OUT);
+        if !due || !silent || last + 1 >= self.settings.max_attempts || self.retries < 1.0 {
+            return None;
+        }
+        // What is cut may have run: only what could follow then is worth it.
+        let (ran, at) = (held.ran, attempt.server);
+        let next = self.may_follow(now, held, true).then(|| {
+            held.ran = ran.or(Some(last));
+            self.pick(now, held, f64::INFINITY, 1)
+        });
+        held.ran = ran;
+        next.and_then(|next| next.first().copied()).filter(|next| *next != at).map(|_| last)
     }
 
     fn outcome(&mut self, now: f64, outcome: &Outcome, actions: &mut Vec<Action>) {
@@ -506,16 +579,21 @@
         }
     }
 
-    /// A further attempt where class, time and budget allow it, else the final answer.
-    fn further(&mut self, now: f64, id: RequestId, held: &mut Held, actions: &mut Vec<Action>) {
-        let class = &self.settings.classes[held.class];
-        let allowed = match (held.ran, class.effect) {
+    /// Whether what may have run, also of the last attempt where that counts, lets another attempt follow.
+    fn may_follow(&self, now: f64, held: &Held, with_last: bool) -> bool {
+        let ran = held.ran.or_else(|| held.attempts.len().checked_sub(1).filter(|_| with_last));
+        match (ran, self.settings.classes[held.class].effect) {
             (None, _) | (_, Effect::Safe) => true,
             (Some(ran), Effect::Keyed { window_ms, .. }) => {
                 now - held.attempts[ran].sent_at < window_ms * WINDOW_PART
             }
             (Some(_), Effect::Unsafe) => false,
-        };
+        }
+    }
+
+    /// A further attempt where class, time and budget allow it, else the final answer.
+    fn further(&mut self, now: f64, id: RequestId, held: &mut Held, actions: &mut Vec<Action>) {
+        let allowed = self.may_follow(now, held, false);
         let budget = held.attempts.len() < self.settings.max_attempts && self.retries >= 1.0;
         if allowed && budget && now < held.gives_up_at {
             // Guards against servers filled by what others turned away (incident ia94218, big days).
@@ -567,7 +645,11 @@
             self.servers.remove(&at);
             return;
         }
+        if matches!(outcome.ending, Ending::Served | Ending::Full | Ending::Error) {
+            server.heard_at = now;
+        }
         let failed = match outcome.ending {
+            Ending::Cancelled if attempt.cut => true,
             // A full server is busy, not ill; a time-out within the aim says nothing of it.
             Ending::Served | Ending::Full => false,
             Ending::TimedOut => elapsed >= self.settings.classes[class].aim_ms,
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -765,6 +765,35 @@
     }
 }
 
+/// The dial time-out of the settings may be as long as a request's time; a part of that is enough to learn
+/// that a server does not come up, and even an unsafe request goes on.
+#[test]
+fn a_stuck_dial_leaves_time_for_another_server() {
+    let (_slow, address, _filler) = full_listener();
+    let server = Server::start();
+    let node =
+        Node::start(&config(&[member("s0", address, "active"), member("s1", server.address, "active")]));
+    let mut clients = [node.client(), node.client()];
+    clients.iter_mut().for_each(|client| client.send(&request("pay", 8.0)));
+    (0..2).for_each(|_| server.request().answer(OK, "", b""));
+    assert!(clients.iter_mut().all(|client| client.answer().status() == 200));
+}
+
+/// The whole way of a cut: the timer, the closed connection, the next server.
+#[test]
+fn requests_leave_a_server_that_falls_silent() {
+    let servers = [Server::start(), Server::start()];
+    let node = Node::before(&[&servers[0], &servers[1]]);
+    let mut clients: Vec<Client> = (0..6).map(|_| node.client()).collect();
+    clients.iter_mut().for_each(|client| client.send(&request("read", 60.0)));
+    let mut unanswered = [(); 3].map(|()| servers[0].request());
+    for _ in 0..6 {
+        servers[1].request().answer(OK, "", b"");
+    }
+    assert!(clients.iter_mut().all(|client| client.answer().status() == 200));
+    unanswered.iter_mut().for_each(Exchange::await_end);
+}
+
 /// Reports that are malformed are passed over, and the answers that bring them are not.
 #[test]
 fn a_malformed_load_report_does_no_harm() {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -322,6 +322,55 @@
 }
 
 /// With everything failing there is nobody better: traffic must go on, and recover by itself.
+/// A server that falls silent costs requests their time; those that may be repeated are sent elsewhere.
+#[test]
+fn attempts_on_a_silent_server_are_cut_where_a_repeat_is_allowed() {
+    let keyed = |window_ms| Effect::Keyed { group: Group::All, window_ms };
+    for (effect, heard, cut) in [
+        (Effect::Safe, false, true),
+        (keyed(5_000.0), false, true),
+        (keyed(500.0), false, false),
+        (Effect::Unsafe, false, false),
+        (Effect::Safe, true, false),
+    ] {
+        let mut node = Node::new(one_class(effect), 1);
+        node.servers(ready(0..2));
+        let ids = 1..=6;
+        let at: BTreeMap<u64, usize> = ids.clone().map(|id| (id, node.sent_to(id))).collect();
+        node.now += 20.0;
+        let silent: Vec<u64> = ids.clone().filter(|id| at[id] == 0).collect();
+        for id in ids.filter(|id| at[id] == 1 || heard && *id == silent[0]) {
+            node.end(id, 0, 20.0, Ending::Served);
+        }
+        node.now += 700.0;
+        // The timer of the third attempt there shows what became of the others, too.
+        let actions = node.feed(Event::Timer(silent[2] + 1));
+        for id in silent {
+            let cancel = Action::Cancel { request: RequestId(id), attempt: 0 };
+            assert_eq!(actions.contains(&cancel), cut, "{effect:?} {heard}");
+            if !cut {
+                continue;
+            }
+            assert_eq!(send_of(&node.end(id, 0, 720.0, Ending::Cancelled)), Some(1));
+            assert_eq!(node.feed(Event::Timer(id + 1)), [], "the second attempt has its own time");
+        }
+    }
+}
+
+/// A count that no server can have would keep its server out for good.
+#[test]
+fn an_absurd_report_changes_no_count() {
+    let mut node = Node::new(one_class(Effect::Safe), 1);
+    node.servers(ready(0..2));
+    let mut sent = [0; 2];
+    for id in 1..=40 {
+        let at = node.sent_to(id);
+        sent[at] += 1;
+        node.report(id, 0, 20.0, Ending::Served, Some(if at == 0 { 1e300 } else { f64::INFINITY }));
+    }
+    assert_eq!(sent, [20, 20]);
+}
+
 #[test]
 fn refusals_end_when_the_servers_recover() {
     let mut settings = one_class(Effect::Safe);
