Give a new connection 250 ms before it counts as silent

At the budget each new client was closed for the next one, since those that never asked went first at once.

--- a/src/net/frontend.rs
+++ b/src/net/frontend.rs
@@ -43,6 +43,8 @@
 const SLOW_MOST: Duration = Duration::from_millis(2500);
 /// A client that has been answered may keep its connection idle for so long. Past 2 s it may be closed.
 const IDLE_MOST: Duration = Duration::from_secs(5);
+/// A request follows its new connection within this time, or it is thought silent.
+const COMING: Duration = Duration::from_millis(250);
 /// A node that is ending waits so long for the rest of a head that has begun to come.
 const LINGER: Duration = Duration::from_millis(500);
 /// What has come on a socket is with hyper after this time.
@@ -72,18 +74,23 @@
     /// So many more where none can be closed.
     spare: usize,
     /// Those with no request: the ones that never had an answer come first, then by the time since when. Each
-    /// with what closes it.
-    idle: RefCell<BTreeMap<(bool, u64), Rc<Notify>>>,
+    /// with that time and what closes it.
+    idle: RefCell<BTreeMap<(bool, u64), (Instant, Rc<Notify>)>>,
     last_idle: Cell<u64>,
     ending: Cell<bool>,
 }
 
 impl Front {
-    /// Closes an idle connection: one that never had an answer, else the one that has stood idle for longest.
-    /// Whether there was one.
+    /// Closes an idle connection: one that has stayed silent, else the one whose answer is longest ago, else one
+    /// that has just come. Whether there was one.
     fn close_one(&self) -> bool {
-        let first = self.idle.borrow_mut().pop_first();
-        first.inspect(|(_, close)| close.notify_one()).is_some()
+        let mut idle = self.idle.borrow_mut();
+        // Guards against closing each new client for the next one, before its request can have come.
+        let silent = idle.first_key_value().filter(|(_, (since, _))| since.elapsed() >= COMING);
+        let answered = || idle.range((true, 0)..).next();
+        let first = silent.or_else(answered).or_else(|| idle.first_key_value()).map(|(place, _)| *place);
+        let closed = first.and_then(|place| idle.remove(&place));
+        closed.inspect(|(_, close)| close.notify_one()).is_some()
     }
 }
 
@@ -115,7 +122,7 @@
     fn set_idle(&self) {
         let place = (self.answered.get(), self.front.last_idle.get() + 1);
         self.front.last_idle.set(place.1);
-        self.front.idle.borrow_mut().insert(place, Rc::clone(&self.close));
+        self.front.idle.borrow_mut().insert(place, (Instant::now(), Rc::clone(&self.close)));
         self.idle.set(Some(place));
         self.since.set(Instant::now());
     }
