--- a/src/net/frontend.rs
+++ b/src/net/frontend.rs
@@ -67,6 +67,9 @@
     "x-cost-hint",
 ];
 
+/// Since when a connection has had no request, and what closes it.
+type Idle = (Instant, Rc<Notify>);
+
 /// Clients' connections.
 struct Front {
     open: Cell<usize>,
@@ -75,7 +78,7 @@
     spare: usize,
     /// Those with no request: the ones that never had an answer come first, then by the time since when. Each
     /// with that time and what closes it.
-    idle: RefCell<BTreeMap<(bool, u64), (Instant, Rc<Notify>)>>,
+    idle: RefCell<BTreeMap<(bool, u64), Idle>>,
     last_idle: Cell<u64>,
     ending: Cell<bool>,
 }
