--- a/benches/idle_connections.rs
+++ b/benches/idle_connections.rs
@@ -20,9 +20,10 @@
     let wanted = std::env::args().skip(1).find_map(|text| text.parse().ok()).unwrap_or(10_000_usize);
     println!("connections each asked once and then idle: {wanted}");
     println!("{:<22}{:>10}{:>16}{:>18}{:>18}", "", "open", "bytes each", "us a request", "us beside them");
-    for (name, file) in
-        [("[connections] absent", None), ("[connections] on", Some("[connections]\nidle_ms = 600000\n"))]
-    {
+    for (name, file) in [
+        ("[connections] absent", None),
+        ("[connections] on", Some("[connections]\nidle_ms = 600000\nclients_hold = 1.0\n")),
+    ] {
         let server = Server::start();
         let mut told = config(&members(&[&server]));
         // Room for twice as many, so that nothing is closed early, and times that outlast the run.
--- a/crates/spurdrum-admission/src/admission.rs
+++ b/crates/spurdrum-admission/src/admission.rs
@@ -11,7 +11,7 @@
 
 /// Memory that a connection holds whatever it does: buffers, its task, its entries here. Measured by
 /// `benches/idle_connections.rs`.
-const BASE: u64 = 16 * 1024;
+const BASE: u64 = 20 * 1024;
 /// Times are looked at this late, so that many connections share a tick.
 const GRAIN: Duration = Duration::from_millis(10);
 /// While it is not calm, the level is looked at this often.
--- /dev/null
+++ b/crates/spurdrum-bench/src/main.rs
@@ -0,0 +1,256 @@
+//! Measurements, each a command:
+//!
+//!     cargo run --release --bin spurdrum-bench -- stall      the generator's latencies against the stand-in's own clock
+//!     cargo run --release --bin spurdrum-bench -- rate       how late requests are sent at a high rate
+//!     cargo run --release --bin spurdrum-bench -- versus     the node beside a plain proxy, alternating
+
+use std::net::SocketAddr;
+use std::process::{Child, Command as Process, ExitCode, Stdio};
+use std::time::{Duration, Instant};
+
+use clap::{Parser, Subcommand};
+use spurdrum_demo::{config, free_address, Node};
+use spurdrum_load::plan::Plan;
+use spurdrum_load::report::Report;
+use spurdrum_load::run::{run, Options};
+use spurdrum_load::schedule::Schedule;
+use spurdrum_standin::scenario::Scenario;
+use spurdrum_standin::Fleet;
+
+mod proxy;
+
+#[derive(Parser)]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// A stand-in pauses for two seconds under 1,000 requests a second.
+    Stall,
+    /// An in-process stand-in takes 30,000 requests a second.
+    Rate {
+        /// Requests a second.
+        #[arg(long, default_value_t = 30_000.0)]
+        rate: f64,
+        /// Seconds.
+        #[arg(long, default_value_t = 10.0)]
+        for_s: f64,
+    },
+    /// The node and a plain proxy before the same stand-ins, under the same load.
+    Versus {
+        /// Seconds for each measurement.
+        #[arg(long, default_value_t = 4.0)]
+        for_s: f64,
+        /// How often each is measured; the table has the medians.
+        #[arg(long, default_value_t = 3)]
+        rounds: usize,
+    },
+    /// The plain proxy, for `versus`.
+    PlainProxy {
+        /// Where it listens.
+        listen: SocketAddr,
+        /// What it passes on to.
+        servers: Vec<SocketAddr>,
+    },
+}
+
+fn main() -> ExitCode {
+    let done = match Cli::parse().command {
+        Command::Stall => stall(),
+        Command::Rate { rate: requests, for_s } => rate(requests, for_s),
+        Command::Versus { for_s, rounds } => versus(for_s, rounds.max(1)),
+        Command::PlainProxy { listen, servers } => proxy::serve(listen, servers),
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(why) => {
+            eprintln!("spurdrum-bench: {why}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn plan(phase: &str, clients: &str) -> Result<Plan, String> {
+    Plan::parse(&format!(
+        "{phase}\n[[class]]\nname = \"inventory-update\"\neffect = \"keyed\"\naim_s = 0.4\ndeadline_s = 10\n\
+         bytes = [200, 200]\n[[tenant]]\nname = \"inns\"\n{clients}"
+    ))
+}
+
+fn play(plan: &Plan, target: SocketAddr, closed: Option<(usize, Duration)>) -> Result<Report, String> {
+    let options = Options { target, seed: 1, closed, most: Duration::from_secs(120) };
+    run(plan, Box::new(Schedule::new(plan, 1).map(Ok)), &options, std::future::pending(), |_| {})
+}
+
+// ---- stall
+
+fn stall() -> Result<(), String> {
+    let scenario = "[[servers]]\ncores = 8\nslots = 8000\nqueue = 8000\nwork_ms = 1\nconnections = 8000\n\
+                    [[fault]]\non = \"s0\"\nkind = \"pause\"\nat_s = 2\nfor_s = 2\n";
+    let phase = "[[phase]]\nfor_s = 6\nshape = \"constant\"\nrate = 1000\narrivals = \"even\"";
+    let plan = plan(phase, "[clients]\nconnections = 8000")?;
+    let fleet = Fleet::start(&Scenario::parse(scenario)?)?;
+    let started = Instant::now();
+    let address = fleet.servers["s0"];
+    // The stand-in's clock began when it was started; the schedule's begins now.
+    let offset = fleet.elapsed();
+    let report = play(&plan, address, None)?;
+    let tally = fleet.tally();
+    let mut own: Vec<f64> = Schedule::new(&plan, 1)
+        .filter_map(|arrival| {
+            let runs = tally.ids().get(&format!("{:x}", arrival.id))?;
+            let answered = runs.answered_at?.saturating_sub(offset).as_secs_f64() * 1e3;
+            Some(answered - arrival.due_us as f64 / 1e3)
+        })
+        .collect();
+    own.sort_by(f64::total_cmp);
+    let at = |q: f64| own[((own.len() as f64 * q) as usize).min(own.len() - 1)];
+    let fleet = Fleet::start(&Scenario::parse(scenario)?)?;
+    let closed = play(&plan, fleet.servers["s0"], Some((8, Duration::from_secs(6))))?;
+    println!(
+        "1,000 requests a second for 6 s; the stand-in pauses from 2 s to 4 s ({:.1} s in all)",
+        started.elapsed().as_secs_f64()
+    );
+    println!("{:<34}{:>9}{:>10}{:>10}{:>10}", "", "requests", "p50 ms", "p99 ms", "max ms");
+    println!(
+        "{:<34}{:>9}{:>10.1}{:>10.1}{:>10.1}",
+        "stand-in's own clock, from due",
+        own.len(),
+        at(0.5),
+        at(0.99),
+        at(1.0)
+    );
+    for (name, report) in [("open loop, from due", &report), ("closed loop, 8 clients (wrong)", &closed)] {
+        let q = &report.all.latency_ms;
+        println!("{name:<34}{:>9}{:>10.1}{:>10.1}{:>10.1}", q.count, q.p50, q.p99, q.max);
+    }
+    let close = |a: f64, b: f64| (a - b).abs() <= 2.0_f64.max(0.01 * b);
+    let q = &report.all.latency_ms;
+    let agree = close(q.p50, at(0.5)) && close(q.p99, at(0.99)) && close(q.max, at(1.0));
+    println!(
+        "open loop and the stand-in's clock {} within 2 ms or 1 %",
+        if agree { "agree" } else { "DO NOT agree" }
+    );
+    Ok(())
+}
+
+// ---- rate
+
+fn rate(requests: f64, for_s: f64) -> Result<(), String> {
+    let scenario = "[[servers]]\ncount = 2\ncores = 64\nslots = 4000\nqueue = 4000\nwork_ms = 0.05\nconnections = 4000\n";
+    let phase = format!("[[phase]]\nfor_s = {for_s}\nshape = \"constant\"\nrate = {requests}\n");
+    let plan = plan(&phase, "[clients]\nconnections = 2000")?;
+    let fleet = Fleet::start(&Scenario::parse(scenario)?)?;
+    let before = cpu_of(std::process::id());
+    let report = play(&plan, fleet.servers["s0"], None)?;
+    let cpu = cpu_of(std::process::id()) - before;
+    print!("{}", report.table());
+    println!("CPU of generator and stand-in together: {cpu:.1} s in {:.1} s", report.seconds);
+    Ok(())
+}
+
+/// CPU seconds of a process so far.
+fn cpu_of(pid: u32) -> f64 {
+    let text = std::fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
+    let after = text.rsplit(')').next().unwrap_or_default();
+    let ticks =
+        |n: usize| after.split_whitespace().nth(n).and_then(|t| t.parse::<f64>().ok()).unwrap_or_default();
+    // Fields 14 and 15, user and system, in hundredths of a second.
+    (ticks(11) + ticks(12)) / 100.0
+}
+
+// ---- versus
+
+struct Plain {
+    address: SocketAddr,
+    child: Child,
+}
+
+impl Plain {
+    fn start(fleet: &Fleet) -> Result<Self, String> {
+        let address = free_address()?;
+        let own = std::env::current_exe().map_err(|e| e.to_string())?;
+        let servers = fleet.servers.values().map(ToString::to_string);
+        let child = Process::new(own).arg("plain-proxy").arg(address.to_string()).args(servers).spawn();
+        let plain = Self { address, child: child.map_err(|e| e.to_string())? };
+        let since = Instant::now();
+        while std::net::TcpStream::connect(address).is_err() {
+            if since.elapsed() > Duration::from_secs(10) {
+                return Err("the plain proxy does not listen".into());
+            }
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        Ok(plain)
+    }
+}
+
+impl Drop for Plain {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+#[derive(Clone, Copy, Default)]
+struct Figures {
+    saturation: f64,
+    cpu_us: f64,
+    p50: f64,
+    p99: f64,
+}
+
+fn measure(target: SocketAddr, pid: u32, connections: usize, for_s: f64) -> Result<Figures, String> {
+    let phase = |rate: f64| format!("[[phase]]\nfor_s = {for_s}\nshape = \"constant\"\nrate = {rate}\n");
+    let clients = format!("[clients]\nconnections = {connections}\nin_flight = 100000");
+    let before = cpu_of(pid);
+    let closed =
+        play(&plan(&phase(1.0), &clients)?, target, Some((connections, Duration::from_secs_f64(for_s))))?;
+    let cpu = cpu_of(pid) - before;
+    let served = closed.all.counts.in_time + closed.all.counts.late;
+    let saturation = served as f64 / for_s;
+    // Where few connections bound the rate, a pool of its own size leaves half of it open.
+    let open = play(
+        &plan(&phase(saturation / 2.0), &format!("[clients]\nconnections = {}", connections * 4))?,
+        target,
+        None,
+    )?;
+    let q = open.all.latency_ms;
+    Ok(Figures { saturation, cpu_us: cpu * 1e6 / served.max(1) as f64, p50: q.p50, p99: q.p99 })
+}
+
+fn versus(for_s: f64, rounds: usize) -> Result<(), String> {
+    let scenario = "[[servers]]\ncount = 8\ncores = 64\nslots = 4000\nqueue = 4000\nwork_ms = 0.05\nconnections = 4000\n";
+    let fleet = Fleet::start(&Scenario::parse(scenario)?)?;
+    println!("8 stand-ins in one thread, {rounds} rounds of {for_s} s each, alternating; medians");
+    println!(
+        "{:<12}{:<14}{:>12}{:>14}{:>10}{:>10}",
+        "connections", "proxy", "served/s", "CPU us each", "p50 ms", "p99 ms"
+    );
+    for connections in [8, 32, 256] {
+        let mut all = [Vec::new(), Vec::new()];
+        for _ in 0..rounds {
+            let node = Node::start(&config(&fleet, &["inns"], 4096, 10_000), Stdio::null())?;
+            all[0].push(measure(node.address, node.pid(), connections, for_s)?);
+            drop(node);
+            let plain = Plain::start(&fleet)?;
+            all[1].push(measure(plain.address, plain.child.id(), connections, for_s)?);
+        }
+        for (name, figures) in ["node", "plain proxy"].iter().zip(&all) {
+            let median = |of: fn(&Figures) -> f64| {
+                let mut values: Vec<f64> = figures.iter().map(of).collect();
+                values.sort_by(f64::total_cmp);
+                values[values.len() / 2]
+            };
+            println!(
+                "{connections:<12}{name:<14}{:>12.0}{:>14.1}{:>10.2}{:>10.2}",
+                median(|f| f.saturation),
+                median(|f| f.cpu_us),
+                median(|f| f.p50),
+                median(|f| f.p99)
+            );
+        }
+    }
+    Ok(())
+}
--- a/tests/net/mod.rs
+++ b/tests/net/mod.rs
@@ -87,9 +87,10 @@
 
     /// Answers, where the node still waits for it.
     pub fn answer_if_wanted(mut self, body: &[u8]) {
-        let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", body.len());
-        self.write(head.as_bytes());
-        self.write(body);
+        // In one piece: a second write would wait for the first one's acknowledgement.
+        let mut whole = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", body.len()).into_bytes();
+        whole.extend_from_slice(body);
+        self.write(&whole);
         let _ = self.go_on.send(());
     }
 
