--- a/src/lib.rs
+++ b/crates/spurdrum-policy/src/lib.rs
@@ -10,7 +10,7 @@
 //! A node's event loop calls [`Balancer::handle`] and carries out what it is told:
 //!
 //! ```
-//! use spurdrum::{
+//! use spurdrum_policy::{
 //!     Action, Availability, Balancer, Class, Effect, Ending, Event, Listing, Outcome, Request,
 //!     RequestId, ServerEntry, ServerId, Settings,
 //! };
@@ -40,12 +40,11 @@
 //! };
 //! balancer.handle(19.5, Event::Outcome(outcome), &mut actions);
 //! # let _ = server;
-//! # Ok::<(), spurdrum::SettingsError>(())
+//! # Ok::<(), spurdrum_policy::SettingsError>(())
 //! ```
 
 mod interface;
 mod rules;
-pub mod wire;
 
 pub use interface::*;
 pub use rules::Balancer;
--- a/tests/common/mod.rs
+++ b/crates/spurdrum-policy/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! What the tests of the module share: short ways to build events, and to feed a balancer.
 #![allow(dead_code)]
 
-use spurdrum::*;
+use spurdrum_policy::*;
 
 pub struct Node {
     pub balancer: Balancer,
--- a/tests/hsq.rs
+++ b/crates/spurdrum-policy/tests/hsq.rs
@@ -3,7 +3,7 @@
 mod common;
 use common::*;
 
-use spurdrum::*;
+use spurdrum_policy::*;
 
 /// Settings whose aim is so far off that nothing is refused.
 fn patient() -> Settings {
--- a/tests/rules.rs
+++ b/crates/spurdrum-policy/tests/rules.rs
@@ -5,7 +5,7 @@
 
 use std::collections::BTreeMap;
 
-use spurdrum::*;
+use spurdrum_policy::*;
 
 // ---- Edges
 
--- a/src/bin/spurdrum-simhost.rs
+++ b/crates/spurdrum-simhost/src/main.rs
@@ -5,8 +5,11 @@
 use std::panic::{self, AssertUnwindSafe};
 use std::process::ExitCode;
 
-use spurdrum::wire::{one_line, Dialect, Line, Member, WireError};
-use spurdrum::{Action, Balancer};
+use spurdrum_facts::one_line;
+use spurdrum_policy::{Action, Balancer};
+
+mod wire;
+use wire::{Dialect, Line, Member, WireError};
 
 /// One instance: its balancer and the names only it has been told.
 struct Instance {
--- a/src/main.rs
+++ b/crates/spurdrum/src/main.rs
@@ -17,7 +17,7 @@
     match start() {
         Ok(()) => ExitCode::SUCCESS,
         Err(why) => {
-            eprintln!("spurdrum: {}", spurdrum::wire::one_line(&why));
+            eprintln!("spurdrum: {}", spurdrum_facts::one_line(&why));
             ExitCode::FAILURE
         }
     }
--- a/src/net/config.rs
+++ b/crates/spurdrum/src/net/config.rs
@@ -6,8 +6,8 @@
 
 use serde::Deserialize;
 use serde_json::Value;
-use spurdrum::{wire, Effect, Report, Settings};
 use spurdrum_admission::Limits;
+use spurdrum_policy::{Effect, Report, Settings};
 
 use super::file;
 
@@ -118,7 +118,7 @@
         if !facts.is_object() {
             return Err("`settings` is missing or no object".into());
         }
-        let settings = wire::read_settings(facts).map_err(|e| format!("`settings`: {e}"))?;
+        let settings = spurdrum_facts::read_settings(facts).map_err(|e| format!("`settings`: {e}"))?;
         settings.validate().map_err(|e| format!("`settings`: {e}"))?;
         let names = Names {
             classes: names(facts, "classes")?,
--- a/src/net/frontend.rs
+++ b/crates/spurdrum/src/net/frontend.rs
@@ -20,8 +20,8 @@
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
-use spurdrum::{Effect, RequestId};
 use spurdrum_admission::{Event, Reason, State, Verdict};
+use spurdrum_policy::{Effect, RequestId};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::oneshot;
 use tokio::task::yield_now;
@@ -464,7 +464,7 @@
     node: &Node,
     method: &Method,
     headers: &HeaderMap,
-) -> Result<(Duration, spurdrum::Request), &'static str> {
+) -> Result<(Duration, spurdrum_policy::Request), &'static str> {
     // Guards against one meaning here and another at a server.
     let doubled = |name: &&str| headers.get_all(*name).iter().nth(1).is_some();
     if FIELDS.iter().any(doubled) {
@@ -498,11 +498,11 @@
         return Err("the method or Idempotency-Key does not fit X-Class\n");
     }
     let cost_us = text("x-cost-hint").and_then(|text| text.parse::<f64>().ok());
-    let request = spurdrum::Request {
+    let request = spurdrum_policy::Request {
         tenant,
         cost_ms: cost_us.filter(|us| us.is_finite() && *us >= 0.0).map(|us| us / 1000.0),
         repeat: text("x-retry") == Some("1"),
-        ..spurdrum::Request::new(RequestId(0), class, 0.0)
+        ..spurdrum_policy::Request::new(RequestId(0), class, 0.0)
     };
     Ok((wait, request))
 }
--- a/src/net/node.rs
+++ b/crates/spurdrum/src/net/node.rs
@@ -9,8 +9,8 @@
 
 use bytes::Bytes;
 use hyper::header::HeaderValue;
-use spurdrum::{
-    wire, Action, Availability, Balancer, Discovery, Ending, Event, Listing, Outcome, Request, RequestId,
+use spurdrum_policy::{
+    Action, Availability, Balancer, Discovery, Ending, Event, Listing, Outcome, Request, RequestId,
     ServerEntry, ServerId,
 };
 use tokio::sync::{oneshot, Notify};
@@ -50,7 +50,7 @@
 /// Writes a line to the log.
 pub fn note(name: &str, text: &str) {
     // A log that cannot be written must not end the node, as `eprintln` would.
-    let _ = writeln!(io::stderr(), "{name}: {}", wire::one_line(text));
+    let _ = writeln!(io::stderr(), "{name}: {}", spurdrum_facts::one_line(text));
 }
 
 /// One node; all of its parts hold it.
@@ -336,7 +336,7 @@
                 zone: place(&self.config.names.zones, &member.locality),
                 kind: place(&self.config.names.kinds, &member.flavor),
                 weight: member.size,
-                key: wire::key(&member.id),
+                key: spurdrum_facts::key(&member.id),
             });
         }
         entries
