Give silent and half-sent connections shares of their own

Connections that say nothing, or whose requests are half sent, could hold every place until no place was left at all. They have a quarter and three quarters of the places now, and the oldest go past that.

--- a/crates/spurdrum-admission/src/admission.rs
+++ b/crates/spurdrum-admission/src/admission.rs
@@ -177,6 +177,7 @@
             Event::NoneComes => self.none_comes(actions),
             Event::Tick => {
                 self.tick(actions);
+                self.keep_shares(actions);
                 self.look_at_level(actions);
                 self.relieve(actions);
             }
@@ -310,10 +311,39 @@
         if !room {
             return Verdict::Refuse;
         }
+        self.keep_shares(actions);
         self.relieve(actions);
         Verdict::Serve
     }
 
+    /// Keeps those that say nothing, and those whose requests are half sent, within their parts of the places: the
+    /// oldest go first, and no half-sent one that has just begun.
+    fn keep_shares(&mut self, actions: &mut Vec<Action>) {
+        if !self.settings.adaptive {
+            return;
+        }
+        let part = |part: f64| ((self.most() as f64 * part) as usize).max(1);
+        let (silent, sending) = (part(self.settings.silent_share), part(self.settings.sending_share));
+        loop {
+            let over = match () {
+                () if self.counts.of(State::Silent) > silent => self.first_of(RANK_SILENT),
+                () if self.counts.of(State::Head) + self.counts.of(State::Body) > sending => {
+                    let old = |id: &ConnId| self.conns[id].since + self.settings.coming <= self.now;
+                    [RANK_HEAD, RANK_BODY].into_iter().filter_map(|rank| self.first_of(rank)).find(old)
+                }
+                () => None,
+            };
+            let Some(over) = over else { return };
+            self.shed(over, Reason::Shed, actions);
+        }
+    }
+
+    /// The one that has been longest in a rank.
+    fn first_of(&self, rank: u8) -> Option<ConnId> {
+        let start = |rank| (rank, Duration::ZERO, ConnId(0));
+        self.candidates.range(start(rank)..start(rank + 1)).next().map(|(_, _, id)| *id)
+    }
+
     /// Whether one more can be served, without anybody's leaving.
     fn has_place(&self) -> bool {
         self.serving() < self.most()
--- a/crates/spurdrum-admission/src/settings.rs
+++ b/crates/spurdrum-admission/src/settings.rs
@@ -19,6 +19,10 @@
     pub floor: f64,
     /// Part of the memory limit that client connections may hold.
     pub memory_share: f64,
+    /// Part of the places that connections which say nothing may hold.
+    pub silent_share: f64,
+    /// Part of the places that half-sent requests may hold.
+    pub sending_share: f64,
     /// Fill (connections open and closed early, over those expected) at which the node is pressed.
     pub pressed_at: f64,
     /// Fill below which it is calm again.
@@ -86,6 +90,8 @@
             client_share: 5.0 / 9.0,
             floor: 0.5,
             memory_share: 0.25,
+            silent_share: 0.25,
+            sending_share: 0.75,
             pressed_at: 0.75,
             calm_below: 0.55,
             full_at: 0.95,
@@ -117,6 +123,8 @@
             ("client_share", self.client_share),
             ("floor", self.floor),
             ("memory_share", self.memory_share),
+            ("silent_share", self.silent_share),
+            ("sending_share", self.sending_share),
         ];
         for (name, part) in parts {
             let all = name == "clients_hold" && part == 1.0;
--- a/crates/spurdrum-admission/tests/world.rs
+++ b/crates/spurdrum-admission/tests/world.rs
@@ -428,6 +428,22 @@
     assert!(world.turned[1] <= 2, "those that are whole find a place: {}", world.turned[1]);
 }
 
+#[test]
+fn the_silent_and_the_half_sent_keep_within_their_shares() {
+    let settings = Settings { clients_hold: 1.0, ..Settings::default() };
+    let most = World::new(settings.clone(), LIMITS, vec![silent()]).admission.client_limit();
+    let mut world = World::new(settings.clone(), LIMITS, vec![silent()]);
+    (0..150).for_each(|_| world.at(Duration::ZERO, Step::Connect(0)));
+    world.run(SECOND / 2);
+    let n = world.admission.counts().of(State::Silent);
+    assert!(n > most / 6 && n <= most / 4, "{n} of {most} say nothing");
+    let mut world = World::new(settings, LIMITS, vec![Kind { drips: true, ..once(SECOND) }]);
+    (0..220).for_each(|_| world.at(Duration::ZERO, Step::Connect(0)));
+    world.run(SECOND);
+    let n = world.admission.counts().of(State::Body);
+    assert!(n > most / 2 && n <= most * 3 / 4, "{n} of {most} are half sent");
+}
+
 #[test]
 fn memory_is_a_budget_of_its_own() {
     let limits = Limits { sockets: 10_000, memory: 8 << 20 };
--- a/crates/spurdrum/src/net/file.rs
+++ b/crates/spurdrum/src/net/file.rs
@@ -21,6 +21,8 @@
     client_share: Option<f64>,
     floor: Option<f64>,
     memory_share: Option<f64>,
+    silent_share: Option<f64>,
+    sending_share: Option<f64>,
     pressed_at: Option<f64>,
     calm_below: Option<f64>,
     full_at: Option<f64>,
@@ -95,6 +97,8 @@
         set(&mut settings.client_share, table.client_share);
         set(&mut settings.floor, table.floor);
         set(&mut settings.memory_share, table.memory_share);
+        set(&mut settings.silent_share, table.silent_share);
+        set(&mut settings.sending_share, table.sending_share);
         set(&mut settings.pressed_at, table.pressed_at);
         set(&mut settings.calm_below, table.calm_below);
         set(&mut settings.full_at, table.full_at);
--- a/crates/spurdrum/tests/node/connections.rs
+++ b/crates/spurdrum/tests/node/connections.rs
@@ -305,6 +305,31 @@
     assert_eq!(node.wait().code(), Some(0));
 }
 
+/// Sets how many descriptors the system gives a node that runs.
+fn limit_descriptors(node: &Node, current: u64) {
+    use rustix::process::{prlimit, Pid, Resource, Rlimit};
+    let limits = Rlimit { current: Some(current), maximum: Some(4096) };
+    prlimit(Pid::from_raw(node.pid() as i32), Resource::Nofile, limits).expect("set");
+}
+
+/// The node's own want is not its server's fault: what was never sent is answered, and the server is asked again as
+/// soon as there are descriptors.
+#[test]
+fn a_request_that_finds_no_descriptor_for_its_server_is_answered() {
+    let node = served(1, 256, b"done", Some(ON));
+    let mut client = node.client();
+    assert_eq!(client.ask(HEALTH).status(), 200);
+    // Those that are open stay open; not one more is to be had, however their numbers lie.
+    limit_descriptors(&node, 3);
+    let status = outcome(&mut client, &request("pay", 20.0));
+    assert!(matches!(status, Some(502 | 503)), "{status:?}");
+    limit_descriptors(&node, 4096);
+    let since = Instant::now();
+    while outcome(&mut node.client(), &request("pay", 20.0)) != Some(200) {
+        assert!(since.elapsed() < LONG, "it does not recover");
+    }
+}
+
 /// With no descriptor to be had, each that comes still has its outcome, nobody else is hurt, and service is back
 /// when descriptors are.
 #[test]
@@ -314,16 +339,7 @@
     let mut waiting = node.client();
     waiting.send(&request("pay", 20.0));
     let taken = server.request();
-    let limit = |current: u64| {
-        let pid = rustix::process::Pid::from_raw(node.pid() as i32);
-        let was = rustix::process::prlimit(
-            pid,
-            rustix::process::Resource::Nofile,
-            rustix::process::Rlimit { current: Some(current), maximum: Some(4096) },
-        );
-        was.expect("set")
-    };
-    limit(node.descriptors() as u64 + 3);
+    limit_descriptors(&node, node.descriptors() as u64 + 3);
     let mut clients: Vec<Client> = (0..60).map(|_| node.client()).collect();
     let mut outcomes = [0; 3];
     for client in &mut clients {
@@ -338,7 +354,7 @@
     taken.answer("200 OK", "", b"done");
     assert_eq!(waiting.answer().status(), 200, "what was taken is answered");
     answer_all(server, b"done".to_vec());
-    limit(4096);
+    limit_descriptors(&node, 4096);
     let since = Instant::now();
     while outcome(&mut node.client(), &request("read", 20.0)) != Some(200) {
         assert!(since.elapsed() < LONG, "it does not recover");
