Derive what was counted twice; one search by rank, one place for each ending

A reading of the whole change found state that followed from other state, and twins of the same logic. The number of open and of closing connections comes from the counts by state; the search for who is shed, and for who is half sent, is one function each; the way a served connection ends, and the giving of an order, stand once; the pacer's count is a number.

Behaviour is unchanged and every test is as it was.

--- a/crates/spurdrum-admission/src/admission.rs
+++ b/crates/spurdrum-admission/src/admission.rs
@@ -82,6 +82,12 @@
     }
 }
 
+/// The one that has been longest in the lowest of these ranks.
+fn first_in(set: &BTreeSet<Candidate>, from: u8, to: u8) -> Option<(Duration, ConnId)> {
+    let start = |rank| (rank, Duration::ZERO, ConnId(0));
+    set.range(start(from)..start(to)).next().map(|(_, since, id)| (*since, *id))
+}
+
 /// The decisions on one node's connections.
 #[derive(Debug)]
 pub struct Admission {
@@ -93,16 +99,13 @@
     regained: Duration,
     conns: HashMap<ConnId, Conn>,
     candidates: BTreeSet<Candidate>,
-    /// How many are closing, and those of them that are half-closed already, by since when. One that is only
-    /// chosen may turn out to have a request on it.
-    closing: usize,
+    /// Those that are half-closed already, by since when. One that is only chosen for closing may turn out to have
+    /// a request on it.
     lingering: BTreeSet<(Duration, ConnId)>,
     dues: BTreeSet<(Duration, ConnId)>,
     peers: Peers,
     worth: Worth,
     counts: Counts,
-    /// Served, refused and closing ones together.
-    open: usize,
     lobby: usize,
     servers: usize,
     memory: u64,
@@ -128,13 +131,11 @@
             shares,
             conns: HashMap::new(),
             candidates: BTreeSet::new(),
-            closing: 0,
             lingering: BTreeSet::new(),
             dues: BTreeSet::new(),
             peers: Peers::new(settings.peers),
             worth: Worth::default(),
             counts: Counts::default(),
-            open: 0,
             lobby: 0,
             servers: 0,
             memory: 0,
@@ -209,7 +210,7 @@
 
     /// Descriptors that clients and servers use together, and the most they may.
     pub fn used(&self) -> (usize, usize) {
-        (self.open + self.servers, self.shares.total)
+        (self.counts.open() + self.servers, self.shares.total)
     }
 
     /// Bytes that connections are counted with, and the most that may be promised.
@@ -224,17 +225,21 @@
 
     /// Descriptors that clients may hold now, with what the servers don't use.
     pub fn client_limit(&self) -> usize {
-        let headroom = (self.total / 32).max(2);
         let own = self.shares.clients.min(self.total);
-        let lent = self.total.saturating_sub((self.servers + headroom).max(self.shares.server_floor));
+        let lent = self.total.saturating_sub((self.servers + self.headroom()).max(self.shares.server_floor));
         own.max(lent).min(self.total.saturating_sub(self.servers))
     }
 
     /// Descriptors that connections to servers may hold now, with what clients don't use.
     pub fn server_limit(&self) -> usize {
-        let headroom = (self.total / 32).max(2);
-        let lent = self.total.saturating_sub((self.open + headroom).max(self.shares.client_floor));
-        self.shares.servers.min(self.total).max(lent).min(self.total.saturating_sub(self.open))
+        let lent =
+            self.total.saturating_sub((self.counts.open() + self.headroom()).max(self.shares.client_floor));
+        self.shares.servers.min(self.total).max(lent).min(self.total.saturating_sub(self.counts.open()))
+    }
+
+    /// What is lent is called back while so many are still free.
+    fn headroom(&self) -> usize {
+        (self.total / 32).max(2)
     }
 
     /// Connections that may be served at once.
@@ -243,7 +248,7 @@
     }
 
     fn serving(&self) -> usize {
-        self.open - self.closing - self.lobby
+        self.counts.open() - self.counts.of(State::Closing) - self.lobby
     }
 
     /// Connections that clients can be expected to hold open here.
@@ -274,16 +279,15 @@
             }
         }
         // Descriptors of closing connections are the first to be taken back.
-        if self.open >= self.client_limit() {
+        if self.counts.open() >= self.client_limit() {
             if let Some((_, oldest)) = self.lingering.first().copied() {
                 self.abort(oldest, Reason::Lingered, actions);
             }
         }
-        if self.open >= self.client_limit() || !room && self.lobby >= self.shares.lobby {
+        if self.counts.open() >= self.client_limit() || !room && self.lobby >= self.shares.lobby {
             self.count(Reason::Dropped);
             return Verdict::Drop;
         }
-        self.open += 1;
         self.memory += BASE;
         self.peers.opened(self.now, peer);
         let conn = Conn {
@@ -326,28 +330,23 @@
         let (silent, sending) = (part(self.settings.silent_share), part(self.settings.sending_share));
         loop {
             let over = match () {
-                () if self.counts.of(State::Silent) > silent => self.first_of(RANK_SILENT),
+                () if self.counts.of(State::Silent) > silent => {
+                    first_in(&self.candidates, RANK_SILENT, RANK_IDLE)
+                }
                 () if self.counts.of(State::Head) + self.counts.of(State::Body) > sending => {
-                    let old = |id: &ConnId| self.conns[id].since + self.settings.coming <= self.now;
-                    [RANK_HEAD, RANK_BODY].into_iter().filter_map(|rank| self.first_of(rank)).find(old)
+                    self.half_sent(&self.candidates, RANK_BODY)
                 }
                 () => None,
             };
-            let Some(over) = over else { return };
+            let Some((_, over)) = over else { return };
             self.shed(over, Reason::Shed, actions);
         }
     }
 
-    /// The one that has been longest in a rank.
-    fn first_of(&self, rank: u8) -> Option<ConnId> {
-        let start = |rank| (rank, Duration::ZERO, ConnId(0));
-        self.candidates.range(start(rank)..start(rank + 1)).next().map(|(_, _, id)| *id)
-    }
-
     /// Whether one more can be served, without anybody's leaving.
     fn has_place(&self) -> bool {
         self.serving() < self.most()
-            && self.open < self.client_limit()
+            && self.counts.open() < self.client_limit()
             && self.memory + BASE <= self.shares.memory
     }
 
@@ -402,25 +401,23 @@
         let own = heavy.and_then(|(_, key)| self.peers.get(key));
         // Who holds the most gives, and gets nobody else's.
         let from = own.map_or(&self.candidates, |peer| &peer.candidates);
-        let first = |set: &BTreeSet<Candidate>, from: u8, to: u8| {
-            let start = |rank| (rank, Duration::ZERO, ConnId(0));
-            set.range(start(from)..start(to)).next().map(|(_, since, id)| (*since, *id))
-        };
         // One that has just come is closed only for somebody who has less.
         let lighter = matches!((heavy, wants), (Some((_, key)), Some(wants)) if key != wants);
-        let half_sent = || {
-            let old = |(since, _): &(Duration, ConnId)| *since + self.settings.coming <= self.now;
-            let ranks = [RANK_HEAD, RANK_BODY].into_iter().filter(|rank| *rank <= up_to);
-            ranks.filter_map(|rank| first(from, rank, rank + 1)).find(old)
-        };
         // Whoever they are from, those that say nothing go first.
-        first(&self.candidates, RANK_SILENT, RANK_IDLE)
-            .or_else(|| first(from, RANK_IDLE, RANK_NEW))
-            .or_else(|| first(from, RANK_NEW, RANK_HEAD).filter(|_| lighter && up_to >= RANK_NEW))
-            .or_else(half_sent)
+        first_in(&self.candidates, RANK_SILENT, RANK_IDLE)
+            .or_else(|| first_in(from, RANK_IDLE, RANK_NEW))
+            .or_else(|| first_in(from, RANK_NEW, RANK_HEAD).filter(|_| lighter && up_to >= RANK_NEW))
+            .or_else(|| self.half_sent(from, up_to))
             .map(|(_, id)| id)
     }
 
+    /// The first whose request has been half sent for a while.
+    fn half_sent(&self, from: &BTreeSet<Candidate>, up_to: u8) -> Option<(Duration, ConnId)> {
+        let old = |(since, _): &(Duration, ConnId)| *since + self.settings.coming <= self.now;
+        let ranks = [RANK_HEAD, RANK_BODY].into_iter().filter(|rank| *rank <= up_to);
+        ranks.filter_map(|rank| first_in(from, rank, rank + 1)).find(old)
+    }
+
     /// Closes one that owes nothing, or answers one whose request is half sent.
     fn shed(&mut self, id: ConnId, reason: Reason, actions: &mut Vec<Action>) {
         let Some(conn) = self.conns.get(&id) else { return };
@@ -471,7 +468,7 @@
 
     /// Keeps those that are closing within their share.
     fn trim_closing(&mut self, actions: &mut Vec<Action>) {
-        while self.closing > self.shares.lobby {
+        while self.counts.of(State::Closing) > self.shares.lobby {
             let Some((_, oldest)) = self.lingering.first().copied() else { return };
             self.abort(oldest, Reason::Lingered, actions);
         }
@@ -646,11 +643,9 @@
         let conn = &self.conns[&id];
         let (peer, lobby, memory) = (conn.peer, conn.lobby, conn.memory);
         self.counts.states[conn.state as usize] -= 1;
-        self.closing -= usize::from(conn.state == State::Closing);
         self.lingering.remove(&(conn.since, id));
         self.lobby -= usize::from(lobby);
         self.memory -= memory;
-        self.open -= 1;
         self.peers.closed(self.now, peer);
         let conn = self.conns.get_mut(&id).expect("known");
         (conn.lobby, conn.memory) = (false, 0);
@@ -693,12 +688,8 @@
             }
         }
         self.lingering.remove(&(since, id));
-        self.closing -= usize::from(was == State::Closing);
-        if state == State::Closing {
-            self.closing += 1;
-            if std::mem::take(&mut conn.lobby) {
-                self.lobby -= 1;
-            }
+        if state == State::Closing && std::mem::take(&mut conn.lobby) {
+            self.lobby -= 1;
         }
         let rank = match state {
             State::Silent => Some(RANK_SILENT),
@@ -858,10 +849,9 @@
     fn server_wanted(&mut self, actions: &mut Vec<Action>) -> Verdict {
         let granted = self.servers < self.server_limit();
         self.servers += usize::from(granted);
-        let headroom = (self.total / 32).max(2);
-        let short = self.open + self.servers + headroom > self.total;
+        let short = self.counts.open() + self.servers + self.headroom() > self.total;
         // What was lent comes back a little before it is needed.
-        if self.settings.adaptive && self.open > self.shares.clients && (short || !granted) {
+        if self.settings.adaptive && self.counts.open() > self.shares.clients && (short || !granted) {
             if let Some((_, oldest)) = self.lingering.first().copied() {
                 self.abort(oldest, Reason::Lingered, actions);
             } else if let Some(victim) = self.victim(None, RANK_NEW - 1) {
@@ -876,7 +866,7 @@
     }
 
     fn starved(&mut self, actions: &mut Vec<Action>) {
-        let used = self.open + self.servers;
+        let used = self.counts.open() + self.servers;
         self.total = used.saturating_sub(1).clamp(6, self.shares.total);
         self.regained = self.now;
         if let Some((_, oldest)) = self.lingering.first().copied() {
--- a/crates/spurdrum-load/src/run.rs
+++ b/crates/spurdrum-load/src/run.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -153,11 +153,11 @@
     stopped: &AtomicBool,
     most: Duration,
 ) -> (u64, Option<String>) {
-    let given = AtomicU64::new(0);
+    let mut given = 0;
     for arrival in arrivals {
         let arrival = match arrival {
             Ok(arrival) => arrival,
-            Err(why) => return (given.into_inner(), Some(why)),
+            Err(why) => return (given, Some(why)),
         };
         let at = Duration::from_micros(arrival.due_us);
         if at > most {
@@ -170,16 +170,16 @@
             }
             std::thread::sleep(left.min(LOOK));
             if stopped.load(Ordering::Relaxed) {
-                return (given.into_inner(), None);
+                return (given, None);
             }
         }
         // It waits where the event loop is behind: that shows as lag, and nothing is left out.
         if due.blocking_send(arrival).is_err() {
             break;
         }
-        given.fetch_add(1, Ordering::Relaxed);
+        given += 1;
     }
-    (given.into_inner(), None)
+    (given, None)
 }
 
 /// A client that asks again when it has been answered.
--- a/crates/spurdrum/src/net/connections.rs
+++ b/crates/spurdrum/src/net/connections.rs
@@ -135,13 +135,9 @@
 
     fn order(&self, id: ConnId, order: Order) {
         let Some(seat) = self.seats.borrow().get(&id).and_then(std::rc::Weak::upgrade) else { return };
-        if matches!(order, Order::Expire(_)) && seat.reading_body.get() {
-            seat.order.set(Some(order));
-            seat.body_late.notify_one();
-            return;
-        }
         seat.order.set(Some(order));
-        seat.ordered.notify_one();
+        let to_body = matches!(order, Order::Expire(_)) && seat.reading_body.get();
+        if to_body { &seat.body_late } else { &seat.ordered }.notify_one();
     }
 
     /// A connection has been accepted: its seat, and whether it can only be refused. `None` where there is not
--- a/crates/spurdrum/src/net/frontend.rs
+++ b/crates/spurdrum/src/net/frontend.rs
@@ -300,12 +300,13 @@
         .max_header_size(HEAD_MOST)
         .serve_connection(TokioIo::new(Io(Rc::clone(socket))), service);
     let mut served = pin!(served);
+    let ended = |well| if well && socket.last.get() { End::Last } else { End::Over };
     loop {
         tokio::select! {
             biased;
             // An error is the client's: it has left, or does not speak HTTP.
             result = served.as_mut() => {
-                return if result.is_ok() && socket.last.get() { End::Last } else { End::Over };
+                return ended(result.is_ok());
             }
             () = seat.ordered.notified() => {}
         }
@@ -318,7 +319,7 @@
             tokio::select! {
                 biased;
                 result = served.as_mut() => {
-                    return if result.is_ok() && socket.last.get() { End::Last } else { End::Over };
+                    return ended(result.is_ok());
                 }
                 () = sleep(MOMENT) => {}
             }
