--- a/crates/spurdrum-policy/src/rules.rs
+++ b/crates/spurdrum-policy/src/rules.rs
@@ -57,6 +57,13 @@
 const CUT_WAITS: f64 = 3.0;
 /// ... to so many attempts.
 const CUT_OUT: usize = 3;
+/// An answer is thought lost after this many usual times, once so many sent later were answered there ...
+const STALL_WAITS: f64 = 4.0;
+const STALL_OVERTAKEN: u64 = 3;
+/// ... where most that stood so long never came, by a mean over so many; the rest of them go on to show it.
+const STALL_MOST: f64 = 0.5;
+const STALL_SEEN: f64 = 8.0;
+const STALL_CUT: f64 = 0.9;
 /// A server is not believed to hold more than this: a count of that size would never be the lowest again.
 const HELD_MOST: f64 = 100_000.0;
 /// Part of its aim that a request waits for those asked.
@@ -105,8 +112,9 @@
     out: usize,
     pace: Pace,
     strikes: u32,
-    /// When it last gave any answer.
+    /// When it last gave any answer, and how many it has given.
     heard_at: f64,
+    answers: u64,
     /// Set while it is taken out, and past that while it is on trial.
     ejected_until: Option<f64>,
 }
@@ -128,6 +136,11 @@
     /// When it may be cut, and whether it was.
     cut_at: f64,
     cut: bool,
+    /// Answers of its server by which all that were sent before it could have been answered.
+    turn: u64,
+    /// When its answer may be thought lost, and whether it was.
+    stalls_at: f64,
+    stalled: bool,
 }
 
 #[derive(Default)]
@@ -177,6 +190,8 @@
     /// Mean aim of the classes: the time scale of all judgements.
     aim: f64,
     retries: f64,
+    /// Part of the answers overtaken by many others that never come.
+    lost: f64,
     /// Part of the attempts that are served, of late.
     served: f64,
     subscribed: bool,
@@ -206,6 +221,7 @@
             aim: settings.classes.iter().map(|c| c.aim_ms).sum::<f64>() / settings.classes.len() as f64,
             all: Pace::default(),
             retries: settings.max_attempts as f64,
+            lost: 0.0,
             served: 1.0,
             subscribed: false,
             asking: false,
@@ -225,6 +241,7 @@
             Event::Timer(RESUBSCRIBE) if std::mem::take(&mut self.asking) => actions.push(Action::Subscribe),
             Event::Timer(timer) if timer > RESUBSCRIBE => {
                 self.dispatch(now, RequestId(timer - 1), actions);
+                self.stall(now, RequestId(timer - 1), actions);
                 self.cut(now, RequestId(timer - 1), actions);
             }
             Event::Probed { server, ending, report } => self.probed(now, server.0, ending, report, actions),
@@ -496,10 +513,12 @@
         server.out += 1;
         server.count = server.count.map(|count| count + 1.0);
         let depth = server.count.filter(|_| self.asks > 0).unwrap_or(server.out as f64);
+        let turn = server.answers + server.out as u64 - 1;
         let (zone, cell, out) = (server.entry.zone, server.entry.cell, server.out);
         let expected = out as f64 * self.all.latency / self.all.depth.max(1.0);
         let aim_ms = self.settings.classes[held.class].aim_ms;
         let after_ms = (aim_ms * CUT_AIMS).max(expected * CUT_WAITS);
+        let stalls_at = self.stalls_at(now, held);
         held.attempts.push(Attempt {
             server: at,
             zone,
@@ -509,6 +528,9 @@
             open: true,
             cut_at: now + after_ms,
             cut: false,
+            turn,
+            stalls_at,
+            stalled: false,
         });
         actions.push(Action::Send { request: id, server: ServerId(at) });
         let more = held.attempts.len() < self.settings.max_attempts && out >= CUT_OUT;
@@ -516,6 +538,41 @@
         if self.settings.cancel && more && in_time {
             actions.push(Action::SetTimer { timer: id.0 + 1, after_ms });
         }
+        if self.settings.cancel && self.lost > STALL_MOST && self.random.f64() < STALL_CUT {
+            actions.push(Action::SetTimer { timer: id.0 + 1, after_ms: stalls_at - now });
+        }
+    }
+
+    /// When the answer to what is sent now may be thought lost: late for its class, but in time for another.
+    fn stalls_at(&self, now: f64, held: &Held) -> f64 {
+        let late = now + STALL_WAITS * self.classes[held.class].latency;
+        let first = held.ran.map_or(now, |ran| held.attempts[ran].sent_at);
+        match self.settings.classes[held.class].effect {
+            Effect::Keyed { window_ms, .. } => late.min(first + window_ms * WINDOW_PART * STALL_CUT).max(now),
+            Effect::Safe | Effect::Unsafe => late,
+        }
+    }
+
+    /// Whether an attempt has stood for so long, overtaken by so many, that its answer may be lost.
+    fn is_overtaken(&self, now: f64, attempt: &Attempt) -> bool {
+        let answers = self.servers.get(&attempt.server).map_or(0, |server| server.answers);
+        now >= attempt.stalls_at && answers >= attempt.turn + STALL_OVERTAKEN
+    }
+
+    /// Gives up an attempt whose answer seems lost on its way, while its server goes on answering others.
+    /// Guards against ways that swallow answers: each would cost its request the whole time.
+    fn stall(&mut self, now: f64, id: RequestId, actions: &mut Vec<Action>) {
+        let Some(mut held) = self.held.remove(&id) else { return };
+        let likely = self.lost > STALL_MOST;
+        let last = held.attempts.last().filter(|last| likely && last.open && self.is_overtaken(now, last));
+        let more = held.attempts.len() < self.settings.max_attempts && self.retries >= 1.0;
+        if last.is_some_and(|last| !last.cut) && more && !held.answered && self.next(now, &mut held).is_some()
+        {
+            let attempt = held.attempts.len() - 1;
+            (held.attempts[attempt].cut, held.attempts[attempt].stalled) = (true, true);
+            actions.push(Action::Cancel { request: id, attempt });
+        }
+        self.held.insert(id, held);
     }
 
     /// Gives up the attempts that a server leaves unanswered, where their requests may go elsewhere instead.
@@ -546,14 +603,19 @@
         if !due || !silent || last + 1 >= self.settings.max_attempts || self.retries < 1.0 {
             return None;
         }
-        // What is cut may have run: only what could follow then is worth it.
-        let (ran, at) = (held.ran, attempt.server);
+        let at = attempt.server;
+        self.next(now, held).filter(|next| *next != at).map(|_| last)
+    }
+
+    /// Where a request could go whose last attempt is cut: that one may have run.
+    fn next(&mut self, now: f64, held: &mut Held) -> Option<usize> {
+        let ran = held.ran;
         let next = self.may_follow(now, held, true).then(|| {
-            held.ran = ran.or(Some(last));
+            held.ran = ran.or(held.attempts.len().checked_sub(1));
             self.pick(now, held, f64::INFINITY, 1)
         });
         held.ran = ran;
-        next.and_then(|next| next.first().copied()).filter(|next| *next != at).map(|_| last)
+        next.and_then(|next| next.first().copied())
     }
 
     fn outcome(&mut self, now: f64, outcome: &Outcome, actions: &mut Vec<Action>) {
@@ -638,6 +700,12 @@
     fn judge(&mut self, now: f64, class: usize, attempt: &Attempt, outcome: &Outcome, to: &mut Vec<Action>) {
         let (at, depth, elapsed) = (attempt.server, attempt.depth, outcome.elapsed_ms);
         let (relative, half_life) = (self.relative(class), HALF_LIFE * self.aim);
+        let overtaken = self.is_overtaken(now, attempt);
+        if overtaken && matches!(outcome.ending, Ending::Served | Ending::TimedOut) {
+            self.lost += (f64::from(u8::from(outcome.ending == Ending::TimedOut)) - self.lost) / STALL_SEEN;
+        }
+        // What is lost on its way says nothing of the server.
+        let lost = overtaken && self.lost > STALL_MOST && outcome.ending == Ending::TimedOut;
         self.served += (f64::from(u8::from(outcome.ending == Ending::Served)) - self.served) / RECENT;
         let server = self.servers.get_mut(&at).expect("kept while something is out");
         server.out = server.out.saturating_sub(1);
@@ -647,6 +715,10 @@
         }
         if matches!(outcome.ending, Ending::Served | Ending::Full | Ending::Error) {
             server.heard_at = now;
+            server.answers += 1;
+        }
+        if lost || attempt.stalled {
+            return;
         }
         let failed = match outcome.ending {
             Ending::Cancelled if attempt.cut => true,
--- a/crates/spurdrum-policy/tests/rules.rs
+++ b/crates/spurdrum-policy/tests/rules.rs
@@ -810,3 +810,64 @@
     node.sent_to(1);
     assert!(node.end(1, 9, 5.0, Ending::Error).is_empty(), "an attempt that was never made");
 }
+
+/// Where a way swallows answers, a request is not left to wait for one that most likely never comes; where answers that
+/// take long do come, nothing is sent twice; and no server is held to be ill for it.
+#[test]
+fn a_lost_answer_is_given_up_where_most_that_stood_so_long_never_came() {
+    let keyed = |window_ms| Effect::Keyed { group: Group::All, window_ms };
+    for (effect, lost, cut) in [
+        (Effect::Safe, true, true),
+        (keyed(500.0), true, true),
+        (keyed(60.0), true, false),
+        (Effect::Unsafe, true, false),
+        (Effect::Safe, false, false),
+    ] {
+        let mut node = Node::new(one_class(effect), 7);
+        node.servers(ready(0..2));
+        let (mut id, mut cuts, mut out) = (0, 0, Vec::new());
+        for round in 0..400 {
+            // One in ten stays out; all others are answered in 20 ms.
+            for n in 0..10 {
+                id += 1;
+                let actions = node.request(id, 0, 800.0);
+                send_of(&actions).expect("sent");
+                if n == 0 {
+                    let timer = actions.iter().find_map(|a| match a {
+                        Action::SetTimer { timer, after_ms } if *timer == id + 1 => Some(node.now + after_ms),
+                        _ => None,
+                    });
+                    out.push((id, node.now, timer));
+                } else {
+                    node.now += 2.0;
+                    node.end(id, 0, 20.0, Ending::Served);
+                }
+            }
+            for (id, sent_at, timer) in std::mem::take(&mut out) {
+                let elapsed = node.now - sent_at;
+                let timed = timer.is_some_and(|at| at <= node.now);
+                if timed
+                    && node
+                        .feed(Event::Timer(id + 1))
+                        .contains(&Action::Cancel { request: RequestId(id), attempt: 0 })
+                {
+                    cuts += 1;
+                    assert!(
+                        send_of(&node.end(id, 0, elapsed, Ending::Cancelled)).is_some(),
+                        "it goes on at once"
+                    );
+                    node.end(id, 1, 20.0, Ending::Served);
+                } else if elapsed >= 750.0 {
+                    let ending = if lost { Ending::TimedOut } else { Ending::Served };
+                    let actions = node.end(id, 0, elapsed, ending);
+                    let taken_out = actions.iter().any(|a| matches!(a, Action::TakenOut { .. }));
+                    assert!(!taken_out || round < 60, "a server is not ill for what its way loses");
+                } else {
+                    out.push((id, sent_at, timer.filter(|_| !timed)));
+                }
+            }
+        }
+        assert_eq!(cuts > 250, cut, "{effect:?}, lost {lost}: {cuts}");
+        assert!(cut || cuts == 0, "{effect:?}, lost {lost}: {cuts}");
+    }
+}
