--- a/crates/spurdrum-bench/src/main.rs
+++ b/crates/spurdrum-bench/src/main.rs
@@ -39,6 +39,9 @@
         /// Seconds.
         #[arg(long, default_value_t = 10.0)]
         for_s: f64,
+        /// Event loops of the generator.
+        #[arg(long, default_value_t = 1)]
+        threads: usize,
     },
     /// The node and a plain proxy before the same stand-ins, under the same load.
     Versus {
@@ -70,7 +73,7 @@
 fn main() -> ExitCode {
     let done = match Cli::parse().command {
         Command::Stall => stall(),
-        Command::Rate { rate: requests, for_s } => rate(requests, for_s),
+        Command::Rate { rate: requests, for_s, threads } => rate(requests, for_s, threads),
         Command::Versus { for_s, rounds } => versus(for_s, rounds.max(1)),
         Command::Restart { beside, rounds } => restart(beside, rounds.max(1)),
         Command::PlainProxy { listen, servers } => proxy::serve(listen, servers),
@@ -92,7 +95,16 @@
 }
 
 fn play(plan: &Plan, target: SocketAddr, closed: Option<(usize, Duration)>) -> Result<Report, String> {
-    let options = Options { target, seed: 1, closed, most: Duration::from_secs(120) };
+    play_by(1, plan, target, closed)
+}
+
+fn play_by(
+    threads: usize,
+    plan: &Plan,
+    target: SocketAddr,
+    closed: Option<(usize, Duration)>,
+) -> Result<Report, String> {
+    let options = Options { target, seed: 1, closed, most: Duration::from_secs(120), threads };
     run(plan, Box::new(Schedule::new(plan, 1).map(Ok)), &options, std::future::pending(), |_| {})
 }
 
@@ -150,13 +162,13 @@
 
 // ---- rate
 
-fn rate(requests: f64, for_s: f64) -> Result<(), String> {
-    let scenario = "[[servers]]\ncount = 2\ncores = 64\nslots = 4000\nqueue = 4000\nwork_ms = 0.05\nconnections = 4000\n";
+fn rate(requests: f64, for_s: f64, threads: usize) -> Result<(), String> {
+    let scenario = "track = 0\n[[servers]]\ncount = 2\ncores = 64\nslots = 4000\nqueue = 4000\nwork_ms = 0.05\nconnections = 4000\n";
     let phase = format!("[[phase]]\nfor_s = {for_s}\nshape = \"constant\"\nrate = {requests}\n");
     let plan = plan(&phase, "[clients]\nconnections = 2000")?;
     let fleet = Fleet::start(&Scenario::parse(scenario)?)?;
     let before = cpu_of(std::process::id());
-    let report = play(&plan, fleet.servers["s0"], None)?;
+    let report = play_by(threads, &plan, fleet.servers["s0"], None)?;
     let cpu = cpu_of(std::process::id()) - before;
     print!("{}", report.table());
     println!("CPU of generator and stand-in together: {cpu:.1} s in {:.1} s", report.seconds);
--- a/crates/spurdrum/src/net/connections.rs
+++ b/crates/spurdrum-core/src/connections.rs
@@ -7,12 +7,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use spurdrum_admission::{Action, Admission, ConnId, Counts, Event, Level, Reason, State, Verdict};
+use spurdrum_admission::{
+    Action, Admission, ConnId, Counts, Event, Level, Limits, Reason, Settings, State, Verdict,
+};
 use tokio::sync::Notify;
 use tokio::time::{sleep_until, Instant};
 
-use super::config::Config;
-
 /// While the level is not calm, the log says how things stand this often.
 const REPORT_EVERY: Duration = Duration::from_secs(10);
 
@@ -78,7 +78,6 @@
 
 /// The budgets of descriptors, and those who hold client connections.
 pub struct Connections {
-    name: String,
     admission: RefCell<Admission>,
     started: Instant,
     seats: RefCell<HashMap<ConnId, std::rc::Weak<Seat>>>,
@@ -88,27 +87,38 @@
     changed: Notify,
     /// Raised when a connection to a server is to be closed.
     pub server_to_close: Notify,
+    /// An answer that its client does not read is held for so long.
+    pub unread_most: Duration,
     /// What a refusal for want of a place says.
     pub retry_after_ms: Option<f64>,
     reported: Cell<Instant>,
 }
 
 impl Connections {
-    /// Budgets from the limits that the node was given.
-    pub fn new(config: &Config) -> Result<Rc<Self>, String> {
-        let admission = Admission::new(config.connections.clone(), config.limits)
-            .map_err(|(key, why)| format!("`connections.{key}`: {why}"))?;
-        let after = config.connections.retry_after.as_secs_f64() * 1000.0;
+    /// Budgets from these limits. Clients are told to come back after `retry_after_most_ms` at the latest; none: they are told
+    /// nothing.
+    ///
+    /// # Errors
+    ///
+    /// The first setting that makes no sense, and why.
+    pub fn new(
+        settings: Settings,
+        limits: Limits,
+        retry_after_most_ms: Option<f64>,
+    ) -> Result<Rc<Self>, (&'static str, String)> {
+        let after = settings.retry_after.as_secs_f64() * 1000.0;
+        let unread_most = settings.read.most;
+        let admission = Admission::new(settings, limits)?;
         Ok(Rc::new(Self {
-            name: config.name.clone(),
             admission: RefCell::new(admission),
+            unread_most,
             started: Instant::now(),
             seats: RefCell::default(),
             last_id: Cell::new(0),
             sleeps_until: Cell::new(None),
             changed: Notify::new(),
             server_to_close: Notify::new(),
-            retry_after_ms: config.settings.retry_after_most_ms.map(|most| most.min(after)),
+            retry_after_ms: retry_after_most_ms.map(|most| most.min(after)),
             reported: Cell::new(Instant::now()),
         }))
     }
@@ -172,7 +182,7 @@
 
     fn report(&self, what: &str) {
         let counts: Counts = self.admission.borrow().counts().clone();
-        super::node::note(&self.name, &format!("connections: {what}; {counts}"));
+        tracing::info!("connections: {what}; {counts}");
         self.reported.set(Instant::now());
     }
 
--- a/crates/spurdrum/src/net/node.rs
+++ b/crates/spurdrum-core/src/node.rs
@@ -2,31 +2,62 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
-use std::io::{self, Write};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use bytes::Bytes;
-use hyper::header::HeaderValue;
 use spurdrum_policy::{
     Action, Availability, Balancer, Ending, Event, Listing, Outcome, Report, Request, RequestId, ServerEntry,
-    ServerId,
+    ServerId, Settings,
 };
 use tokio::sync::oneshot;
 use tokio::time::{sleep, Instant};
 
-use spurdrum_sources::catalog::{Catalog, News};
-use spurdrum_sources::follower::Evidence;
-use spurdrum_sources::{List, Phase};
+use crate::transport::{Asked, Reply, Transport};
+use crate::Connections;
 
-use super::config::Config;
-use super::connections::Connections;
-use super::upstream::{self, Forward, Reply, Upstream};
+/// What a node is told before its first event.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// For random numbers.
+    pub seed: u64,
+    /// What the decisions go by.
+    pub settings: Settings,
+    /// Requests that it may hold at once.
+    pub most_held: usize,
+    /// Idle connections to servers are looked at this often.
+    pub tidy_every: Duration,
+}
+
+/// A server as a list has it.
+#[derive(Clone, Debug)]
+pub struct Listed {
+    /// The same at every node.
+    pub id: String,
+    /// Where it listens, as seen from this node.
+    pub address: SocketAddr,
+    /// What the decisions are told; its number is the core's to give.
+    pub entry: ServerEntry,
+}
+
+/// What the servers show of the list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Sign {
+    /// A listed server cannot be reached.
+    Unreachable(ServerId),
+    /// A listed server turns work away.
+    Refused {
+        /// It told that nothing waits there.
+        idle: bool,
+    },
+    /// The decisions took a server out.
+    TakenOut,
+}
 
 /// The one final answer to a request.
-pub enum Answer {
+pub enum Answer<B> {
     /// A server's body.
-    Served(Bytes),
+    Served(B),
     /// Not taken: trying again is harmless, and best after this time.
     Refused(Option<f64>),
     /// Failed, perhaps with an effect.
@@ -42,34 +73,27 @@
 }
 
 /// A request that is held: until it is answered and its attempts have ended.
-struct Held {
-    forward: Rc<Forward>,
+struct Held<T: Transport> {
+    request: Rc<T::Request>,
     /// Taken by the final answer, or when the client leaves.
-    answer: Option<oneshot::Sender<Answer>>,
+    answer: Option<oneshot::Sender<Answer<T::Body>>>,
     /// How to give each attempt up, while it is out.
     attempts: Vec<Option<oneshot::Sender<()>>>,
 }
 
-/// Writes a line to the log.
-pub fn note(name: &str, text: &str) {
-    // A log that cannot be written must not end the node, as `eprintln` would.
-    let _ = writeln!(io::stderr(), "{name}: {}", spurdrum_facts::one_line(text));
-}
-
 /// One node; all of its parts hold it.
-pub struct Node {
+pub struct Node<T: Transport> {
     /// What it was told at its start.
     pub config: Config,
     /// Who holds the node's descriptors.
     pub connections: Rc<Connections>,
-    /// Connections to servers.
-    pub upstream: Upstream,
-    /// The list that is followed.
-    catalog: Rc<Catalog>,
+    transport: T,
+    /// Hears what the servers show of the list.
+    signs: Box<dyn Fn(Sign)>,
     balancer: RefCell<Balancer>,
-    requests: RefCell<HashMap<RequestId, Held>>,
+    requests: RefCell<HashMap<RequestId, Held<T>>>,
     /// What clients call them. Guards against two requests that servers would take for one.
-    names: RefCell<HashSet<HeaderValue>>,
+    names: RefCell<HashSet<<T::Request as Asked>::Name>>,
     last_id: Cell<u64>,
     /// The numbers of the servers that are listed.
     ids: RefCell<HashMap<String, ServerId>>,
@@ -78,23 +102,26 @@
     started_unix_ms: f64,
 }
 
-impl Node {
-    /// A node that has heard the list that it was given.
-    pub fn start(mut config: Config) -> Result<Rc<Self>, String> {
+impl<T: Transport> Node<T> {
+    /// A node that knows no server yet.
+    ///
+    /// # Errors
+    ///
+    /// A setting that makes no sense, or a clock before 1970.
+    pub fn new(
+        config: Config,
+        connections: Rc<Connections>,
+        transport: T,
+        signs: impl Fn(Sign) + 'static,
+    ) -> Result<Rc<Self>, String> {
         let balancer =
             Balancer::new(config.settings.clone(), config.seed).map_err(|e| format!("`settings`: {e}"))?;
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).map_err(|e| format!("the clock: {e}"))?;
-        let known =
-            std::mem::replace(&mut config.known, List { revision: 0, complete: true, members: Vec::new() });
-        let connections = Connections::new(&config)?;
-        let catalog =
-            Catalog::new(config.discovery, config.following.clone(), config.seed, Some(known.revision))
-                .map_err(|(key, why)| format!("`sources.catalog.{key}`: {why}"))?;
-        let node = Rc::new(Self {
-            upstream: Upstream::new(&config, Rc::clone(&connections)),
-            connections,
-            catalog,
+        Ok(Rc::new(Self {
             config,
+            connections,
+            transport,
+            signs: Box::new(signs),
             balancer: RefCell::new(balancer),
             requests: RefCell::default(),
             names: RefCell::default(),
@@ -103,10 +130,7 @@
             last_server: Cell::new(0),
             started: Instant::now(),
             started_unix_ms: unix.as_secs_f64() * 1000.0,
-        });
-        let entries = node.entries(&known);
-        node.handle(Event::Servers(Listing::Cached(entries)));
-        Ok(node)
+        }))
     }
 
     /// Unix time in milliseconds that never runs backwards: starts of servers are told in it.
@@ -130,17 +154,17 @@
                 let (give_up, given_up) = oneshot::channel();
                 let attempt = held.attempts.len();
                 held.attempts.push(Some(give_up));
-                let (node, forward) = (Rc::clone(self), Rc::clone(&held.forward));
+                let (node, asked) = (Rc::clone(self), Rc::clone(&held.request));
                 tokio::task::spawn_local(async move {
                     let begun = Instant::now();
-                    let reply = upstream::attempt(&node, server, &forward, given_up).await;
+                    let reply = node.transport.attempt(server, &asked, given_up).await;
                     node.ended(request, server, attempt, begun.elapsed(), reply);
                 });
             }
             Action::Probe { server } => {
                 let node = Rc::clone(self);
                 tokio::task::spawn_local(async move {
-                    let reply = upstream::probe(&node, server).await;
+                    let reply = node.transport.probe(server).await;
                     node.handle(Event::Probed { server, ending: reply.ending, report: reply.report });
                 });
             }
@@ -159,8 +183,8 @@
             // The list is followed whether they ask for it or not.
             Action::Subscribe => {}
             Action::TakenOut { server } => {
-                self.note(&format!("server {} is taken out", server.0));
-                self.catalog.evidence(Evidence::TakenOut);
+                tracing::info!("server {} is taken out", server.0);
+                (self.signs)(Sign::TakenOut);
             }
             Action::SetTimer { timer, after_ms } => {
                 let node = Rc::clone(self);
@@ -170,27 +194,7 @@
                     node.handle(Event::Timer(timer));
                 });
             }
-            Action::Note(text) => self.note(&text),
-        }
-    }
-
-    fn note(&self, text: &str) {
-        note(&self.config.name, text);
-    }
-
-    // ---- The configuration
-
-    /// Reads the configuration again, for where discovery is now; all else holds from the next start on.
-    /// One that cannot be read changes nothing.
-    pub async fn reload(&self) {
-        let more = self.config.file.clone();
-        match tokio::task::spawn_blocking(move || Config::read(more.as_deref())).await {
-            Ok(Ok(config)) if self.catalog.move_to(config.discovery) => {
-                self.note(&format!("discovery is now at {}", config.discovery));
-            }
-            Ok(Ok(_)) => {}
-            Ok(Err(why)) => self.note(&format!("the configuration stays as it was: {why}")),
-            Err(_) => self.note("the configuration stays as it was: reading it failed"),
+            Action::Note(text) => tracing::info!("{text}"),
         }
     }
 
@@ -199,19 +203,19 @@
     /// Takes a request, where that can be. The answer comes through `answer`.
     pub fn take(
         self: &Rc<Self>,
-        forward: Forward,
+        asked: T::Request,
         request: Request,
-        answer: oneshot::Sender<Answer>,
+        answer: oneshot::Sender<Answer<T::Body>>,
     ) -> Result<RequestId, NotTaken> {
         if self.requests.borrow().len() >= self.config.most_held {
             return Err(NotTaken::Full);
         }
-        if !self.names.borrow_mut().insert(forward.name().clone()) {
+        if !self.names.borrow_mut().insert(asked.name().clone()) {
             return Err(NotTaken::Known);
         }
         self.last_id.set(self.last_id.get() + 1);
         let id = RequestId(self.last_id.get());
-        let held = Held { forward: Rc::new(forward), answer: Some(answer), attempts: Vec::new() };
+        let held = Held { request: Rc::new(asked), answer: Some(answer), attempts: Vec::new() };
         self.requests.borrow_mut().insert(id, held);
         self.handle(Event::Request(Request { id, ..request }));
         Ok(id)
@@ -231,7 +235,7 @@
         self.requests.borrow().len()
     }
 
-    fn answer(&self, id: RequestId, answer: Answer) {
+    fn answer(&self, id: RequestId, answer: Answer<T::Body>) {
         let owed = self.requests.borrow_mut().get_mut(&id).and_then(|held| held.answer.take());
         if let Some(owed) = owed {
             // It fails where the client has just left.
@@ -246,17 +250,17 @@
         server: ServerId,
         attempt: usize,
         elapsed: Duration,
-        reply: Reply,
+        reply: Reply<T::Body>,
     ) {
         if let Some(held) = self.requests.borrow_mut().get_mut(&id) {
             held.attempts[attempt] = None;
         }
         let waits = |report: Report| report.queued.or(report.in_flight);
         match reply.ending {
-            Ending::Unreachable => self.catalog.evidence(Evidence::Unreachable(server.0 as u64)),
+            Ending::Unreachable => (self.signs)(Sign::Unreachable(server)),
             Ending::Full => {
                 let idle = reply.report.and_then(waits).is_some_and(|waits| waits < 1.0);
-                self.catalog.evidence(Evidence::Refused { idle });
+                (self.signs)(Sign::Refused { idle });
             }
             _ => {}
         }
@@ -277,85 +281,55 @@
 
     fn forget_if_over(&self, id: RequestId) {
         let mut requests = self.requests.borrow_mut();
-        let over = |held: &Held| held.answer.is_none() && held.attempts.iter().all(Option::is_none);
+        let over = |held: &Held<T>| held.answer.is_none() && held.attempts.iter().all(Option::is_none);
         if requests.get(&id).is_some_and(over) {
             let held = requests.remove(&id).expect("found");
-            self.names.borrow_mut().remove(held.forward.name());
+            self.names.borrow_mut().remove(held.request.name());
         }
     }
 
     // ---- The list of servers
 
-    /// Follows the list for as long as the node runs.
-    pub async fn follow(self: Rc<Self>) {
-        let node = Rc::clone(&self);
-        let news = move |news| match news {
-            News::List(list) => node.listed(&list),
-            News::View { from, to, cause } => {
-                node.note(&format!("the list of servers: {from} -> {to}, {cause}; {}", node.list_status()));
-            }
-            News::Shorter(before, now) => {
-                node.note(&format!("the list of servers is shorter by much: {before} before, {now} now"));
-            }
-        };
-        Rc::clone(&self.catalog).follow(news).await;
-    }
-
-    /// The view of the list in one line, for operators.
-    pub fn list_status(&self) -> String {
-        let (view, age, revision, counts) = self.catalog.status();
-        let age = age.map_or("never".to_owned(), |age| format!("{:.1} s ago", age.as_secs_f64()));
-        let revision = revision.map_or("none".to_owned(), |revision| revision.to_string());
-        format!("list {view}, confirmed {age}, version {revision}; {counts}")
+    /// The whole list, or what changed in it.
+    pub fn listed(self: &Rc<Self>, complete: bool, servers: Vec<Listed>) {
+        let entries = self.entries(complete, servers);
+        let listing = if complete { Listing::Full(entries) } else { Listing::Changes(entries) };
+        self.handle(Event::Servers(listing));
     }
 
-    fn listed(self: &Rc<Self>, list: &List) {
-        let entries = self.entries(list);
-        let listing = if list.complete { Listing::Full(entries) } else { Listing::Changes(entries) };
-        self.handle(Event::Servers(listing));
+    /// The whole list as it was known in an earlier run.
+    pub fn known(self: &Rc<Self>, servers: Vec<Listed>) {
+        let entries = self.entries(true, servers);
+        self.handle(Event::Servers(Listing::Cached(entries)));
     }
 
     /// The entries of a list, their servers numbered and their addresses noted.
-    fn entries(&self, list: &List) -> Vec<ServerEntry> {
+    fn entries(&self, complete: bool, servers: Vec<Listed>) -> Vec<ServerEntry> {
         let mut ids = self.ids.borrow_mut();
-        if list.complete {
-            let listed: HashSet<_> = list.members.iter().map(|member| &member.id).collect();
+        if complete {
+            let listed: HashSet<_> = servers.iter().map(|server| &server.id).collect();
             ids.retain(|id, server| {
                 let stays = listed.contains(id);
                 if !stays {
-                    self.upstream.forget(*server);
+                    self.transport.forget(*server);
                 }
                 stays
             });
         }
-        let place = |names: &[String], name| names.iter().position(|n| n == name).unwrap_or(names.len());
-        let mut entries = Vec::with_capacity(list.members.len());
-        for member in &list.members {
-            let availability = match member.phase {
-                Phase::Active => Availability::Ready,
-                Phase::Leaving => Availability::Draining,
-                Phase::Left => Availability::Gone,
-            };
+        let mut entries = Vec::with_capacity(servers.len());
+        for Listed { id, address, mut entry } in servers {
             // Numbers are not used again: what was sent to a server that has gone may end late.
             let next = ServerId(self.last_server.get() + 1);
-            let server = *ids.entry(member.id.clone()).or_insert(next);
-            self.last_server.set(self.last_server.get().max(server.0));
-            if availability == Availability::Gone {
-                ids.remove(&member.id);
-                self.upstream.forget(server);
+            let number = *ids.entry(id.clone()).or_insert(next);
+            self.last_server.set(self.last_server.get().max(number.0));
+            if entry.availability == Availability::Gone {
+                ids.remove(&id);
+                self.transport.forget(number);
             } else {
-                self.upstream.list(server, member.host_port, availability == Availability::Ready);
+                self.transport.list(number, address, entry.availability == Availability::Ready);
             }
-            entries.push(ServerEntry {
-                server,
-                availability,
-                started_at: Some(member.up_since_ms).filter(|at| *at > 0.0),
-                cell: member.cell,
-                zone: place(&self.config.names.zones, &member.locality),
-                kind: place(&self.config.names.kinds, &member.flavor),
-                weight: member.size,
-                key: spurdrum_facts::key(&member.id),
-            });
+            entry.server = number;
+            entries.push(entry);
         }
         entries
     }
@@ -364,22 +338,15 @@
     pub async fn lend(self: Rc<Self>) {
         loop {
             self.connections.server_to_close.notified().await;
-            self.upstream.close_oldest();
+            self.transport.close_oldest();
         }
     }
 
     /// Closes connections to servers before the servers do, for as long as the node runs.
     pub async fn reap(self: Rc<Self>) {
         loop {
-            sleep(self.config.conn_idle / 20).await;
-            self.upstream.close_idle();
+            sleep(self.config.tidy_every).await;
+            self.transport.close_idle();
         }
     }
 }
-
-impl Reply {
-    /// An end without an answer.
-    pub fn none(ending: Ending) -> Self {
-        Self { ending, report: None, body: None }
-    }
-}
--- /dev/null
+++ b/crates/spurdrum-core/src/transport.rs
@@ -0,0 +1,65 @@
+//! What the core wants of a protocol towards servers.
+
+use std::future::Future;
+use std::hash::Hash;
+use std::net::SocketAddr;
+
+use spurdrum_policy::{Ending, Report, ServerId};
+use tokio::sync::oneshot;
+
+/// A request as its transport sends it.
+pub trait Asked {
+    /// What the client calls it: no two of one name are held at once.
+    type Name: Clone + Eq + Hash;
+
+    /// What the client calls it.
+    fn name(&self) -> &Self::Name;
+}
+
+/// How an attempt or a probe ended.
+pub struct Reply<B> {
+    /// The outcome.
+    pub ending: Ending,
+    /// The load report that came along.
+    pub report: Option<Report>,
+    /// The whole body, where it was served.
+    pub body: Option<B>,
+}
+
+impl<B> Reply<B> {
+    /// An end without an answer.
+    pub fn none(ending: Ending) -> Self {
+        Self { ending, report: None, body: None }
+    }
+}
+
+/// Connections to servers of one protocol, and the attempts and probes that are made on them.
+pub trait Transport: 'static {
+    /// What is sent.
+    type Request: Asked + 'static;
+    /// What comes back.
+    type Body: 'static;
+
+    /// Notes a server of the list. Where it is not ready, nothing new goes to it from now on.
+    fn list(&self, server: ServerId, address: SocketAddr, ready: bool);
+
+    /// A server is gone: what is out to it may end, and nothing new begins.
+    fn forget(&self, server: ServerId);
+
+    /// Closes what has stood idle for so long that servers may soon close it.
+    fn close_idle(&self);
+
+    /// Closes the connection that stood idle longest. Whether there was one.
+    fn close_oldest(&self) -> bool;
+
+    /// One attempt of a request. When it is over, nothing of it is out any more, also where it was given up.
+    fn attempt(
+        &self,
+        server: ServerId,
+        request: &Self::Request,
+        given_up: oneshot::Receiver<()>,
+    ) -> impl Future<Output = Reply<Self::Body>>;
+
+    /// Asks a server for its load report.
+    fn probe(&self, server: ServerId) -> impl Future<Output = Reply<Self::Body>>;
+}
--- a/crates/spurdrum/src/net/client.rs
+++ b/crates/spurdrum-http/src/client.rs
@@ -9,10 +9,10 @@
 use http_body_util::Full;
 use hyper::body::{Body, Frame, SizeHint};
 use spurdrum_admission::Event;
+use spurdrum_core::Seat;
 use tokio::net::TcpStream;
 
-use super::connections::Seat;
-use super::socket;
+use crate::socket;
 
 /// Fields of a head, as hyper limits them.
 const FIELDS_MOST: usize = 100;
--- a/crates/spurdrum/src/net/frontend.rs
+++ b/crates/spurdrum-http/src/front.rs
@@ -21,17 +21,16 @@
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
 use spurdrum_admission::{Event, Reason, State, Verdict};
+use spurdrum_core::{is_starved, Answer, NotTaken, Order, Seat};
 use spurdrum_policy::{Effect, RequestId};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::oneshot;
 use tokio::task::yield_now;
 use tokio::time::{sleep, sleep_until, timeout_at, Instant};
 
-use super::client::{Framing, Socket};
-use super::connections::{is_starved, Order, Seat};
-use super::node::{Answer, Node, NotTaken};
-use super::socket::Io;
-use super::upstream::{Forward, BODY_MOST};
+use crate::client::{Framing, Socket};
+use crate::socket::Io;
+use crate::upstream::{Forward, Upstream, BODY_MOST};
 
 /// Taken off a client's time: its request and the answer are under way for a part of that.
 const MARGIN: Duration = Duration::from_millis(10);
@@ -69,23 +68,47 @@
     "x-cost-hint",
 ];
 
+type Node = spurdrum_core::Node<Upstream>;
+
+/// Names in the order of the settings, whose indices the decisions use.
+#[derive(Clone, Debug, Default)]
+pub struct Names {
+    /// Classes of requests.
+    pub classes: Vec<String>,
+    /// Tenants; there may be none.
+    pub tenants: Vec<String>,
+}
+
 /// Clients' connections.
-struct Front {
+pub struct Front {
     node: Rc<Node>,
+    names: Names,
+    /// What `/_health` says beside its own.
+    status: Box<dyn Fn() -> String>,
     ending: Cell<bool>,
     /// Held so that a connection can be answered, and not left waiting, when the system has no more descriptors.
     reserve: RefCell<Option<File>>,
     backoff: Cell<Duration>,
 }
 
+impl Front {
+    /// A front of this node, whose requests use these names. `status` is shown with `/_health`.
+    pub fn new(node: Rc<Node>, names: Names, status: impl Fn() -> String + 'static) -> Self {
+        Self {
+            node,
+            names,
+            status: Box::new(status),
+            ending: Cell::new(false),
+            reserve: RefCell::new(spare_descriptor()),
+            backoff: Cell::new(BACKOFF.0),
+        }
+    }
+}
+
 /// Serves clients until `stop` is done and all that was taken is answered.
-pub async fn run(node: Rc<Node>, listener: TcpListener, stop: impl Future<Output = ()>) {
-    let front = Rc::new(Front {
-        node: Rc::clone(&node),
-        ending: Cell::new(false),
-        reserve: RefCell::new(spare_descriptor()),
-        backoff: Cell::new(BACKOFF.0),
-    });
+pub async fn run(front: Front, listener: TcpListener, stop: impl Future<Output = ()>) {
+    let front = Rc::new(front);
+    let node = Rc::clone(&front.node);
     let mut stop = pin!(stop);
     loop {
         tokio::select! {
@@ -218,7 +241,7 @@
 
 async fn connection(front: Rc<Front>, seat: Rc<Seat>, stream: TcpStream) {
     // Guards against answers that the system holds for clients that never read them.
-    let unread = front.node.config.connections.read.most;
+    let unread = front.node.connections.unread_most;
     if stream.set_nodelay(true).is_err() || SockRef::from(&stream).set_tcp_user_timeout(Some(unread)).is_err()
     {
         return;
@@ -344,12 +367,12 @@
     let place = seat.tell(Event::Head { id: seat.id, body: length.min(READ_MOST as u64) });
     match request.uri().path() {
         "/_health" if front.ending.get() => plain(StatusCode::SERVICE_UNAVAILABLE, "ending\n"),
-        "/_health" => plain(StatusCode::OK, format!("ready\n{}\n", front.node.list_status())),
+        "/_health" => plain(StatusCode::OK, format!("ready\n{}\n", (front.status)())),
         _ if place == Verdict::Refuse => {
             *ends = true;
             refusal(front.node.connections.retry_after_ms)
         }
-        "/api" => api(&front.node, seat, request, ends).await,
+        "/api" => api(front, seat, request, ends).await,
         _ => plain(StatusCode::NOT_FOUND, "no such path\n"),
     }
 }
@@ -382,14 +405,15 @@
 }
 
 async fn api(
-    node: &Rc<Node>,
+    front: &Front,
     seat: &Seat,
     request: Request<Incoming>,
     ends: &mut bool,
 ) -> Response<Full<Bytes>> {
+    let node = &front.node;
     let came = Instant::now();
     let (head, body) = request.into_parts();
-    let asked = read_head(node, &head.method, &head.headers);
+    let asked = read_head(front, &head.method, &head.headers);
     let wait = asked.as_ref().map_or(WAIT_MOST, |(wait, _)| *wait);
     seat.reading_body.set(true);
     let body = tokio::select! {
@@ -462,7 +486,7 @@
 
 /// How long the client waits and what it asks for, or what is wrong with that.
 fn read_head(
-    node: &Node,
+    front: &Front,
     method: &Method,
     headers: &HeaderMap,
 ) -> Result<(Duration, spurdrum_policy::Request), &'static str> {
@@ -472,7 +496,7 @@
         return Err("a field comes twice\n");
     }
     let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
-    let names = &node.config.names;
+    let names = &front.names;
     if text("x-request-id").is_none_or(str::is_empty) {
         return Err("X-Request-Id is missing\n");
     }
@@ -488,7 +512,7 @@
     let wait = wait.filter(|wait| !wait.is_zero() && *wait <= WAIT_MOST);
     let wait = wait.ok_or("X-Deadline is missing or no time above 0\n")?;
     // Without its key a keyed request could take effect twice.
-    let fits = match node.config.effect(class) {
+    let fits = match front.node.config.settings.classes[class].effect {
         Effect::Safe => method == Method::GET,
         Effect::Keyed { .. } => {
             method == Method::POST && text("idempotency-key").is_some_and(|k| !k.is_empty())
--- a/crates/spurdrum/src/net/upstream.rs
+++ b/crates/spurdrum-http/src/upstream.rs
@@ -16,15 +16,13 @@
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
 use spurdrum_admission::Event as ConnectionEvent;
+use spurdrum_core::{is_starved, Asked, Connections, Reply, ServerSlot, Transport};
 use spurdrum_policy::{Ending, Report, ServerId};
 use tokio::net::TcpStream;
 use tokio::sync::oneshot;
 use tokio::time::{sleep_until, timeout, Instant};
 
-use super::config::{load_report, Config};
-use super::connections::{is_starved, Connections, ServerSlot};
-use super::node::Node;
-use super::socket::{self, has_input, Io};
+use crate::socket::{self, has_input, Io};
 
 /// Bodies hold this much at most.
 pub const BODY_MOST: usize = 64 * 1024;
@@ -52,22 +50,15 @@
     pub gives_up_at: Instant,
 }
 
-impl Forward {
-    /// What the client calls the request.
-    pub fn name(&self) -> &HeaderValue {
+impl Asked for Forward {
+    type Name = HeaderValue;
+
+    fn name(&self) -> &HeaderValue {
         &self.headers["x-request-id"]
     }
 }
 
-/// How an attempt or a probe ended.
-pub struct Reply {
-    /// The outcome.
-    pub ending: Ending,
-    /// The load report that came along.
-    pub report: Option<Report>,
-    /// The whole body, where it was served.
-    pub body: Option<Bytes>,
-}
+type Answered = Reply<Bytes>;
 
 struct Socket {
     stream: TcpStream,
@@ -142,39 +133,14 @@
     servers: RefCell<HashMap<ServerId, Rc<Server>>>,
     connections: Rc<Connections>,
     keep: Duration,
+    dial_timeout: Duration,
 }
 
 impl Upstream {
-    /// No server is known yet.
-    pub fn new(config: &Config, connections: Rc<Connections>) -> Self {
-        Self { servers: RefCell::default(), connections, keep: config.conn_idle.mul_f64(IDLE_PART) }
-    }
-
-    /// Notes a server of the list. Idle connections to one that gets nothing more are closed.
-    pub fn list(&self, server: ServerId, address: SocketAddr, ready: bool) {
-        let mut servers = self.servers.borrow_mut();
-        let known = servers.entry(server).or_insert_with(|| {
-            let (address, ready) = (Cell::new(address), Cell::new(ready));
-            Rc::new(Server { address, ready, idle: RefCell::default() })
-        });
-        let moved = known.address.replace(address) != address;
-        known.ready.set(ready);
-        if moved || !ready {
-            known.idle.borrow_mut().clear();
-        }
-    }
-
-    /// A server is gone: what is out to it may end, and nothing new begins.
-    pub fn forget(&self, server: ServerId) {
-        if let Some(gone) = self.servers.borrow_mut().remove(&server) {
-            gone.ready.set(false);
-            gone.idle.borrow_mut().clear();
-        }
-    }
-
-    /// Closes what has stood idle for so long that the server may soon close it.
-    pub fn close_idle(&self) {
-        self.servers.borrow().values().for_each(|server| server.close_idle(self.keep));
+    /// No server is known yet. Servers close connections that stand idle for `conn_idle`; one that is not made within
+    /// `dial_timeout` has failed.
+    pub fn new(connections: Rc<Connections>, conn_idle: Duration, dial_timeout: Duration) -> Self {
+        Self { servers: RefCell::default(), connections, keep: conn_idle.mul_f64(IDLE_PART), dial_timeout }
     }
 
     /// A place for one more socket, for which the one that stood idle longest is closed if need be.
@@ -183,16 +149,6 @@
             .or_else(|| self.close_oldest().then(|| ServerSlot::take(&self.connections)).flatten())
     }
 
-    /// Closes the connection that stood idle longest. Whether there was one.
-    pub fn close_oldest(&self) -> bool {
-        let servers = self.servers.borrow();
-        let since = |server: &&Rc<Server>| server.idle.borrow().front().map(|c| c.idle_since);
-        let idle = servers.values().filter(|server| since(server).is_some());
-        let Some(oldest) = idle.min_by_key(since) else { return false };
-        let closed = oldest.idle.borrow_mut().pop_front();
-        closed.is_some()
-    }
-
     async fn connect(&self, server: &Server, dial_timeout: Duration) -> Result<Connection, Ending> {
         // Without a place the attempt ends unsent, and that is not the server's fault.
         let slot = self.slot().ok_or(Ending::NotSent)?;
@@ -220,90 +176,127 @@
     }
 }
 
-/// One attempt of a request, from choosing a connection to the whole answer. When it returns, nothing of it
-/// is out any more.
-pub async fn attempt(
-    node: &Node,
-    server: ServerId,
-    forward: &Forward,
-    given_up: oneshot::Receiver<()>,
-) -> Reply {
-    let sent = Cell::new(false);
-    let unless_sent = |ending| Reply::none(if sent.get() { ending } else { Ending::NotSent });
-    // The exchange holds the connection; it is dropped, and that closed, before this returns.
-    tokio::select! {
-        biased;
-        reply = exchange(node, server, Some(forward), &sent) => reply,
-        Ok(()) = given_up => unless_sent(Ending::Cancelled),
-        () = sleep_until(forward.gives_up_at) => unless_sent(Ending::TimedOut),
+impl Upstream {
+    /// Sends a request, or a probe where there is none, and reads the answer. `sent` is set while some of it may
+    /// have gone out.
+    async fn exchange(&self, server: ServerId, forward: Option<&Forward>, sent: &Cell<bool>) -> Answered {
+        // It may have gone since the decision.
+        let Some(server) = self.servers.borrow().get(&server).cloned() else {
+            return Reply::none(Ending::NotSent);
+        };
+        loop {
+            let (mut connection, kept) = match server.idle(self.keep) {
+                Some(connection) => (connection, true),
+                None => match self.connect(&server, self.dial_most(forward)).await {
+                    Ok(connection) => (connection, false),
+                    Err(ending) => return Reply::none(ending),
+                },
+            };
+            if kept {
+                sleep_until(connection.idle_since + REST).await;
+            }
+            if connection.sender.ready().await.is_err() || kept && !connection.is_sound() {
+                if kept {
+                    continue;
+                }
+                return Reply::none(Ending::Unreachable);
+            }
+            // Time has passed since the decision: a server that drains by now gets nothing new.
+            if forward.is_some() && !server.ready.get() {
+                return Reply::none(Ending::NotSent);
+            }
+            let request = forward.map_or_else(|| probe_request(connection.address), forward_request);
+            sent.set(true);
+            let response = match connection.sender.try_send_request(request).await {
+                Ok(response) => response,
+                Err(mut error) => {
+                    // What hyper gives back was never written; anything else may have been.
+                    sent.set(error.take_message().is_none());
+                    match (sent.get(), kept) {
+                        (true, _) => return Reply::none(Ending::Reset),
+                        (false, true) => continue,
+                        (false, false) => return Reply::none(Ending::Unreachable),
+                    }
+                }
+            };
+            let (reply, sound) = read(response).await;
+            if sound {
+                server.keep(connection);
+            }
+            return reply;
+        }
     }
-}
 
-/// Asks a server for its load report.
-pub async fn probe(node: &Node, server: ServerId) -> Reply {
-    let sent = Cell::new(false);
-    let reply = timeout(node.config.dial_timeout, exchange(node, server, None, &sent)).await;
-    let mut reply = reply.unwrap_or_else(|_| Reply::none(Ending::TimedOut));
-    if let Some(body) = reply.body.take() {
-        reply.report = std::str::from_utf8(&body).ok().and_then(load_report).or(reply.report);
+    fn dial_most(&self, forward: Option<&Forward>) -> Duration {
+        let left =
+            forward.map(|f| f.gives_up_at.saturating_duration_since(Instant::now()).mul_f64(DIAL_PART));
+        left.map_or(self.dial_timeout, |left| left.min(self.dial_timeout))
     }
-    reply
 }
 
-/// Sends a request, or a probe where there is none, and reads the answer. `sent` is set while some of it may
-/// have gone out.
-async fn exchange(node: &Node, server: ServerId, forward: Option<&Forward>, sent: &Cell<bool>) -> Reply {
-    let upstream = &node.upstream;
-    // It may have gone since the decision.
-    let Some(server) = upstream.servers.borrow().get(&server).cloned() else {
-        return Reply::none(Ending::NotSent);
-    };
-    loop {
-        let (mut connection, kept) = match server.idle(upstream.keep) {
-            Some(connection) => (connection, true),
-            None => match upstream.connect(&server, dial_most(node, forward)).await {
-                Ok(connection) => (connection, false),
-                Err(ending) => return Reply::none(ending),
-            },
-        };
-        if kept {
-            sleep_until(connection.idle_since + REST).await;
-        }
-        if connection.sender.ready().await.is_err() || kept && !connection.is_sound() {
-            if kept {
-                continue;
-            }
-            return Reply::none(Ending::Unreachable);
+impl Transport for Upstream {
+    type Request = Forward;
+    type Body = Bytes;
+
+    fn list(&self, server: ServerId, address: SocketAddr, ready: bool) {
+        let mut servers = self.servers.borrow_mut();
+        let known = servers.entry(server).or_insert_with(|| {
+            let (address, ready) = (Cell::new(address), Cell::new(ready));
+            Rc::new(Server { address, ready, idle: RefCell::default() })
+        });
+        let moved = known.address.replace(address) != address;
+        known.ready.set(ready);
+        if moved || !ready {
+            known.idle.borrow_mut().clear();
         }
-        // Time has passed since the decision: a server that drains by now gets nothing new.
-        if forward.is_some() && !server.ready.get() {
-            return Reply::none(Ending::NotSent);
+    }
+
+    fn forget(&self, server: ServerId) {
+        if let Some(gone) = self.servers.borrow_mut().remove(&server) {
+            gone.ready.set(false);
+            gone.idle.borrow_mut().clear();
         }
-        let request = forward.map_or_else(|| probe_request(connection.address), forward_request);
-        sent.set(true);
-        let response = match connection.sender.try_send_request(request).await {
-            Ok(response) => response,
-            Err(mut error) => {
-                // What hyper gives back was never written; anything else may have been.
-                sent.set(error.take_message().is_none());
-                match (sent.get(), kept) {
-                    (true, _) => return Reply::none(Ending::Reset),
-                    (false, true) => continue,
-                    (false, false) => return Reply::none(Ending::Unreachable),
-                }
-            }
-        };
-        let (reply, sound) = read(response).await;
-        if sound {
-            server.keep(connection);
+    }
+
+    fn close_idle(&self) {
+        self.servers.borrow().values().for_each(|server| server.close_idle(self.keep));
+    }
+
+    fn close_oldest(&self) -> bool {
+        let servers = self.servers.borrow();
+        let since = |server: &&Rc<Server>| server.idle.borrow().front().map(|c| c.idle_since);
+        let idle = servers.values().filter(|server| since(server).is_some());
+        let Some(oldest) = idle.min_by_key(since) else { return false };
+        let closed = oldest.idle.borrow_mut().pop_front();
+        closed.is_some()
+    }
+
+    async fn attempt(
+        &self,
+        server: ServerId,
+        forward: &Forward,
+        given_up: oneshot::Receiver<()>,
+    ) -> Answered {
+        let sent = Cell::new(false);
+        let unless_sent = |ending| Reply::none(if sent.get() { ending } else { Ending::NotSent });
+        // The exchange holds the connection; it is dropped, and that closed, before this returns.
+        tokio::select! {
+            biased;
+            reply = self.exchange(server, Some(forward), &sent) => reply,
+            Ok(()) = given_up => unless_sent(Ending::Cancelled),
+            () = sleep_until(forward.gives_up_at) => unless_sent(Ending::TimedOut),
         }
-        return reply;
     }
-}
 
-fn dial_most(node: &Node, forward: Option<&Forward>) -> Duration {
-    let left = forward.map(|f| f.gives_up_at.saturating_duration_since(Instant::now()).mul_f64(DIAL_PART));
-    left.map_or(node.config.dial_timeout, |left| left.min(node.config.dial_timeout))
+    async fn probe(&self, server: ServerId) -> Answered {
+        let sent = Cell::new(false);
+        let reply = timeout(self.dial_timeout, self.exchange(server, None, &sent)).await;
+        let mut reply = reply.unwrap_or_else(|_| Reply::none(Ending::TimedOut));
+        if let Some(body) = reply.body.take() {
+            reply.report = std::str::from_utf8(&body).ok().and_then(load_report).or(reply.report);
+        }
+        reply
+    }
 }
 
 fn forward_request(forward: &Forward) -> Request<Full<Bytes>> {
@@ -324,7 +317,7 @@
 
 /// Reads an answer to its end: only then is it known what it is worth, and whether the connection can be
 /// kept. Where the server wants it closed, hyper closes it.
-async fn read(response: Response<Incoming>) -> (Reply, bool) {
+async fn read(response: Response<Incoming>) -> (Answered, bool) {
     let (head, body) = response.into_parts();
     let text = |name: &str| head.headers.get(name).and_then(|value| value.to_str().ok());
     let report = text("x-load").and_then(load_report);
@@ -354,3 +347,19 @@
         _ => false,
     }
 }
+
+/// Reads a load report such as `active=7,waiting=2`; one that is malformed tells nothing.
+/// Guards against counts that never hear a report: servers use the settings' names, but others are about.
+pub fn load_report(text: &str) -> Option<Report> {
+    let mut report = Report::default();
+    for pair in text.trim().split(',') {
+        let (name, value) = pair.split_once('=')?;
+        let value = value.trim().parse::<f64>().ok().filter(|x| x.is_finite() && *x >= 0.0)?;
+        match name.trim() {
+            "active" | "inflight" => report.in_flight = Some(value),
+            "waiting" | "queue" => report.queued = Some(value),
+            _ => {}
+        }
+    }
+    (report != Report::default()).then_some(report)
+}
--- a/crates/spurdrum-load/src/firsts.rs
+++ b/crates/spurdrum-load/src/firsts.rs
@@ -43,6 +43,11 @@
 }
 
 impl Firsts {
+    /// Room for so many from the start.
+    pub fn with_room(requests: usize) -> Self {
+        Self { open: HashMap::with_capacity(requests), ..Self::default() }
+    }
+
     /// A try is due. Its request's deadline is so long.
     pub fn begin(&mut self, arrival: Arrival, deadline_us: u64) {
         let first = arrival.first.unwrap_or(arrival.id);
--- a/crates/spurdrum-load/src/lib.rs
+++ b/crates/spurdrum-load/src/lib.rs
@@ -12,11 +12,12 @@
 //! - [`client`]: whether a client tries again, and when
 //! - [`firsts`]: tries put together by the first one of each request
 //! - [`run`]: the engine that sends
-//! - [`report`]: figures, requirements, JSON, histogram log and HTML
+//! - [`report`]: figures, requirements, JSON and histogram log
+//! - [`html`]: the report as one page
 
 pub mod client;
 pub mod firsts;
-mod html;
+pub mod html;
 pub mod plan;
 pub mod report;
 pub mod run;
--- a/crates/spurdrum-load/src/main.rs
+++ b/crates/spurdrum-load/src/main.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use clap::{Args, Parser, Subcommand};
+use spurdrum_load::html::page;
 use spurdrum_load::plan::Plan;
 use spurdrum_load::report::{Report, Requirement};
 use spurdrum_load::run::{run, Arrivals, Options};
@@ -67,6 +68,9 @@
     /// Instead, so many clients that each wait for their answer: its latencies hide stalls.
     #[arg(long)]
     closed: Option<usize>,
+    /// Event loops that send, each a thread.
+    #[arg(long, default_value_t = 1)]
+    threads: usize,
     /// Cut the run off after so many seconds.
     #[arg(long, default_value_t = 3600.0)]
     most_s: f64,
@@ -128,6 +132,7 @@
         seed: options.seed,
         closed: options.closed.map(|clients| (clients, Duration::from_secs_f64(length))),
         most,
+        threads: options.threads,
     };
     let stop = async {
         // Where it cannot be heard, the run has its time all the same.
@@ -163,7 +168,7 @@
         report.histogram_log(&mut file(path)?)?;
     }
     if let Some(path) = &options.html {
-        file(path)?.write_all(report.html().as_bytes()).map_err(|e| format!("{}: {e}", path.display()))?;
+        file(path)?.write_all(page(report).as_bytes()).map_err(|e| format!("{}: {e}", path.display()))?;
     }
     Ok(())
 }
--- a/crates/spurdrum-load/src/report.rs
+++ b/crates/spurdrum-load/src/report.rs
@@ -431,11 +431,6 @@
         log.write_histogram(&self.latency, Duration::ZERO, length, None).map_err(|e| format!("{e:?}"))
     }
 
-    /// One page with everything in it.
-    pub fn html(&self) -> String {
-        crate::html::page(self)
-    }
-
     fn figure(&self, name: &str) -> Option<f64> {
         let (c, q) = (&self.all.counts, &self.all.latency_ms);
         let part = |n: u64| n as f64 / c.due.max(1) as f64;
@@ -560,14 +555,12 @@
     }
 
     #[test]
-    fn the_log_the_page_and_the_table_tell_the_same() {
+    fn the_log_and_the_table_tell_the_same() {
         let report = report(&[100_000; 50]);
         let mut log = Vec::new();
         report.histogram_log(&mut log).expect("written");
         let log = String::from_utf8(log).expect("text");
         assert!(log.contains("latencies in microseconds") && log.contains("HIST"), "{log}");
-        let page = report.html();
-        assert!(page.contains("<svg") && !page.contains("http://") && !page.contains("NaN"), "{page}");
         assert!(report.table().contains("inns") && report.too_slow().is_none());
         assert!(serde_json::to_string(&report).expect("JSON").contains("\"in_time\":50"));
     }
--- a/crates/spurdrum-load/src/run.rs
+++ b/crates/spurdrum-load/src/run.rs
@@ -1,12 +1,12 @@
-//! The engine: a thread that keeps the schedule's time, and an event loop that sends.
+//! The engine: a thread that keeps the schedule's time, and event loops that send, each in a thread of its own.
 
 use std::cell::{Cell, RefCell};
 use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -18,15 +18,17 @@
 
 use crate::client::{again, Outcome};
 use crate::firsts::Firsts;
-use crate::plan::{Effect, Plan};
+use crate::plan::{Effect, Phase, Plan};
 use crate::report::{Recorder, Report};
 use crate::transport::Pool;
 use crate::Arrival;
 
 /// Requests that are due and that the event loop has not taken yet.
 const WAITING_MOST: usize = 65_536;
-/// How often requests are settled.
-const SETTLE: Duration = Duration::from_millis(100);
+/// How often requests are settled: few at a time, as those that are due meanwhile wait.
+const SETTLE: Duration = Duration::from_millis(10);
+/// Room is made beforehand for so many requests that are not settled. Guards against sends that wait for a table to grow.
+const ROOM_MOST: f64 = 1e6;
 /// The thread that keeps time looks this often whether the run is to end.
 const LOOK: Duration = Duration::from_millis(50);
 
@@ -42,19 +44,40 @@
     pub closed: Option<(usize, Duration)>,
     /// The run is cut off after so long.
     pub most: Duration,
+    /// Event loops that send; what clients hold (connections, requests under way) is dealt out among them.
+    pub threads: usize,
 }
 
 /// The requests that are due, in their order. An error ends the run.
 pub type Arrivals = Box<dyn Iterator<Item = Result<Arrival, String>> + Send>;
 
-struct Context {
+/// What all event loops share.
+struct Shared {
     plan: Plan,
-    pool: Pool,
+    options: Options,
     start: Instant,
-    recorder: RefCell<Recorder>,
+    recorder: Mutex<Recorder>,
+    /// The run is to end.
+    stopped: AtomicBool,
+    in_flight: AtomicUsize,
+    connections: AtomicU64,
+    orphans: AtomicU64,
+}
+
+impl Shared {
+    fn recorder(&self) -> MutexGuard<'_, Recorder> {
+        self.recorder.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// One event loop.
+struct Context {
+    shared: Arc<Shared>,
+    pool: Pool,
     firsts: RefCell<Firsts>,
     rng: RefCell<fastrand::Rng>,
     in_flight: Cell<usize>,
+    in_flight_most: usize,
     next_id: Cell<u64>,
 }
 
@@ -69,129 +92,172 @@
 ) -> Result<Report, String> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|error| format!("cannot start the event loop: {error}"))?;
-    let stopped = Arc::new(AtomicBool::new(false));
-    let (due, mut dues) = mpsc::channel(WAITING_MOST);
-    let start = Instant::now();
+    let threads = options.threads.clamp(1, 64);
+    let shared = Arc::new(Shared {
+        plan: plan.clone(),
+        options: options.clone(),
+        start: Instant::now(),
+        recorder: Mutex::new(Recorder::new(plan)),
+        stopped: AtomicBool::new(false),
+        in_flight: AtomicUsize::new(0),
+        connections: AtomicU64::new(0),
+        orphans: AtomicU64::new(0),
+    });
+    let (mut given, mut loops) = (Vec::new(), Vec::new());
+    for n in 0..threads {
+        let (due, dues) = mpsc::channel(WAITING_MOST / threads);
+        let shared = Arc::clone(&shared);
+        given.push(due);
+        loops.push(std::thread::spawn(move || send(shared, n, threads, dues)));
+    }
     let pacer = match options.closed {
         Some(_) => None,
         None => {
-            let (stopped, most) = (Arc::clone(&stopped), options.most);
-            Some(std::thread::spawn(move || pace(start, arrivals, &due, &stopped, most)))
+            let shared = Arc::clone(&shared);
+            Some(std::thread::spawn(move || pace(&shared, arrivals, &given)))
         }
     };
+    runtime.block_on(async {
+        let mut stop = pin!(stop);
+        let mut look = interval(LOOK);
+        look.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let (mut second, mut stops) = (0, false);
+        while !loops.iter().all(std::thread::JoinHandle::is_finished) {
+            tokio::select! {
+                biased;
+                () = &mut stop, if !stops => {
+                    stops = true;
+                    shared.stopped.store(true, Ordering::Relaxed);
+                }
+                _ = look.tick() => {}
+            }
+            let now = shared.start.elapsed().as_secs();
+            if now > second {
+                second = now;
+                live(&shared.recorder().line(second, shared.in_flight.load(Ordering::Relaxed)));
+            }
+        }
+    });
+    for sender in loops {
+        sender.join().unwrap_or_else(|_| Err("an event loop died".into()))?;
+    }
+    let (paced, error) =
+        pacer.map_or((0, None), |pacer| pacer.join().unwrap_or((0, Some("the pacer died".into()))));
+    if let Some(why) = error {
+        return Err(why);
+    }
+    let (connections, orphans) =
+        (shared.connections.load(Ordering::Relaxed), shared.orphans.load(Ordering::Relaxed));
+    let report = shared.recorder().report(shared.start.elapsed(), connections, orphans, paced);
+    Ok(report)
+}
+
+/// The `n`th event loop of so many: sends what is given to it until there is no more, and waits for the answers.
+fn send(
+    shared: Arc<Shared>,
+    n: usize,
+    threads: usize,
+    mut dues: mpsc::Receiver<Arrival>,
+) -> Result<(), String> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|error| format!("cannot start an event loop: {error}"))?;
+    // The first loops take what does not divide evenly.
+    let share = |all: usize| all / threads + usize::from(n < all % threads);
+    let clients = &shared.plan.clients;
+    let longest = shared.plan.classes.iter().map(|class| class.deadline_s).fold(0.0, f64::max);
+    let rates = |phase: &Phase| phase.rates.iter().copied().fold(phase.rate, f64::max);
+    let room = 1.5 * longest * shared.plan.phases.iter().map(rates).fold(0.0, f64::max);
     let context = Rc::new(Context {
-        plan: plan.clone(),
-        pool: Pool::new(options.target, plan.clients.connections),
-        start,
-        recorder: RefCell::new(Recorder::new(plan)),
-        firsts: RefCell::default(),
-        rng: RefCell::new(fastrand::Rng::with_seed(options.seed ^ 0x5bd1_e995)),
+        pool: Pool::new(shared.options.target, share(clients.connections).max(1)),
+        firsts: RefCell::new(Firsts::with_room((room.min(ROOM_MOST) / threads as f64) as usize)),
+        rng: RefCell::new(fastrand::Rng::with_seed(shared.options.seed ^ 0x5bd1_e995 ^ ((n as u64) << 32))),
         in_flight: Cell::new(0),
-        // Retries get numbers of their own, far from any schedule's.
-        next_id: Cell::new(1 << 62),
+        in_flight_most: share(clients.in_flight).max(1),
+        // Retries get numbers of their own, far from any schedule's, and from those of the other loops.
+        next_id: Cell::new((1 << 62) + ((n as u64) << 48)),
+        shared: Arc::clone(&shared),
     });
-    let longest = plan.classes.iter().map(|class| class.deadline_s).fold(0.0, f64::max);
     LocalSet::new().block_on(&runtime, async {
-        let mut stop = pin!(stop);
         let mut settle = interval(SETTLE);
         settle.set_missed_tick_behavior(MissedTickBehavior::Delay);
-        let workers = options.closed.map(|(clients, time)| {
-            let run = (0..clients).map(|_| tokio::task::spawn_local(closed(Rc::clone(&context), time)));
+        let workers = shared.options.closed.map(|(clients, time)| {
+            let run =
+                (0..share(clients)).map(|_| tokio::task::spawn_local(closed(Rc::clone(&context), time)));
             run.collect::<Vec<_>>()
         });
-        let mut second = 0;
-        let mut tick = |context: &Context| {
-            let now = context.now_us();
-            context.settle(now);
-            if now / 1_000_000 > second {
-                second = now / 1_000_000;
-                live(&context.recorder.borrow().line(second, context.in_flight.get()));
-            }
-        };
         loop {
             let over = workers.as_ref().is_some_and(|all| all.iter().all(|worker| worker.is_finished()));
+            let most = shared.start.elapsed() > shared.options.most;
+            if most || over || shared.stopped.load(Ordering::Relaxed) {
+                break;
+            }
             tokio::select! {
                 biased;
-                () = &mut stop => break,
-                _ = settle.tick() => tick(&context),
+                _ = settle.tick() => context.settle(context.now_us()),
                 next = dues.recv(), if workers.is_none() => match next {
                     Some(arrival) => context.take(arrival),
                     None => break,
                 },
-                () = sleep(SETTLE), if over => break,
-            }
-            if start.elapsed() > options.most || over {
-                break;
             }
         }
-        stopped.store(true, Ordering::Relaxed);
         dues.close();
         // Those that are under way have until their deadline.
         let end = Instant::now() + Duration::from_secs_f64(longest) + SETTLE;
         while context.in_flight.get() > 0 && Instant::now() < end {
             settle.tick().await;
-            tick(&context);
+            context.settle(context.now_us());
         }
         context.settle(u64::MAX);
     });
-    let (paced, error) =
-        pacer.map_or((0, None), |pacer| pacer.join().unwrap_or((0, Some("the pacer died".into()))));
-    if let Some(why) = error {
-        return Err(why);
-    }
-    let recorder = context.recorder.borrow();
-    let firsts = context.firsts.borrow();
-    Ok(recorder.report(start.elapsed(), context.pool.made.get(), firsts.orphans(), paced))
+    shared.connections.fetch_add(context.pool.made.get(), Ordering::Relaxed);
+    shared.orphans.fetch_add(context.firsts.borrow().orphans(), Ordering::Relaxed);
+    Ok(())
 }
 
 /// Gives out requests when they are due. Sleeps in a thread of its own: an event loop that is busy, or whose timers are
 /// coarse, would be late for all.
-fn pace(
-    start: Instant,
-    arrivals: Arrivals,
-    due: &mpsc::Sender<Arrival>,
-    stopped: &AtomicBool,
-    most: Duration,
-) -> (u64, Option<String>) {
-    let mut given = 0;
+fn pace(shared: &Shared, arrivals: Arrivals, given: &[mpsc::Sender<Arrival>]) -> (u64, Option<String>) {
+    let mut count = 0;
     for arrival in arrivals {
         let arrival = match arrival {
             Ok(arrival) => arrival,
-            Err(why) => return (given, Some(why)),
+            Err(why) => return (count, Some(why)),
         };
         let at = Duration::from_micros(arrival.due_us);
-        if at > most {
+        if at > shared.options.most {
             break;
         }
         loop {
-            let left = at.saturating_sub(start.elapsed());
+            let left = at.saturating_sub(shared.start.elapsed());
             if left.is_zero() {
                 break;
             }
             std::thread::sleep(left.min(LOOK));
-            if stopped.load(Ordering::Relaxed) {
-                return (given, None);
+            if shared.stopped.load(Ordering::Relaxed) {
+                return (count, None);
             }
         }
+        // A retry goes where its first try went: there it is counted.
+        let to = &given[(arrival.first.unwrap_or(arrival.id) % given.len() as u64) as usize];
         // It waits where the event loop is behind: that shows as lag, and nothing is left out.
-        if due.blocking_send(arrival).is_err() {
+        if to.blocking_send(arrival).is_err() {
             break;
         }
-        given += 1;
+        count += 1;
     }
-    (given, None)
+    (count, None)
 }
 
 /// A client that asks again when it has been answered.
 async fn closed(context: Rc<Context>, time: Duration) {
-    while context.start.elapsed() < time {
+    while context.shared.start.elapsed() < time {
         let id = context.new_id();
         let (class, tenant) = {
             let mut rng = context.rng.borrow_mut();
-            let tenants = context.plan.tenants.len().max(1);
-            (rng.usize(..context.plan.classes.len()), rng.usize(..tenants))
+            let tenants = context.shared.plan.tenants.len().max(1);
+            (rng.usize(..context.shared.plan.classes.len()), rng.usize(..tenants))
         };
-        let bytes = context.plan.classes[class].bytes.0;
+        let bytes = context.shared.plan.classes[class].bytes.0;
         let arrival = Arrival {
             due_us: context.now_us(),
             id,
@@ -202,14 +268,14 @@
             bytes,
         };
         context.begin(&arrival);
-        context.in_flight.set(context.in_flight.get() + 1);
+        context.goes_out();
         Rc::clone(&context).one(arrival).await;
     }
 }
 
 impl Context {
     fn now_us(&self) -> u64 {
-        self.start.elapsed().as_micros() as u64
+        self.shared.start.elapsed().as_micros() as u64
     }
 
     fn new_id(&self) -> u64 {
@@ -217,64 +283,71 @@
         self.next_id.get()
     }
 
+    fn goes_out(&self) {
+        self.in_flight.set(self.in_flight.get() + 1);
+        self.shared.in_flight.fetch_add(1, Ordering::Relaxed);
+    }
+
     fn settle(&self, now_us: u64) {
-        let mut recorder = self.recorder.borrow_mut();
+        let mut recorder = self.shared.recorder();
         self.firsts.borrow_mut().settle(now_us, |arrival, outcome| recorder.settled(arrival, outcome));
     }
 
     fn begin(&self, arrival: &Arrival) {
-        let deadline = self.plan.classes[usize::from(arrival.class)].deadline_s;
+        let deadline = self.shared.plan.classes[usize::from(arrival.class)].deadline_s;
         self.firsts.borrow_mut().begin(*arrival, (deadline * 1e6) as u64);
-        self.recorder.borrow_mut().due(arrival);
+        self.shared.recorder().due(arrival);
     }
 
     fn take(self: &Rc<Self>, arrival: Arrival) {
         self.begin(&arrival);
-        if self.in_flight.get() >= self.plan.clients.in_flight {
+        if self.in_flight.get() >= self.in_flight_most {
             self.end(&arrival, Outcome::NotSent, false);
             return;
         }
         // Counted before its task first runs: the end of a run waits for all that are under way.
-        self.in_flight.set(self.in_flight.get() + 1);
+        self.goes_out();
         tokio::task::spawn_local(Rc::clone(self).one(arrival));
     }
 
     fn end(&self, arrival: &Arrival, outcome: Outcome, more: bool) {
         let at = self.now_us();
-        self.recorder.borrow_mut().tried(outcome);
+        self.shared.recorder().tried(outcome);
         self.firsts.borrow_mut().end(arrival, outcome, at, more);
     }
 
     /// One request, from its first try to the last. It is counted as under way by now.
     async fn one(self: Rc<Self>, first: Arrival) {
-        let class = &self.plan.classes[usize::from(first.class)];
-        let deadline =
-            self.start + Duration::from_micros(first.due_us) + Duration::from_secs_f64(class.deadline_s);
+        let class = &self.shared.plan.classes[usize::from(first.class)];
+        let deadline = self.shared.start
+            + Duration::from_micros(first.due_us)
+            + Duration::from_secs_f64(class.deadline_s);
         let (mut arrival, mut due, mut tries) = (first, Duration::from_micros(first.due_us), 0);
         loop {
             tries += 1;
-            let lag = self.start.elapsed().saturating_sub(due);
-            self.recorder.borrow_mut().sent(lag);
+            let lag = self.shared.start.elapsed().saturating_sub(due);
+            self.shared.recorder().sent(lag);
             let outcome = self.attempt(&arrival, deadline, tries > 1 || first.first.is_some()).await;
             let left = deadline.saturating_duration_since(Instant::now());
             let draw = self.rng.borrow_mut().f64();
-            let wait = again(&self.plan.clients, outcome, tries, left, draw);
+            let wait = again(&self.shared.plan.clients, outcome, tries, left, draw);
             self.end(&arrival, outcome, wait.is_some());
             let Some(wait) = wait else { break };
-            due = self.start.elapsed() + wait;
+            due = self.shared.start.elapsed() + wait;
             if !wait.is_zero() {
                 sleep(wait).await;
             }
             arrival = Arrival { id: self.new_id(), first: Some(first.first.unwrap_or(first.id)), ..first };
-            self.recorder.borrow_mut().retried();
+            self.shared.recorder().retried();
         }
         self.in_flight.set(self.in_flight.get() - 1);
+        self.shared.in_flight.fetch_sub(1, Ordering::Relaxed);
     }
 
     /// One try, for as long as its client waits.
     async fn attempt(&self, arrival: &Arrival, deadline: Instant, repeat: bool) -> Outcome {
-        let clients = &self.plan.clients;
-        let class = &self.plan.classes[usize::from(arrival.class)];
+        let clients = &self.shared.plan.clients;
+        let class = &self.shared.plan.classes[usize::from(arrival.class)];
         let (give_up, leaves, leave_at, keep) = {
             let mut rng = self.rng.borrow_mut();
             let (least, most) = clients.give_up;
@@ -292,7 +365,7 @@
     }
 
     fn request(&self, arrival: &Arrival, patience: Duration, repeat: bool) -> Request<Full<Bytes>> {
-        let class = &self.plan.classes[usize::from(arrival.class)];
+        let class = &self.shared.plan.classes[usize::from(arrival.class)];
         let body = match class.effect {
             Effect::Safe => Bytes::new(),
             // The same bytes for all: only their number matters.
@@ -306,14 +379,14 @@
             .header("x-request-id", format!("{:x}", arrival.id))
             .header("x-class", &class.name)
             .header("x-deadline", format!("{:.3}", patience.as_secs_f64().max(0.001)));
-        if let Some(tenant) = self.plan.tenants.get(usize::from(arrival.tenant)) {
+        if let Some(tenant) = self.shared.plan.tenants.get(usize::from(arrival.tenant)) {
             request = request.header("x-tenant", &tenant.name);
         }
         if class.effect == Effect::Keyed {
             let first = arrival.first.unwrap_or(arrival.id);
             request = request.header("idempotency-key", format!("{first:032x}"));
         }
-        if repeat && self.plan.clients.marks_retry {
+        if repeat && self.shared.plan.clients.marks_retry {
             request = request.header("x-retry", "1");
         }
         request.body(Full::new(body)).expect("names are checked as header values")
--- a/crates/spurdrum-load/tests/engine.rs
+++ b/crates/spurdrum-load/tests/engine.rs
@@ -93,7 +93,7 @@
 }
 
 fn options(server: &Server) -> Options {
-    Options { target: server.address, seed: 1, closed: None, most: Duration::from_secs(60) }
+    Options { target: server.address, seed: 1, closed: None, most: Duration::from_secs(60), threads: 1 }
 }
 
 fn play(plan: &Plan, arrivals: Arrivals, options: &Options) -> Report {
@@ -127,6 +127,14 @@
     // Due evenly over the two seconds: half of those 400 wait for more than a second.
     assert!(above(&open, 1000) >= 180, "{}", above(&open, 1000));
     assert!(open.latency_above_is_spread());
+    let page = spurdrum_load::html::page(&open);
+    assert_eq!(page.matches("<svg").count(), 4);
+    assert!(
+        !page.contains("src=") && !page.contains("href=") && !page.contains("NaN"),
+        "it needs nothing else"
+    );
+    // Ticks of the latencies are round, whatever the latencies are.
+    assert!(page.contains("\n500.0\n") && page.contains("\n1 s\n"), "{page}");
     let server = Server::start(ok, Some(Duration::from_secs(1)));
     let closed = Options { closed: Some((1, Duration::from_secs(4))), ..options(&server) };
     let closed = play(&plan, schedule(&plan), &closed);
@@ -237,3 +245,18 @@
     let report = report.expect("played");
     assert!(report.all.counts.in_time >= 20 && report.seconds < 60.0);
 }
+
+/// What one event loop counts, several count together: nothing is lost or counted twice between them.
+#[test]
+fn several_event_loops_count_as_one() {
+    let server = Server::start(Arc::new(|id, _| (if id.ends_with('0') { 503 } else { 200 }, "")), None);
+    let text = "[[phase]]\nfor_s = 1\nshape = \"constant\"\nrate = 400\narrivals = \"even\"";
+    let plan = plan(text);
+    let counts = |threads| {
+        let report = play(&plan, schedule(&plan), &Options { threads, ..options(&server) });
+        let c = report.all.counts;
+        assert_eq!(c.in_time + c.late + c.refused + c.failed + c.lost + c.not_sent, c.due);
+        (c.due, c.refused)
+    };
+    assert_eq!(counts(1), counts(3));
+}
--- a/crates/spurdrum-standin/src/fleet.rs
+++ b/crates/spurdrum-standin/src/fleet.rs
@@ -1,7 +1,7 @@
 //! A whole fleet, in a thread of its own.
 
 use std::cell::RefCell;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 use std::sync::{mpsc, Arc, Mutex};
@@ -16,113 +16,14 @@
 use tokio::time::{sleep_until, timeout};
 
 use crate::catalog::Catalog;
-use crate::model::{Fate, Model};
+use crate::model::Model;
 use crate::scenario::{Fault, FaultKind, Scenario, Spec};
 use crate::server::Server;
+use crate::tally::Tally;
 
-/// Requests whose ids and keys are told apart; later ones are counted, and no more.
-const TRACKED_MOST: usize = 1 << 20;
 /// A server that is replaced has this long to finish what it has, where the script says nothing.
 const GRACE_S: f64 = 2.0;
 
-/// What the servers of a fleet have seen.
-#[derive(Clone, Debug, Default)]
-pub struct Tally {
-    servers: BTreeMap<String, OfServer>,
-    ids: HashMap<String, Runs>,
-    keys: HashMap<String, Runs>,
-    untracked: u64,
-}
-
-/// What one server has seen.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct OfServer {
-    /// Requests that it began.
-    pub begun: u64,
-    /// Of them, answered well.
-    pub served: u64,
-    /// Requests that it turned away.
-    pub refused: u64,
-    /// Connections that it accepted.
-    pub connections: u64,
-    /// Requests that run now, and that wait.
-    pub load: (usize, usize),
-}
-
-/// How often a request, or a key, ran.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Runs {
-    /// In all.
-    pub begun: u32,
-    /// Now.
-    pub out: u32,
-    /// At once, at most.
-    pub most_at_once: u32,
-    /// When it was begun last, and answered well first, from the start of the fleet.
-    pub begun_at: Duration,
-    /// See `begun_at`.
-    pub answered_at: Option<Duration>,
-}
-
-impl Tally {
-    pub(crate) fn server(&mut self, name: &str) -> &mut OfServer {
-        if !self.servers.contains_key(name) {
-            self.servers.insert(name.to_owned(), OfServer::default());
-        }
-        self.servers.get_mut(name).expect("inserted")
-    }
-
-    pub(crate) fn begin(&mut self, server: &str, id: &str, key: Option<&str>, at: Duration) {
-        self.server(server).begun += 1;
-        let full = self.ids.len() >= TRACKED_MOST && !self.ids.contains_key(id);
-        if full {
-            self.untracked += 1;
-            return;
-        }
-        let begin = |runs: &mut Runs| {
-            runs.begun += 1;
-            runs.out += 1;
-            runs.most_at_once = runs.most_at_once.max(runs.out);
-            runs.begun_at = at;
-        };
-        begin(self.ids.entry(id.to_owned()).or_default());
-        if let Some(key) = key {
-            begin(self.keys.entry(key.to_owned()).or_default());
-        }
-    }
-
-    pub(crate) fn end(&mut self, server: &str, id: &str, fate: Fate, at: Duration) {
-        let served = matches!(fate, Fate::Served | Fate::Surplus(_));
-        self.server(server).served += u64::from(served);
-        if let Some(runs) = self.ids.get_mut(id) {
-            runs.out = runs.out.saturating_sub(1);
-            if served {
-                runs.answered_at = runs.answered_at.or(Some(at));
-            }
-        }
-    }
-
-    /// What each server has seen, by its name.
-    pub fn servers(&self) -> &BTreeMap<String, OfServer> {
-        &self.servers
-    }
-
-    /// How often each request ran, by its id.
-    pub fn ids(&self) -> &HashMap<String, Runs> {
-        &self.ids
-    }
-
-    /// How often each key was begun.
-    pub fn keys(&self) -> &HashMap<String, Runs> {
-        &self.keys
-    }
-
-    /// Requests that were not told apart, for want of room.
-    pub fn untracked(&self) -> u64 {
-        self.untracked
-    }
-}
-
 /// A fleet that runs until it is dropped.
 pub struct Fleet {
     /// Where the catalog answers.
@@ -145,7 +46,7 @@
     pub fn start(scenario: &Scenario) -> Result<Self, String> {
         let (tell, started) = mpsc::channel();
         let (stop, stopped) = oneshot::channel();
-        let tally: Arc<Mutex<Tally>> = Arc::default();
+        let tally = Arc::new(Mutex::new(Tally::tracking(scenario.track)));
         let list = Arc::new(Mutex::new(Catalog::new(scenario.catalog.keeps.unwrap_or(1000))));
         let (scenario, tally_of, list_of) = (scenario.clone(), Arc::clone(&tally), Arc::clone(&list));
         let thread = std::thread::spawn(move || {
--- a/crates/spurdrum-standin/src/lib.rs
+++ b/crates/spurdrum-standin/src/lib.rs
@@ -6,9 +6,12 @@
 
 mod catalog;
 mod fleet;
+pub mod manual;
 pub mod model;
 pub mod scenario;
 mod server;
+mod tally;
 
 pub use catalog::Catalog;
-pub use fleet::{Fleet, Tally};
+pub use fleet::Fleet;
+pub use tally::Tally;
--- a/crates/spurdrum-standin/src/scenario.rs
+++ b/crates/spurdrum-standin/src/scenario.rs
@@ -11,6 +11,9 @@
     /// Drives all that is random: the same seed gives the same order of faults.
     #[serde(default)]
     pub seed: u64,
+    /// Requests that are told apart by id and key; later ones are counted, and no more.
+    #[serde(default = "tracked")]
+    pub track: usize,
     /// Kinds of servers.
     #[serde(rename = "servers")]
     pub groups: Vec<Spec>,
@@ -162,6 +165,10 @@
     }
 }
 
+fn tracked() -> usize {
+    1 << 20
+}
+
 fn whole() -> f64 {
     1.0
 }
--- a/crates/spurdrum-standin/src/server.rs
+++ b/crates/spurdrum-standin/src/server.rs
@@ -13,8 +13,8 @@
 use tokio::sync::{oneshot, Notify};
 use tokio::time::sleep;
 
-use crate::fleet::Tally;
 use crate::model::{Fate, Model};
+use crate::tally::Tally;
 
 const HEAD_MOST: usize = 16 * 1024;
 const BODY_MOST: usize = 1 << 20;
--- /dev/null
+++ b/crates/spurdrum-standin/src/tally.rs
@@ -0,0 +1,111 @@
+//! What servers count, so that a test can ask whether a request ran twice, or twice at once.
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+
+use crate::model::Fate;
+
+/// What the servers of a fleet have seen.
+#[derive(Clone, Debug, Default)]
+pub struct Tally {
+    servers: BTreeMap<String, OfServer>,
+    ids: HashMap<String, Runs>,
+    keys: HashMap<String, Runs>,
+    untracked: u64,
+    /// Requests that are told apart.
+    track: usize,
+}
+
+/// What one server has seen.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct OfServer {
+    /// Requests that it began.
+    pub begun: u64,
+    /// Of them, answered well.
+    pub served: u64,
+    /// Requests that it turned away.
+    pub refused: u64,
+    /// Connections that it accepted.
+    pub connections: u64,
+    /// Requests that run now, and that wait.
+    pub load: (usize, usize),
+}
+
+/// How often a request, or a key, ran.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Runs {
+    /// In all.
+    pub begun: u32,
+    /// Now.
+    pub out: u32,
+    /// At once, at most.
+    pub most_at_once: u32,
+    /// When it was begun last, and answered well first, from the start of the fleet.
+    pub begun_at: Duration,
+    /// See `begun_at`.
+    pub answered_at: Option<Duration>,
+}
+
+impl Tally {
+    /// Tells so many requests apart.
+    pub(crate) fn tracking(track: usize) -> Self {
+        Self { track, ..Self::default() }
+    }
+
+    pub(crate) fn server(&mut self, name: &str) -> &mut OfServer {
+        if !self.servers.contains_key(name) {
+            self.servers.insert(name.to_owned(), OfServer::default());
+        }
+        self.servers.get_mut(name).expect("inserted")
+    }
+
+    pub(crate) fn begin(&mut self, server: &str, id: &str, key: Option<&str>, at: Duration) {
+        self.server(server).begun += 1;
+        let full = self.ids.len() >= self.track && !self.ids.contains_key(id);
+        if full {
+            self.untracked += 1;
+            return;
+        }
+        let begin = |runs: &mut Runs| {
+            runs.begun += 1;
+            runs.out += 1;
+            runs.most_at_once = runs.most_at_once.max(runs.out);
+            runs.begun_at = at;
+        };
+        begin(self.ids.entry(id.to_owned()).or_default());
+        if let Some(key) = key {
+            begin(self.keys.entry(key.to_owned()).or_default());
+        }
+    }
+
+    pub(crate) fn end(&mut self, server: &str, id: &str, fate: Fate, at: Duration) {
+        let served = matches!(fate, Fate::Served | Fate::Surplus(_));
+        self.server(server).served += u64::from(served);
+        if let Some(runs) = self.ids.get_mut(id) {
+            runs.out = runs.out.saturating_sub(1);
+            if served {
+                runs.answered_at = runs.answered_at.or(Some(at));
+            }
+        }
+    }
+
+    /// What each server has seen, by its name.
+    pub fn servers(&self) -> &BTreeMap<String, OfServer> {
+        &self.servers
+    }
+
+    /// How often each request ran, by its id.
+    pub fn ids(&self) -> &HashMap<String, Runs> {
+        &self.ids
+    }
+
+    /// How often each key was begun.
+    pub fn keys(&self) -> &HashMap<String, Runs> {
+        &self.keys
+    }
+
+    /// Requests that were not told apart, for want of room.
+    pub fn untracked(&self) -> u64 {
+        self.untracked
+    }
+}
--- a/crates/spurdrum/src/net/config.rs
+++ b/crates/spurdrum/src/config.rs
@@ -1,16 +1,20 @@
-//! What a node is told: the `GW_*` variables and the JSON that one of them names.
+//! What a node is told: by `[node]` and its like in the file that the command line names, or else by the `GW_*` variables
+//! and the JSON that one of them names.
 
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::time::Duration;
 
 use serde::Deserialize;
 use serde_json::Value;
 use spurdrum_admission::Limits;
-use spurdrum_policy::{Discovery, Effect, Report, Settings};
+use spurdrum_http::Names;
+use spurdrum_policy::{Discovery, Settings};
 use spurdrum_sources::{follower, List};
 
-use super::file;
+use crate::file;
+use crate::list::Places;
+use crate::log::Format;
 
 /// Everything that a node knows before its first event.
 pub struct Config {
@@ -18,14 +22,16 @@
     pub name: String,
     /// Where clients connect.
     pub listen: SocketAddr,
-    /// Where discovery answers. What the file says counts over the variable: the file can be replaced.
-    pub discovery: SocketAddr,
+    /// What that is called where it was told.
+    pub listen_key: &'static str,
+    /// Where the list of servers comes from. What the file says counts over the variable: the file can be replaced.
+    pub source: Source,
+    /// What the log looks like.
+    pub log: Format,
     /// For random numbers.
     pub seed: u64,
     /// Descriptors and memory that it may use.
     pub limits: Limits,
-    /// The file that the command line names, which is read again on a reload.
-    pub file: Option<PathBuf>,
     /// How client connections are dealt with.
     pub connections: spurdrum_admission::Settings,
     /// How the list of servers is followed.
@@ -34,8 +40,10 @@
     pub known: List,
     /// What the decisions go by.
     pub settings: Settings,
-    /// The names that requests, lists and load reports use.
+    /// The names that requests use.
     pub names: Names,
+    /// The names of zones and machine kinds, as lists use them.
+    pub places: Places,
     /// A server closes a connection that stands idle for this long.
     pub conn_idle: Duration,
     /// A connection that is not made by then has failed.
@@ -44,22 +52,23 @@
     pub most_held: usize,
 }
 
-/// Names in the order of the settings, whose indices the decisions use.
-pub struct Names {
-    /// Classes of requests.
-    pub classes: Vec<String>,
-    /// Tenants; there may be none.
-    pub tenants: Vec<String>,
-    /// Zones.
-    pub zones: Vec<String>,
-    /// Machine kinds.
-    pub kinds: Vec<String>,
+/// Where a list of servers comes from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Source {
+    /// The file has it.
+    Static,
+    /// A catalog at this address.
+    Catalog(SocketAddr),
 }
 
 impl Config {
-    /// Reads the environment and the file that it names, and the one that the command line names. The error
-    /// names the key at fault.
+    /// Reads the file that the command line names; without `[node]` in it, also the environment and the file that that names.
+    /// The error names the key at fault.
     pub fn read(more: Option<&Path>) -> Result<Self, String> {
+        let file = file::read(more)?;
+        if let Some(alone) = file.alone() {
+            return Ok(alone);
+        }
         let name = variable("GW_NAME")?;
         let listen = address("GW_LISTEN")?;
         let path = variable("GW_CONFIG")?;
@@ -79,39 +88,31 @@
         }
         let settings = spurdrum_facts::read_settings(facts).map_err(|e| format!("`settings`: {e}"))?;
         settings.validate().map_err(|e| format!("`settings`: {e}"))?;
-        let names = Names {
-            classes: names(facts, "classes")?,
-            tenants: names(facts, "parties")?,
-            zones: names(facts, "zones")?,
-            kinds: names(facts, "kinds")?,
-        };
+        let places = Places { zones: names(facts, "zones")?, kinds: names(facts, "kinds")? };
+        let names = Names { classes: names(facts, "classes")?, tenants: names(facts, "parties")? };
         let allowed = &facts["allowed"];
-        let file = file::read(more)?;
         let mut following = file.following();
         (following.nodes, following.me) = (settings.nodes, settings.me);
         following.pushed = settings.discovery == Discovery::Push;
         Ok(Self {
             name,
             listen,
-            discovery,
+            listen_key: "GW_LISTEN",
+            source: Source::Catalog(discovery),
+            log: file.log(),
             seed: seed.ok_or("`seed` is missing or no hexadecimal number")?,
             limits: Limits { sockets: whole(&json["limits"], "sockets")?, memory: memory(&json["limits"])? },
-            file: more.map(Path::to_owned),
             connections: file.connections(),
             following,
             known,
             settings,
             names,
+            places,
             conn_idle: millis(allowed, "conn_idle_ms")?,
             dial_timeout: millis(allowed, "dial_timeout_ms")?,
             most_held: whole(allowed, "most_held")?,
         })
     }
-
-    /// What running a request of a class twice does.
-    pub fn effect(&self, class: usize) -> Effect {
-        self.settings.classes[class].effect
-    }
 }
 
 fn variable(key: &str) -> Result<String, String> {
@@ -155,19 +156,3 @@
     let named: Option<Vec<String>> = list.iter().map(name).collect();
     named.ok_or_else(|| format!("`{key}` has an entry with no name"))
 }
-
-/// Reads a load report such as `active=7,waiting=2`; one that is malformed tells nothing.
-/// Guards against counts that never hear a report: servers use the settings' names, but others are about.
-pub fn load_report(text: &str) -> Option<Report> {
-    let mut report = Report::default();
-    for pair in text.trim().split(',') {
-        let (name, value) = pair.split_once('=')?;
-        let value = value.trim().parse::<f64>().ok().filter(|x| x.is_finite() && *x >= 0.0)?;
-        match name.trim() {
-            "active" | "inflight" => report.in_flight = Some(value),
-            "waiting" | "queue" => report.queued = Some(value),
-            _ => {}
-        }
-    }
-    (report != Report::default()).then_some(report)
-}
--- /dev/null
+++ b/crates/spurdrum/src/file.rs
@@ -0,0 +1,520 @@
+//! What may be set beyond what the platform tells: one TOML file with a table for each subsystem.
+
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use serde::Deserialize;
+use spurdrum_admission::{Limits, Pace, Settings};
+use spurdrum_http::Names;
+use spurdrum_policy::{Class, Effect, Group};
+use spurdrum_sources::{follower, List, Member, Phase};
+
+use crate::config::{Config, Source};
+use crate::list::Places;
+use crate::log::Format;
+
+/// The whole file. A table that is absent leaves its subsystem off.
+#[derive(Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct File {
+    node: Option<NodeTable>,
+    #[serde(default)]
+    class: Vec<ClassTable>,
+    servers: Option<ServersTable>,
+    log: Option<LogTable>,
+    connections: Option<Connections>,
+    sources: Option<Sources>,
+}
+
+/// Table `[node]`: a node that is told everything by this file.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct NodeTable {
+    #[serde(default = "node_name")]
+    name: String,
+    listen: SocketAddr,
+    seed: Option<u64>,
+    #[serde(default = "sockets")]
+    sockets: usize,
+    memory_mb: Option<u64>,
+    #[serde(default = "most_held")]
+    most_held: usize,
+    #[serde(default = "one")]
+    nodes: usize,
+    #[serde(default)]
+    me: usize,
+    #[serde(default)]
+    zone: String,
+    #[serde(default)]
+    tenants: Vec<String>,
+    retry_after_most_ms: Option<f64>,
+}
+
+fn node_name() -> String {
+    "spurdrum".into()
+}
+
+fn sockets() -> usize {
+    1024
+}
+
+fn most_held() -> usize {
+    10_000
+}
+
+fn one() -> usize {
+    1
+}
+
+/// One of `[[class]]`.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct ClassTable {
+    name: String,
+    effect: EffectName,
+    #[serde(default)]
+    group: GroupName,
+    window_ms: Option<f64>,
+    aim_ms: Option<f64>,
+    deadline_ms: f64,
+    worth: Option<f64>,
+    late_worth: Option<f64>,
+}
+
+#[derive(Clone, Copy, Deserialize, PartialEq)]
+#[serde(rename_all = "lowercase")]
+enum EffectName {
+    Safe,
+    Keyed,
+    Unsafe,
+}
+
+#[derive(Clone, Copy, Default, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum GroupName {
+    All,
+    Zone,
+    #[default]
+    Cell,
+}
+
+/// Table `[servers]`.
+#[derive(Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+struct ServersTable {
+    idle_ms: Option<u64>,
+    dial_timeout_ms: Option<u64>,
+    max_attempts: Option<usize>,
+    cold_ms: Option<f64>,
+    cold_from: Option<f64>,
+}
+
+/// Table `[log]`.
+#[derive(Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+struct LogTable {
+    format: Format,
+}
+
+/// Table `[sources]`.
+#[derive(Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Sources {
+    catalog: Option<Following>,
+    #[serde(rename = "static")]
+    fixed: Option<StaticTable>,
+}
+
+/// Table `[sources.static]`: a fleet that needs no catalog.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct StaticTable {
+    servers: Vec<StaticServer>,
+}
+
+/// One of `servers` there.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct StaticServer {
+    id: Option<String>,
+    address: SocketAddr,
+    #[serde(default)]
+    zone: String,
+    #[serde(default)]
+    kind: String,
+    #[serde(default)]
+    cell: usize,
+    #[serde(default = "weight")]
+    weight: f64,
+}
+
+fn weight() -> f64 {
+    1.0
+}
+
+/// Table `[sources.catalog]`. Times are in milliseconds.
+#[derive(Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+struct Following {
+    address: Option<SocketAddr>,
+    wait_least_ms: Option<u64>,
+    wait_most_ms: Option<u64>,
+    patience_ms: Option<u64>,
+    blind_after_ms: Option<u64>,
+    retry_least_ms: Option<u64>,
+    retry_most_ms: Option<u64>,
+    share: Option<f64>,
+    extra: Option<f64>,
+}
+
+/// Table `[connections]`. Times are in milliseconds, rates in bytes a second, parts between 0 and 1.
+#[derive(Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+struct Connections {
+    clients_hold: Option<f64>,
+    client_share: Option<f64>,
+    floor: Option<f64>,
+    memory_share: Option<f64>,
+    silent_share: Option<f64>,
+    sending_share: Option<f64>,
+    pressed_at: Option<f64>,
+    calm_below: Option<f64>,
+    full_at: Option<f64>,
+    pressed_below: Option<f64>,
+    dwell_ms: Option<u64>,
+    return_within_ms: Option<u64>,
+    half_life_ms: Option<u64>,
+    explore: Option<u32>,
+    coming_ms: Option<u64>,
+    silent_ms: Option<u64>,
+    silent_pressed_ms: Option<u64>,
+    idle_ms: Option<u64>,
+    head: Option<PaceTable>,
+    body: Option<PaceTable>,
+    read: Option<PaceTable>,
+    linger_ms: Option<u64>,
+    peers: Option<usize>,
+    peer_prefix: Option<u8>,
+    retry_after_ms: Option<u64>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct PaceTable {
+    first_ms: Option<u64>,
+    rate: Option<f64>,
+    most_ms: Option<u64>,
+}
+
+/// Reads the file; none means that everything is off. The error names the file, the line and the key.
+pub fn read(path: Option<&Path>) -> Result<File, String> {
+    let Some(path) = path else { return Ok(File::default()) };
+    let shown = path.display();
+    let text = std::fs::read_to_string(path).map_err(|e| format!("{shown}: cannot be read: {e}"))?;
+    parse(&text).map_err(|why| format!("{shown}:{why}"))
+}
+
+/// Reads the file's text. The error begins with the line.
+fn parse(text: &str) -> Result<File, String> {
+    let file: File = toml::from_str(text).map_err(|error| {
+        let at = error.span().map_or(0, |span| span.start);
+        let line = text[..at.min(text.len())].matches('\n').count() + 1;
+        let key = text.lines().nth(line - 1).unwrap_or_default().split('=').next().unwrap_or_default().trim();
+        format!("{line}: `{key}`: {}", error.message())
+    })?;
+    let line_of = |table: &str, key: &str| {
+        let (of_table, of_key) = (format!("[{table}"), format!("{table}."));
+        let begins = text.lines().position(|line| line.trim_start().starts_with(&of_table)).unwrap_or(0);
+        let of = |line: &str| {
+            line.trim_start().trim_start_matches('[').trim_start_matches(&of_key).starts_with(key)
+        };
+        text.lines().skip(begins).position(of).map_or(1, |line| begins + line + 1)
+    };
+    let wrong =
+        |table: &str, key: &str, why: &str| format!("{}: `{table}.{key}`: {why}", line_of(table, key));
+    file.connections().validate().map_err(|(key, why)| wrong("connections", key, &why))?;
+    file.following().validate().map_err(|(key, why)| wrong("sources.catalog", key, why))?;
+    file.check().map_err(|(table, key, why)| wrong(table, key, why))?;
+    Ok(file)
+}
+
+fn set<T: Copy>(to: &mut T, from: Option<T>) {
+    if let Some(from) = from {
+        *to = from;
+    }
+}
+
+fn set_time(to: &mut Duration, from: Option<u64>) {
+    set(to, from.map(Duration::from_millis));
+}
+
+impl File {
+    /// The settings for connections: without the table, budgets and times only.
+    pub fn connections(&self) -> Settings {
+        let mut settings = Settings { adaptive: self.connections.is_some(), ..Settings::default() };
+        let Some(table) = &self.connections else { return settings };
+        let time = set_time;
+        let pace = |to: &mut Pace, from: &Option<PaceTable>| {
+            if let Some(from) = from {
+                time(&mut to.first, from.first_ms);
+                set(&mut to.rate, from.rate);
+                time(&mut to.most, from.most_ms);
+            }
+        };
+        set(&mut settings.clients_hold, table.clients_hold);
+        set(&mut settings.client_share, table.client_share);
+        set(&mut settings.floor, table.floor);
+        set(&mut settings.memory_share, table.memory_share);
+        set(&mut settings.silent_share, table.silent_share);
+        set(&mut settings.sending_share, table.sending_share);
+        set(&mut settings.pressed_at, table.pressed_at);
+        set(&mut settings.calm_below, table.calm_below);
+        set(&mut settings.full_at, table.full_at);
+        set(&mut settings.pressed_below, table.pressed_below);
+        time(&mut settings.dwell, table.dwell_ms);
+        time(&mut settings.return_within, table.return_within_ms);
+        time(&mut settings.half_life, table.half_life_ms);
+        set(&mut settings.explore, table.explore);
+        time(&mut settings.coming, table.coming_ms);
+        time(&mut settings.silent, table.silent_ms);
+        time(&mut settings.silent_pressed, table.silent_pressed_ms);
+        time(&mut settings.idle, table.idle_ms);
+        pace(&mut settings.head, &table.head);
+        pace(&mut settings.body, &table.body);
+        pace(&mut settings.read, &table.read);
+        time(&mut settings.linger, table.linger_ms);
+        set(&mut settings.peers, table.peers);
+        set(&mut settings.peer_prefix, table.peer_prefix);
+        time(&mut settings.retry_after, table.retry_after_ms);
+        settings
+    }
+
+    /// How the list of servers is followed.
+    pub fn following(&self) -> follower::Settings {
+        let mut settings = follower::Settings::default();
+        let Some(table) = self.sources.as_ref().and_then(|sources| sources.catalog.as_ref()) else {
+            return settings;
+        };
+        set_time(&mut settings.wait_least, table.wait_least_ms);
+        set_time(&mut settings.wait_most, table.wait_most_ms);
+        set_time(&mut settings.patience, table.patience_ms);
+        set_time(&mut settings.blind_after, table.blind_after_ms);
+        set_time(&mut settings.retry_least, table.retry_least_ms);
+        set_time(&mut settings.retry_most, table.retry_most_ms);
+        set(&mut settings.share, table.share);
+        set(&mut settings.extra, table.extra);
+        settings
+    }
+
+    /// What the log looks like.
+    pub fn log(&self) -> Format {
+        self.log.as_ref().map(|log| log.format).unwrap_or_default()
+    }
+
+    /// Whether it tells a node everything.
+    pub fn has_node(&self) -> bool {
+        self.node.is_some()
+    }
+
+    /// What makes no sense: the table, the key, and why.
+    fn check(&self) -> Result<(), (&'static str, &'static str, &'static str)> {
+        let fixed = self.fixed();
+        let mut ids = HashSet::new();
+        for server in fixed.iter().flat_map(|table| &table.servers) {
+            if !ids.insert(server.name()) {
+                return Err(("sources.static", "servers", "two servers have one id or address"));
+            }
+            if !(server.weight.is_finite() && server.weight > 0.0) {
+                return Err(("sources.static", "weight", "is no number above 0"));
+            }
+        }
+        if self.catalog_address().is_some() && fixed.is_some() {
+            return Err(("sources.static", "servers", "stands beside `sources.catalog.address`"));
+        }
+        let Some(node) = &self.node else {
+            return match (fixed, self.catalog_address(), self.class.first(), &self.servers) {
+                (Some(_), ..) => Err(("sources.static", "servers", "needs [node]")),
+                (_, Some(_), ..) => Err(("sources.catalog", "address", "needs [node]")),
+                (_, _, Some(_), _) => Err(("class", "name", "needs [node]")),
+                (.., Some(_)) => Err(("servers", "", "needs [node]")),
+                _ => Ok(()),
+            };
+        };
+        if self.class.is_empty() {
+            return Err(("node", "listen", "there is no [[class]]"));
+        }
+        if fixed.is_none() && self.catalog_address().is_none() {
+            return Err((
+                "node",
+                "listen",
+                "there is neither [sources.static] nor `sources.catalog.address`",
+            ));
+        }
+        if node.sockets < 32 || node.most_held == 0 || node.me >= node.nodes {
+            return Err(("node", "sockets", "is under 32, `most_held` 0, or `me` not below `nodes`"));
+        }
+        let mut names = HashSet::new();
+        if !self.class.iter().all(|class| names.insert(&class.name)) {
+            return Err(("class", "name", "two classes have one name"));
+        }
+        if self.class.iter().any(|class| class.effect == EffectName::Keyed && class.window_ms.is_none()) {
+            return Err(("class", "effect", "a keyed class needs `window_ms`"));
+        }
+        self.settings(node, &self.places(node))
+            .validate()
+            .map_err(|_| ("class", "deadline_ms", "a time or worth is out of range"))
+    }
+
+    fn fixed(&self) -> Option<&StaticTable> {
+        self.sources.as_ref().and_then(|sources| sources.fixed.as_ref())
+    }
+
+    fn catalog_address(&self) -> Option<SocketAddr> {
+        self.sources.as_ref()?.catalog.as_ref()?.address
+    }
+
+    /// Zones and kinds by their first naming; the node's own zone is the first.
+    fn places(&self, node: &NodeTable) -> Places {
+        let (mut zones, mut kinds) = (vec![node.zone.clone()], Vec::new());
+        for server in self.fixed().iter().flat_map(|table| &table.servers) {
+            for (names, name) in [(&mut zones, &server.zone), (&mut kinds, &server.kind)] {
+                if !names.contains(name) {
+                    names.push(name.clone());
+                }
+            }
+        }
+        Places { zones, kinds }
+    }
+
+    fn settings(&self, node: &NodeTable, places: &Places) -> spurdrum_policy::Settings {
+        let class = |table: &ClassTable| {
+            let group = match table.group {
+                GroupName::All => Group::All,
+                GroupName::Zone => Group::Zone,
+                GroupName::Cell => Group::Cell,
+            };
+            let effect = match table.effect {
+                EffectName::Safe => Effect::Safe,
+                EffectName::Keyed => Effect::Keyed { group, window_ms: table.window_ms.unwrap_or(0.0) },
+                EffectName::Unsafe => Effect::Unsafe,
+            };
+            let mut class = Class::new(table.aim_ms.unwrap_or(table.deadline_ms), table.deadline_ms, effect);
+            set(&mut class.worth, table.worth);
+            set(&mut class.late_worth, table.late_worth);
+            class
+        };
+        let mut settings = spurdrum_policy::Settings::new(self.class.iter().map(class).collect());
+        settings.quotas_per_s = vec![f64::MAX; node.tenants.len()];
+        (settings.nodes, settings.me) = (node.nodes, node.me);
+        settings.kinds = places.kinds.len().max(1);
+        settings.retry_after_most_ms = node.retry_after_most_ms;
+        let servers = self.servers.as_ref();
+        set(&mut settings.max_attempts, servers.and_then(|servers| servers.max_attempts));
+        set(&mut settings.cold_ms, servers.and_then(|servers| servers.cold_ms));
+        set(&mut settings.cold_from, servers.and_then(|servers| servers.cold_from));
+        settings
+    }
+
+    /// All that a node is told, where `[node]` is there.
+    pub fn alone(&self) -> Option<Config> {
+        let node = self.node.as_ref()?;
+        let places = self.places(node);
+        let settings = self.settings(node, &places);
+        let members = self.fixed().map(|table| table.servers.iter().map(StaticServer::member).collect());
+        let mut following = self.following();
+        (following.nodes, following.me) = (node.nodes, node.me);
+        let time = |ms: Option<u64>, default| Duration::from_millis(ms.unwrap_or(default));
+        let servers = self.servers.as_ref();
+        Some(Config {
+            name: node.name.clone(),
+            listen: node.listen,
+            listen_key: "node.listen",
+            source: self.catalog_address().map_or(Source::Static, Source::Catalog),
+            log: self.log(),
+            seed: node.seed.unwrap_or_else(random_seed),
+            limits: Limits {
+                sockets: node.sockets,
+                memory: node.memory_mb.map_or(1 << 50, |mb| mb.min(1 << 30) << 20),
+            },
+            connections: self.connections(),
+            following,
+            known: List { revision: 0, complete: true, members: members.unwrap_or_default() },
+            names: Names {
+                classes: self.class.iter().map(|class| class.name.clone()).collect(),
+                tenants: node.tenants.clone(),
+            },
+            places,
+            conn_idle: time(servers.and_then(|servers| servers.idle_ms), 20_000),
+            dial_timeout: time(servers.and_then(|servers| servers.dial_timeout_ms), 250),
+            most_held: node.most_held,
+            settings,
+        })
+    }
+}
+
+/// Nodes that start together must not choose alike.
+fn random_seed() -> u64 {
+    use std::hash::{BuildHasher, RandomState};
+    RandomState::new().hash_one(std::process::id())
+}
+
+impl StaticServer {
+    fn name(&self) -> String {
+        self.id.clone().unwrap_or_else(|| self.address.to_string())
+    }
+
+    fn member(&self) -> Member {
+        Member {
+            id: self.name(),
+            host_port: self.address,
+            locality: self.zone.clone(),
+            flavor: self.kind.clone(),
+            cell: self.cell,
+            phase: Phase::Active,
+            size: self.weight,
+            up_since_ms: 0.0,
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use proptest::prelude::*;
+
+    use super::*;
+
+    const SOUND: &str = "[node]\nlisten = \"127.0.0.1:1\"\ntenants = [\"a\"]\n[[class]]\nname = \"r\"\n\
+                         effect = \"keyed\"\nwindow_ms = 5\ndeadline_ms = 9\n[servers]\nidle_ms = 5\n\
+                         [connections]\nclients_hold = 0.3\nhead = { first_ms = 3 }\n[log]\nformat = \"json\"\n\
+                         [sources.static]\nservers = [{ address = \"127.0.0.1:2\", weight = 2.0 }]\n";
+
+    proptest! {
+        #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+        /// Whatever is changed in a file, it is read, or refused with its line.
+        #[test]
+        fn a_spoilt_file_is_read_or_refused_with_a_line(
+            at in 0..SOUND.len(),
+            gone in 0..20_usize,
+            put in "[-a-z0-9=.\"\\[\\]{} \n]{0,12}",
+        ) {
+            let end = (at + gone).min(SOUND.len());
+            let text = format!("{}{put}{}", &SOUND[..at], &SOUND[end..]);
+            match parse(&text) {
+                Ok(file) => drop(file.alone()),
+                Err(why) => {
+                    let line = why.split(':').next().and_then(|line| line.parse::<usize>().ok());
+                    prop_assert!(line.is_some_and(|line| line <= text.lines().count() + 1), "{why}");
+                }
+            }
+        }
+    }
+
+    #[test]
+    fn the_sound_one_is_sound() {
+        let alone = parse(SOUND).map(|file| file.alone().is_some());
+        assert_eq!(alone, Ok(true));
+    }
+}
--- /dev/null
+++ b/crates/spurdrum/src/list.rs
@@ -0,0 +1,59 @@
+//! Between sources and the core: what a source says of servers, in the terms of the decisions.
+
+use spurdrum_core::{Listed, Sign};
+use spurdrum_policy::{Availability, ServerEntry, ServerId};
+use spurdrum_sources::follower::{Counts, Evidence, View};
+use spurdrum_sources::{List, Member, Phase};
+
+/// Names in the order of the settings, whose indices the decisions use.
+#[derive(Clone, Debug, Default)]
+pub struct Places {
+    /// Zones.
+    pub zones: Vec<String>,
+    /// Machine kinds.
+    pub kinds: Vec<String>,
+}
+
+impl Places {
+    /// The servers of a list.
+    pub fn listed(&self, list: &List) -> Vec<Listed> {
+        list.members.iter().map(|member| self.entry(member)).collect()
+    }
+
+    fn entry(&self, member: &Member) -> Listed {
+        let place = |names: &[String], name| names.iter().position(|n| n == name).unwrap_or(names.len());
+        let entry = ServerEntry {
+            server: ServerId(0),
+            availability: match member.phase {
+                Phase::Active => Availability::Ready,
+                Phase::Leaving => Availability::Draining,
+                Phase::Left => Availability::Gone,
+            },
+            started_at: Some(member.up_since_ms).filter(|at| *at > 0.0),
+            cell: member.cell,
+            zone: place(&self.zones, &member.locality),
+            kind: place(&self.kinds, &member.flavor),
+            weight: member.size,
+            key: spurdrum_facts::key(&member.id),
+        };
+        Listed { id: member.id.clone(), address: member.host_port, entry }
+    }
+}
+
+/// What servers show, as a follower takes it.
+pub fn evidence(sign: Sign) -> Evidence {
+    match sign {
+        Sign::Unreachable(server) => Evidence::Unreachable(server.0 as u64),
+        Sign::Refused { idle } => Evidence::Refused { idle },
+        Sign::TakenOut => Evidence::TakenOut,
+    }
+}
+
+/// The state of a list in one line, for operators.
+pub fn status(
+    (view, age, revision, counts): (View, Option<std::time::Duration>, Option<u64>, Counts),
+) -> String {
+    let age = age.map_or("never".to_owned(), |age| format!("{:.1} s ago", age.as_secs_f64()));
+    let revision = revision.map_or("none".to_owned(), |revision| revision.to_string());
+    format!("list {view}, confirmed {age}, version {revision}; {counts}")
+}
--- a/crates/spurdrum/src/main.rs
+++ b/crates/spurdrum/src/main.rs
@@ -5,16 +5,50 @@
 use std::process::ExitCode;
 use std::rc::Rc;
 
+use clap::{Parser, Subcommand};
+use spurdrum_core::{Connections, Node};
+use spurdrum_http::{Front, Upstream};
+use spurdrum_sources::catalog::{Catalog, News};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::task::LocalSet;
 
-mod net;
+mod config;
+mod file;
+mod list;
+mod log;
 
-use net::{config::Config, frontend, node, node::Node};
+use config::{Config, Source};
+
+/// A load-balancing reverse proxy: one node.
+///
+/// Without `[node]` in its file, it is told what it needs in GW_NAME, GW_LISTEN, GW_DISCOVERY and GW_CONFIG.
+#[derive(Parser)]
+#[command(version, about)]
+struct Cli {
+    /// TOML with a table for each subsystem that is to be on.
+    #[arg(long, value_name = "FILE")]
+    config: Option<PathBuf>,
+    #[command(subcommand)]
+    command: Option<Command>,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Read a file as `--config` would, say what is wrong with it, and end.
+    Check {
+        /// The file.
+        file: PathBuf,
+    },
+}
 
 fn main() -> ExitCode {
-    match start() {
+    let cli = Cli::parse();
+    let done = match cli.command {
+        Some(Command::Check { file }) => check(&file),
+        None => start(cli.config),
+    };
+    match done {
         Ok(()) => ExitCode::SUCCESS,
         Err(why) => {
             eprintln!("spurdrum: {}", spurdrum_facts::one_line(&why));
@@ -23,27 +57,16 @@
     }
 }
 
-const USAGE: &str = "usage: spurdrum [--config FILE]\n\nWhat a node is told comes in GW_NAME, GW_LISTEN, \
-                     GW_DISCOVERY and GW_CONFIG.\n\n  --config FILE   TOML with a table for each subsystem that \
-                     is to be on, such as [connections]\n  --help          this text";
-
-/// The file that the command line names.
-fn arguments() -> Result<Option<PathBuf>, String> {
-    use lexopt::prelude::{Long, Short};
-    let mut parser = lexopt::Parser::from_env();
-    let mut file = None;
-    let wrong = |error: lexopt::Error| format!("{error}; see `spurdrum --help`");
-    while let Some(argument) = parser.next().map_err(wrong)? {
-        match argument {
-            Long("config") => file = Some(parser.value().map_err(wrong)?.into()),
-            Long("help") | Short('h') => {
-                println!("{USAGE}");
-                std::process::exit(0);
-            }
-            other => return Err(wrong(other.unexpected())),
+fn check(file: &std::path::Path) -> Result<(), String> {
+    match file::read(Some(file))?.has_node() {
+        true => {
+            Config::read(Some(file)).map(|_| println!("{}: sound, and all that a node needs", file.display()))
+        }
+        false => {
+            println!("{}: sound; without [node], the rest comes in GW_CONFIG", file.display());
+            Ok(())
         }
     }
-    Ok(file)
 }
 
 /// Asks for as many descriptors as the node may hold; where the system gives fewer, the budgets follow it.
@@ -58,13 +81,12 @@
     }
     let most = getrlimit(Resource::Nofile).current.unwrap_or(wanted);
     if most < wanted {
-        node::note(&config.name, &format!("`sockets` is {wanted}, but the system allows {most} descriptors"));
+        tracing::warn!("`sockets` is {wanted}, but the system allows {most} descriptors");
         config.limits.sockets = most as usize;
     }
 }
 
-fn start() -> Result<(), String> {
-    let file = arguments()?;
+fn start(file: Option<PathBuf>) -> Result<(), String> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|error| format!("cannot start the event loop: {error}"))?;
     LocalSet::new().block_on(&runtime, serve(file))
@@ -76,24 +98,101 @@
     let mut stop = hear(SignalKind::terminate(), "SIGTERM")?;
     let mut reload = hear(SignalKind::hangup(), "SIGHUP")?;
     let mut config = Config::read(file.as_deref())?;
+    let _log = log::start(&config.name, config.log);
     raise_descriptors(&mut config);
     let listener = TcpListener::bind(config.listen).await;
-    let listener =
-        listener.map_err(|error| format!("`GW_LISTEN`: cannot listen on {}: {error}", config.listen))?;
-    let node = Node::start(config)?;
-    tokio::task::spawn_local(Rc::clone(&node).follow());
+    let listener = listener
+        .map_err(|error| format!("`{}`: cannot listen on {}: {error}", config.listen_key, config.listen))?;
+
+    let connections =
+        Connections::new(config.connections.clone(), config.limits, config.settings.retry_after_most_ms)
+            .map_err(|(key, why)| format!("`connections.{key}`: {why}"))?;
+    let catalog = match config.source {
+        Source::Static => None,
+        Source::Catalog(address) => {
+            // Without a list of an earlier run the whole list is read first.
+            let known = &config.known;
+            let known = (known.revision > 0 || !known.members.is_empty()).then_some(known.revision);
+            let catalog = Catalog::new(address, config.following.clone(), config.seed, known);
+            Some(catalog.map_err(|(key, why)| format!("`sources.catalog.{key}`: {why}"))?)
+        }
+    };
+    let upstream = Upstream::new(Rc::clone(&connections), config.conn_idle, config.dial_timeout);
+    let signs = catalog.clone();
+    let core = spurdrum_core::Config {
+        seed: config.seed,
+        settings: config.settings,
+        most_held: config.most_held,
+        tidy_every: config.conn_idle / 20,
+    };
+    let node = Node::new(core, Rc::clone(&connections), upstream, move |sign| {
+        if let Some(catalog) = &signs {
+            catalog.evidence(list::evidence(sign));
+        }
+    })?;
+    let places = Rc::new(config.places);
+    node.known(places.listed(&config.known));
+    if let Some(catalog) = &catalog {
+        tokio::task::spawn_local(follow(Rc::clone(catalog), Rc::clone(&node), Rc::clone(&places)));
+    }
     tokio::task::spawn_local(Rc::clone(&node).reap());
     tokio::task::spawn_local(Rc::clone(&node).lend());
-    tokio::task::spawn_local(Rc::clone(&node.connections).keep_time());
-    let reloaded = Rc::clone(&node);
+    tokio::task::spawn_local(Rc::clone(&connections).keep_time());
+    let (reloaded, followed) = (Rc::clone(&node), catalog.clone());
     tokio::task::spawn_local(async move {
         while reload.recv().await.is_some() {
-            reloaded.reload().await;
+            read_again(file.clone(), &reloaded, followed.as_ref(), &places).await;
         }
     });
-    frontend::run(node, listener, async move {
+    let status = move || match &catalog {
+        Some(catalog) => list::status(catalog.status()),
+        None => "list static".to_owned(),
+    };
+    let front = Front::new(node, config.names, status);
+    spurdrum_http::run(front, listener, async move {
         stop.recv().await;
     })
     .await;
     Ok(())
 }
+
+/// Follows the list for as long as the node runs.
+async fn follow(catalog: Rc<Catalog>, node: Rc<Node<Upstream>>, places: Rc<list::Places>) {
+    let shown = Rc::clone(&catalog);
+    let news = move |news| match news {
+        News::List(list) => node.listed(list.complete, places.listed(&list)),
+        News::View { from, to, cause } => {
+            tracing::info!("the list of servers: {from} -> {to}, {cause}; {}", list::status(shown.status()));
+        }
+        News::Shorter(before, now) => {
+            tracing::warn!("the list of servers is shorter by much: {before} before, {now} now");
+        }
+    };
+    catalog.follow(news).await;
+}
+
+/// Reads the configuration again, for where the list of servers is, or what it says; all else holds from the next start on.
+/// One that cannot be read changes nothing.
+async fn read_again(
+    file: Option<PathBuf>,
+    node: &Rc<Node<Upstream>>,
+    catalog: Option<&Rc<Catalog>>,
+    places: &list::Places,
+) {
+    let read = tokio::task::spawn_blocking(move || Config::read(file.as_deref())).await;
+    match (read, catalog) {
+        (Ok(Ok(config)), Some(catalog)) => {
+            if let Source::Catalog(address) = config.source {
+                if catalog.move_to(address) {
+                    tracing::info!("discovery is now at {address}");
+                }
+            }
+        }
+        (Ok(Ok(config)), None) => {
+            tracing::info!("the static list has {} servers now", config.known.members.len());
+            node.listed(true, places.listed(&config.known));
+        }
+        (Ok(Err(why)), _) => tracing::warn!("the configuration stays as it was: {why}"),
+        (Err(_), _) => tracing::warn!("the configuration stays as it was: reading it failed"),
+    }
+}
--- /dev/null
+++ b/crates/spurdrum/tests/node/alone.rs
@@ -0,0 +1,87 @@
+//! A node that is told everything by one file: no catalog, no variables.
+
+use std::process::Command;
+
+use super::net::{own_address, request, Client, Node, Server};
+
+fn file(listen: std::net::SocketAddr, servers: &[&Server]) -> String {
+    let servers: Vec<String> =
+        servers.iter().map(|server| format!("{{ address = \"{}\" }}", server.address)).collect();
+    format!(
+        "[node]\nlisten = \"{listen}\"\ntenants = [\"acme\"]\nretry_after_most_ms = 400\n\
+         [[class]]\nname = \"read\"\neffect = \"safe\"\naim_ms = 1000\ndeadline_ms = 2000\n\
+         [[class]]\nname = \"pay\"\neffect = \"unsafe\"\ndeadline_ms = 2000\n\
+         [sources.static]\nservers = [{}]\n",
+        servers.join(", ")
+    )
+}
+
+#[test]
+fn a_fleet_needs_no_catalog() {
+    let (one, other) = (Server::start(), Server::start());
+    let listen = own_address();
+    let node = Node::alone(listen, &file(listen, &[&one]));
+    let mut client = Client::connect(listen);
+    client.send(&request("read", 20.0));
+    one.request().answer("200 OK", "", b"one");
+    assert_eq!(client.answer().body, b"one");
+    // The list is the file's, as it is read again.
+    node.rewrite(&file(listen, &[&other]));
+    node.hang_up();
+    loop {
+        client.send(&request("read", 20.0));
+        // Until the signal has been heard, the old one is asked.
+        let (exchange, moved) = loop {
+            match (one.poll(), other.poll()) {
+                (Some(exchange), _) => break (exchange, false),
+                (_, Some(exchange)) => break (exchange, true),
+                _ => std::thread::yield_now(),
+            }
+        };
+        exchange.answer("200 OK", "", b"done");
+        assert_eq!(client.answer().status(), 200);
+        if moved {
+            break;
+        }
+    }
+}
+
+#[test]
+fn a_file_is_checked_without_being_played() {
+    let listen = own_address();
+    let server = Server::start();
+    let sound = file(listen, &[&server]);
+    let cases = [
+        (sound.clone(), None),
+        ("[connections]\nclients_hold = 0.333\n".into(), None),
+        (sound.replace("listen =", "listne ="), Some("`listne`")),
+        (sound.replace("effect = \"safe\"", "effect = \"mostly\""), Some("`effect`")),
+        (sound.replace("effect = \"safe\"", "effect = \"keyed\""), Some("`class.effect`")),
+        (sound.replace("deadline_ms = 2000", "deadline_ms = -1"), Some("`class.deadline_ms`")),
+        (
+            sound.replace("[sources.static]", "[sources.catalog]\nwait_least_ms = 0\n[sources.static]"),
+            Some("`sources.catalog.wait_least_ms`"),
+        ),
+        (
+            sound.replace(
+                "[sources.static]",
+                "[sources.catalog]\naddress = \"127.0.0.1:1\"\n[sources.static]",
+            ),
+            Some("`sources.static.servers`"),
+        ),
+        ("[sources.static]\nservers = []\n".into(), Some("`sources.static.servers`")),
+        (sound.replace("name = \"pay\"", "name = \"read\""), Some("`class.name`")),
+    ];
+    let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join("checked.toml");
+    for (text, wrong) in cases {
+        std::fs::write(&path, &text).expect("written");
+        let checked =
+            Command::new(env!("CARGO_BIN_EXE_spurdrum")).arg("check").arg(&path).output().expect("run");
+        let said = String::from_utf8_lossy(&checked.stderr).into_owned();
+        assert_eq!(checked.status.success(), wrong.is_none(), "{text}: {said}");
+        if let Some(key) = wrong {
+            assert!(said.contains(key) && said.contains("checked.toml:"), "{key}: {said}");
+            assert_eq!(said.trim_end().lines().count(), 1, "{said}");
+        }
+    }
+}
