Free the reading of the configuration of a ring

config.rs and file.rs used each other. What a node is told is a module of types now, filled by file.rs and platform.rs.

--- a/crates/spurdrum/src/config.rs
+++ b/crates/spurdrum/src/config.rs
@@ -1,18 +1,13 @@
-//! What a node is told: by `[node]` and its like in the file that the command line names, or else by the `GW_*` variables
-//! and the JSON that one of them names.
+//! What a node is told, wherever it comes from.
 
 use std::net::SocketAddr;
-use std::path::Path;
 use std::time::Duration;
 
-use serde::Deserialize;
-use serde_json::Value;
 use spurdrum_admission::Limits;
 use spurdrum_http::Names;
-use spurdrum_policy::{Discovery, Settings};
+use spurdrum_policy::Settings;
 use spurdrum_sources::{follower, List};
 
-use crate::file;
 use crate::list::Places;
 use crate::log::Format;
 
@@ -60,99 +55,3 @@
     /// A catalog at this address.
     Catalog(SocketAddr),
 }
-
-impl Config {
-    /// Reads the file that the command line names; without `[node]` in it, also the environment and the file that that names.
-    /// The error names the key at fault.
-    pub fn read(more: Option<&Path>) -> Result<Self, String> {
-        let file = file::read(more)?;
-        if let Some(alone) = file.alone() {
-            return Ok(alone);
-        }
-        let name = variable("GW_NAME")?;
-        let listen = address("GW_LISTEN")?;
-        let path = variable("GW_CONFIG")?;
-        let text =
-            std::fs::read_to_string(&path).map_err(|e| format!("`GW_CONFIG`: cannot read {path}: {e}"))?;
-        let mut json: Value =
-            serde_json::from_str(&text).map_err(|e| format!("`GW_CONFIG`: {path} is no JSON: {e}"))?;
-        let discovery = match &json["discovery"] {
-            Value::Null => address("GW_DISCOVERY")?,
-            value => parse_address("discovery", value.as_str().unwrap_or_default())?,
-        };
-        let seed = json["seed"].as_str().and_then(|s| u64::from_str_radix(s, 16).ok());
-        let known = List::deserialize(json["known"].take()).map_err(|e| format!("`known`: {e}"))?;
-        let facts = &json["settings"];
-        if !facts.is_object() {
-            return Err("`settings` is missing or no object".into());
-        }
-        let settings = spurdrum_facts::read_settings(facts).map_err(|e| format!("`settings`: {e}"))?;
-        settings.validate().map_err(|e| format!("`settings`: {e}"))?;
-        let places = Places { zones: names(facts, "zones")?, kinds: names(facts, "kinds")? };
-        let names = Names { classes: names(facts, "classes")?, tenants: names(facts, "parties")? };
-        let allowed = &facts["allowed"];
-        let mut following = file.following();
-        (following.nodes, following.me) = (settings.nodes, settings.me);
-        following.pushed = settings.discovery == Discovery::Push;
-        Ok(Self {
-            name,
-            listen,
-            listen_key: "GW_LISTEN",
-            source: Source::Catalog(discovery),
-            log: file.log(),
-            seed: seed.ok_or("`seed` is missing or no hexadecimal number")?,
-            limits: Limits { sockets: whole(&json["limits"], "sockets")?, memory: memory(&json["limits"])? },
-            connections: file.connections(),
-            following,
-            known,
-            settings,
-            names,
-            places,
-            conn_idle: millis(allowed, "conn_idle_ms")?,
-            dial_timeout: millis(allowed, "dial_timeout_ms")?,
-            most_held: whole(allowed, "most_held")?,
-        })
-    }
-}
-
-fn variable(key: &str) -> Result<String, String> {
-    std::env::var(key).map_err(|_| format!("`{key}` is missing or no text"))
-}
-
-fn address(key: &str) -> Result<SocketAddr, String> {
-    parse_address(key, &variable(key)?)
-}
-
-fn parse_address(key: &str, text: &str) -> Result<SocketAddr, String> {
-    text.parse().map_err(|_| format!("`{key}={text}` is no address with a port"))
-}
-
-fn whole(from: &Value, key: &str) -> Result<usize, String> {
-    let value = from[key].as_u64().and_then(|n| usize::try_from(n).ok()).filter(|n| *n > 0);
-    value.ok_or_else(|| format!("`{key}` is missing or no whole number above 0"))
-}
-
-/// The limit on memory in bytes; where there is none, descriptors alone bound what connections hold.
-fn memory(limits: &Value) -> Result<u64, String> {
-    match &limits["memory_mb"] {
-        Value::Null => Ok(1 << 50),
-        _ => whole(limits, "memory_mb").map(|mb| (mb as u64).saturating_mul(1 << 20).min(1 << 50)),
-    }
-}
-
-fn millis(from: &Value, key: &str) -> Result<Duration, String> {
-    let value = from[key].as_f64().filter(|ms| *ms > 0.0);
-    let value = value.and_then(|ms| Duration::try_from_secs_f64(ms / 1000.0).ok());
-    value.ok_or_else(|| format!("`{key}` is missing or no time above 0"))
-}
-
-/// The names under a key: a list of texts, or of objects that have one; no list means none.
-fn names(facts: &Value, key: &str) -> Result<Vec<String>, String> {
-    let list = match &facts[key] {
-        Value::Null => return Ok(Vec::new()),
-        value => value.as_array().ok_or_else(|| format!("`{key}` is no list"))?,
-    };
-    let name = |v: &Value| v.as_str().or(v["name"].as_str()).map(str::to_owned);
-    let named: Option<Vec<String>> = list.iter().map(name).collect();
-    named.ok_or_else(|| format!("`{key}` has an entry with no name"))
-}
--- a/crates/spurdrum/src/main.rs
+++ b/crates/spurdrum/src/main.rs
@@ -17,6 +17,7 @@
 mod file;
 mod list;
 mod log;
+mod platform;
 
 use config::{Config, Source};
 
@@ -59,9 +60,8 @@
 
 fn check(file: &std::path::Path) -> Result<(), String> {
     match file::read(Some(file))?.has_node() {
-        true => {
-            Config::read(Some(file)).map(|_| println!("{}: sound, and all that a node needs", file.display()))
-        }
+        true => platform::read(Some(file))
+            .map(|_| println!("{}: sound, and all that a node needs", file.display())),
         false => {
             println!("{}: sound; without [node], the rest comes in GW_CONFIG", file.display());
             Ok(())
@@ -97,7 +97,7 @@
     let hear = |kind, name| signal(kind).map_err(|error| format!("cannot hear {name}: {error}"));
     let mut stop = hear(SignalKind::terminate(), "SIGTERM")?;
     let mut reload = hear(SignalKind::hangup(), "SIGHUP")?;
-    let mut config = Config::read(file.as_deref())?;
+    let mut config = platform::read(file.as_deref())?;
     let _log = log::start(&config.name, config.log);
     raise_descriptors(&mut config);
     let listener = TcpListener::bind(config.listen).await;
@@ -179,7 +179,7 @@
     catalog: Option<&Rc<Catalog>>,
     places: &list::Places,
 ) {
-    let read = tokio::task::spawn_blocking(move || Config::read(file.as_deref())).await;
+    let read = tokio::task::spawn_blocking(move || platform::read(file.as_deref())).await;
     match (read, catalog) {
         (Ok(Ok(config)), Some(catalog)) => {
             if let Source::Catalog(address) = config.source {
