Take starts that servers name as evidence; the static list is a source of its own

A process that was restarted behind the same name is another server, and the list may know it seconds later. An answer with X-Up-Since over a second later than the listed start makes a poll of the list due at once.

--- a/crates/spurdrum-core/src/node.rs
+++ b/crates/spurdrum-core/src/node.rs
@@ -52,8 +52,13 @@
     },
     /// The decisions took a server out.
     TakenOut,
+    /// A server says that it was started later than the list has it.
+    Restarted,
 }
 
+/// Starts that differ by less than this, in milliseconds, are one: clocks and lists round.
+const SAME_START: f64 = 1000.0;
+
 /// The one final answer to a request.
 pub enum Answer<B> {
     /// A server's body.
@@ -98,6 +103,8 @@
     /// The numbers of the servers that are listed.
     ids: RefCell<HashMap<String, ServerId>>,
     last_server: Cell<usize>,
+    /// When the servers that are listed were started, as far as the list says.
+    starts: RefCell<HashMap<ServerId, f64>>,
     started: Instant,
     started_unix_ms: f64,
 }
@@ -128,6 +135,7 @@
             last_id: Cell::new(0),
             ids: RefCell::default(),
             last_server: Cell::new(0),
+            starts: RefCell::default(),
             started: Instant::now(),
             started_unix_ms: unix.as_secs_f64() * 1000.0,
         }))
@@ -255,6 +263,10 @@
         if let Some(held) = self.requests.borrow_mut().get_mut(&id) {
             held.attempts[attempt] = None;
         }
+        let listed = self.starts.borrow().get(&server).copied();
+        if listed.zip(reply.started_at).is_some_and(|(listed, said)| said > listed + SAME_START) {
+            (self.signs)(Sign::Restarted);
+        }
         let waits = |report: Report| report.queued.or(report.in_flight);
         match reply.ending {
             Ending::Unreachable => (self.signs)(Sign::Unreachable(server)),
@@ -312,6 +324,7 @@
                 let stays = listed.contains(id);
                 if !stays {
                     self.transport.forget(*server);
+                    self.starts.borrow_mut().remove(server);
                 }
                 stays
             });
@@ -325,7 +338,9 @@
             if entry.availability == Availability::Gone {
                 ids.remove(&id);
                 self.transport.forget(number);
+                self.starts.borrow_mut().remove(&number);
             } else {
+                self.starts.borrow_mut().insert(number, entry.started_at.unwrap_or(0.0));
                 self.transport.list(number, address, entry.availability == Availability::Ready);
             }
             entry.server = number;
--- a/crates/spurdrum-core/src/transport.rs
+++ b/crates/spurdrum-core/src/transport.rs
@@ -22,6 +22,8 @@
     pub ending: Ending,
     /// The load report that came along.
     pub report: Option<Report>,
+    /// When the server says that it was started, in Unix milliseconds.
+    pub started_at: Option<f64>,
     /// The whole body, where it was served.
     pub body: Option<B>,
 }
@@ -29,7 +31,7 @@
 impl<B> Reply<B> {
     /// An end without an answer.
     pub fn none(ending: Ending) -> Self {
-        Self { ending, report: None, body: None }
+        Self { ending, report: None, started_at: None, body: None }
     }
 }
 
--- a/crates/spurdrum-http/src/upstream.rs
+++ b/crates/spurdrum-http/src/upstream.rs
@@ -322,6 +322,7 @@
     let text = |name: &str| head.headers.get(name).and_then(|value| value.to_str().ok());
     let report = text("x-load").and_then(load_report);
     let not_run = text("x-not-run") == Some("1");
+    let started_at = text("x-up-since").and_then(|text| text.parse().ok()).filter(|at: &f64| at.is_finite());
     let body = match has_end(&head, &body) {
         true => Limited::new(body, BODY_MOST).collect().await.ok().map(|body| body.to_bytes()),
         false => None,
@@ -333,7 +334,7 @@
         StatusCode::OK => Ending::Served,
         _ => Ending::Error,
     };
-    let reply = Reply { ending, report, body: body.filter(|_| ending == Ending::Served) };
+    let reply = Reply { ending, report, started_at, body: body.filter(|_| ending == Ending::Served) };
     (reply, whole)
 }
 
--- a/crates/spurdrum-sources/src/lib.rs
+++ b/crates/spurdrum-sources/src/lib.rs
@@ -6,7 +6,9 @@
 //! carries it out on HTTP.
 
 pub mod catalog;
+mod fixed;
 pub mod follower;
 mod list;
 
+pub use fixed::{Static, StaticServer};
 pub use list::{List, Member, Phase};
--- a/crates/spurdrum/src/file.rs
+++ b/crates/spurdrum/src/file.rs
@@ -9,7 +9,7 @@
 use spurdrum_admission::{Limits, Pace, Settings};
 use spurdrum_http::Names;
 use spurdrum_policy::{Class, Effect, Group};
-use spurdrum_sources::{follower, List, Member, Phase};
+use spurdrum_sources::{follower, List, Static};
 
 use crate::config::{Config, Source};
 use crate::list::Places;
@@ -124,34 +124,7 @@
 struct Sources {
     catalog: Option<Following>,
     #[serde(rename = "static")]
-    fixed: Option<StaticTable>,
-}
-
-/// Table `[sources.static]`: a fleet that needs no catalog.
-#[derive(Deserialize)]
-#[serde(deny_unknown_fields)]
-struct StaticTable {
-    servers: Vec<StaticServer>,
-}
-
-/// One of `servers` there.
-#[derive(Deserialize)]
-#[serde(deny_unknown_fields)]
-struct StaticServer {
-    id: Option<String>,
-    address: SocketAddr,
-    #[serde(default)]
-    zone: String,
-    #[serde(default)]
-    kind: String,
-    #[serde(default)]
-    cell: usize,
-    #[serde(default = "weight")]
-    weight: f64,
-}
-
-fn weight() -> f64 {
-    1.0
+    fixed: Option<Static>,
 }
 
 /// Table `[sources.catalog]`. Times are in milliseconds.
@@ -321,14 +294,8 @@
     /// What makes no sense: the table, the key, and why.
     fn check(&self) -> Result<(), (&'static str, &'static str, &'static str)> {
         let fixed = self.fixed();
-        let mut ids = HashSet::new();
-        for server in fixed.iter().flat_map(|table| &table.servers) {
-            if !ids.insert(server.name()) {
-                return Err(("sources.static", "servers", "two servers have one id or address"));
-            }
-            if !(server.weight.is_finite() && server.weight > 0.0) {
-                return Err(("sources.static", "weight", "is no number above 0"));
-            }
+        if let Some((key, why)) = fixed.and_then(|fixed| fixed.check().err()) {
+            return Err(("sources.static", key, why));
         }
         if self.catalog_address().is_some() && fixed.is_some() {
             return Err(("sources.static", "servers", "stands beside `sources.catalog.address`"));
@@ -367,7 +334,7 @@
             .map_err(|_| ("class", "deadline_ms", "a time or worth is out of range"))
     }
 
-    fn fixed(&self) -> Option<&StaticTable> {
+    fn fixed(&self) -> Option<&Static> {
         self.sources.as_ref().and_then(|sources| sources.fixed.as_ref())
     }
 
@@ -422,7 +389,7 @@
         let node = self.node.as_ref()?;
         let places = self.places(node);
         let settings = self.settings(node, &places);
-        let members = self.fixed().map(|table| table.servers.iter().map(StaticServer::member).collect());
+        let known = self.fixed().map(Static::list);
         let mut following = self.following();
         (following.nodes, following.me) = (node.nodes, node.me);
         let time = |ms: Option<u64>, default| Duration::from_millis(ms.unwrap_or(default));
@@ -440,7 +407,7 @@
             },
             connections: self.connections(),
             following,
-            known: List { revision: 0, complete: true, members: members.unwrap_or_default() },
+            known: known.unwrap_or(List { revision: 0, complete: true, members: Vec::new() }),
             names: Names {
                 classes: self.class.iter().map(|class| class.name.clone()).collect(),
                 tenants: node.tenants.clone(),
@@ -460,25 +427,6 @@
     RandomState::new().hash_one(std::process::id())
 }
 
-impl StaticServer {
-    fn name(&self) -> String {
-        self.id.clone().unwrap_or_else(|| self.address.to_string())
-    }
-
-    fn member(&self) -> Member {
-        Member {
-            id: self.name(),
-            host_port: self.address,
-            locality: self.zone.clone(),
-            flavor: self.kind.clone(),
-            cell: self.cell,
-            phase: Phase::Active,
-            size: self.weight,
-            up_since_ms: 0.0,
-        }
-    }
-}
-
 #[cfg(test)]
 mod tests {
     use proptest::prelude::*;
--- a/crates/spurdrum/src/list.rs
+++ b/crates/spurdrum/src/list.rs
@@ -46,6 +46,7 @@
         Sign::Unreachable(server) => Evidence::Unreachable(server.0 as u64),
         Sign::Refused { idle } => Evidence::Refused { idle },
         Sign::TakenOut => Evidence::TakenOut,
+        Sign::Restarted => Evidence::Restarted,
     }
 }
 
--- a/crates/spurdrum/tests/node.rs
+++ b/crates/spurdrum/tests/node.rs
@@ -313,6 +313,44 @@
     assert!(!old.has_request() && !moved.has_request());
 }
 
+/// A server that was restarted is another one behind the same name: where it says so, the list is asked at once.
+#[test]
+fn a_start_that_the_list_does_not_know_makes_the_node_ask() {
+    let server = Server::start();
+    let node = Node::before(&[&server]);
+    let mut client = node.client();
+    let watch = node.discovery.request();
+    client.send(&request("read", 20.0));
+    server.request().answer(OK, "x-up-since: 1764590000000\r\n", b"");
+    assert_eq!(client.answer().status(), 200);
+    // Beside the watch, which is not given up for it.
+    let poll = loop {
+        let call = node.discovery.request();
+        if call.request.first.contains("timeout_ms=0") {
+            break call;
+        }
+    };
+    assert_ne!(poll.connection, watch.connection);
+}
+
+/// All servers are replaced, and their successors listen where they did.
+#[test]
+fn successors_under_the_same_addresses_are_servers_of_their_own() {
+    let server = Server::start();
+    let node = Node::before(&[&server]);
+    served_by(&node, &server);
+    let whole = list(2, true, &[member("s9", server.address, "active")]);
+    node.discovery.request().answer(OK, "", whole.to_string().as_bytes());
+    let watch = node.discovery.request();
+    assert!(watch.request.first.contains("since=2&"), "{}", watch.request.first);
+    served_by(&node, &server);
+    // The old one's leaving, told late, takes nothing from the new one.
+    let left = list(3, false, &[member("s0", server.address, "left")]);
+    watch.answer(OK, "", left.to_string().as_bytes());
+    assert!(node.discovery.request().request.first.contains("since=3&"));
+    served_by(&node, &server);
+}
+
 /// Servers come and go under new ids for as long as the node runs; it must not keep them.
 #[test]
 fn servers_that_have_gone_take_no_memory() {
