Read answers in the fleet's tests by the reader that the stand-ins have

The tests of the fleet parsed answers by a reader of their own, and manual::Message in the same package does that. The assertions are as they were; all tests of the package pass.

--- a/crates/spurdrum-standin/tests/fleet.rs
+++ b/crates/spurdrum-standin/tests/fleet.rs
@@ -1,9 +1,10 @@
 //! A fleet on loopback sockets: each fault as those see it whom it befalls.
 
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
 
+use spurdrum_standin::manual::Message;
 use spurdrum_standin::scenario::Scenario;
 use spurdrum_standin::Fleet;
 
@@ -24,23 +25,10 @@
 
 /// An answer's first line, fields and body; none where the connection ends first.
 fn read(stream: &mut impl Read) -> Option<(String, String, String)> {
-    let mut reader = BufReader::with_capacity(1, stream);
-    let mut line = || {
-        let mut text = String::new();
-        reader.read_line(&mut text).ok().filter(|n| *n > 0).map(|_| text.trim_end().to_owned())
-    };
-    let first = line()?;
-    let mut fields = String::new();
-    loop {
-        match line()? {
-            text if text.is_empty() => break,
-            text => fields += &(text + "\n"),
-        }
-    }
-    let length = fields.lines().find_map(|line| line.strip_prefix("content-length: "))?.parse().ok()?;
-    let mut body = vec![0; length];
-    reader.read_exact(&mut body).ok()?;
-    Some((first, fields, String::from_utf8(body).ok()?))
+    // Nothing is taken off the stream that belongs to the next answer.
+    let answer = Message::read(&mut BufReader::with_capacity(1, stream))?;
+    let fields = answer.headers.iter().map(|(name, value)| format!("{name}: {value}\n")).collect();
+    Some((answer.first, fields, String::from_utf8(answer.body).ok()?))
 }
 
 fn ask(to: SocketAddr, id: &str) -> Option<(String, String, String)> {
