Follow a registry by watches: a pure follower, a schema and a reconciler of sources

Drains should reach a node well within 250 ms, which no list that is polled gives, and a registry that breaks or compacts must not make newcomers of servers that are known.

The follower (etcd-like streams and Consul-like blocking queries alike) holds a copy of the keys and hands on differences: whole reads as of one revision, watches from the next one on, progress asked for by probes, a second watch beside a silent one, the true revision asked for by linearized reads elsewhere, compactions, clusters replaced or put back, several endpoints, spread by node number. A schema makes servers of keys, a reconciler one list of several sources. The model of a registry and the messages of etcd v3 (prost, no protocol compiler) come with it. Nothing of it is wired yet.

--- a/crates/spurdrum-admission/tests/properties.rs
+++ b/crates/spurdrum-admission/tests/properties.rs
@@ -96,7 +96,7 @@
                 self.conns.insert(id, At::Head);
                 self.tell(Event::Received { id, bytes: 50 });
             }
-            At::Head if way % 3 == 0 => {
+            At::Head if way.is_multiple_of(3) => {
                 self.tell(Event::Received { id, bytes: 50 });
             }
             At::Head => {
@@ -104,7 +104,7 @@
                 let at = if served { At::Body } else { At::Owed };
                 self.conns.insert(id, at);
             }
-            At::Body if way % 2 == 0 => {
+            At::Body if way.is_multiple_of(2) => {
                 self.tell(Event::Received { id, bytes: 100 });
             }
             At::Body => {
@@ -112,13 +112,13 @@
                 self.tell(Event::Taken { id });
             }
             At::Owed => {
-                let more = way % 5 == 0;
+                let more = way.is_multiple_of(5);
                 let last =
                     self.tell(Event::Answer { id, bytes: u64::from(way) * 250, more }) == Verdict::Last;
                 assert!(!(last && more), "a request that has come is not cut off");
                 self.conns.insert(id, At::Writing(last));
             }
-            At::Writing(_) if way % 4 == 0 => {
+            At::Writing(_) if way.is_multiple_of(4) => {
                 self.tell(Event::Sent { id, bytes: 1000 });
             }
             At::Writing(last) => {
--- a/crates/spurdrum-lab/src/lib.rs
+++ b/crates/spurdrum-lab/src/lib.rs
@@ -4,3 +4,4 @@
 //! [`lists`] has nodes that follow a list of servers from one catalog, through its faults.
 
 pub mod lists;
+pub mod registry;
--- a/crates/spurdrum-sources/src/lib.rs
+++ b/crates/spurdrum-sources/src/lib.rs
@@ -3,12 +3,15 @@
 //! Every source ends in the same thing: a [`List`], whole or of changes, that the node hands to its decisions. A
 //! [`follower::Follower`] decides when a source is asked, which answers count, and whether the view that came of them
 //! is fresh, doubtful or blind. It has no clock, sockets or randomness but its seed; [`catalog`] is the shell that
-//! carries it out on HTTP.
+//! carries it out on HTTP. A [`registry`] is followed by watches, by a follower of its own. Where there are several
+//! sources, a [`reconciler::Reconciler`] makes one list of theirs.
 
 pub mod catalog;
 mod fixed;
 pub mod follower;
 mod list;
+pub mod reconciler;
+pub mod registry;
 
 pub use fixed::{Static, StaticServer};
 pub use list::{List, Member, Phase};
--- a/crates/spurdrum-sources/src/list.rs
+++ b/crates/spurdrum-sources/src/list.rs
@@ -16,7 +16,7 @@
 }
 
 /// A server as discovery describes it.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize)]
 pub struct Member {
     /// The same at every node.
     pub id: String,
--- /dev/null
+++ b/crates/spurdrum-sources/src/registry/follower.rs
@@ -0,0 +1,1351 @@
+//! When a registry is read or watched, which answers count, and how far the copy of its keys can be trusted.
+//!
+//! ```
+//! use std::time::Duration;
+//! use spurdrum_sources::registry::follower::{Action, Ask, Event, Follower, Header, Settings};
+//!
+//! let mut follower = Follower::new(Settings::default(), 7).expect("sound settings");
+//! let mut actions = Vec::new();
+//! follower.handle(Duration::ZERO, Event::Tick, &mut actions);
+//! let due = follower.next_wake().expect("a first call is due");
+//! follower.handle(due, Event::Tick, &mut actions);
+//! // Nothing is held yet: the whole state is read first, then changes from the next revision on.
+//! let Action::Call { call, ask: Ask::Range { .. }, .. } = actions[0] else { panic!() };
+//! let header = Header { cluster: 1, revision: 41 };
+//! actions.clear();
+//! follower.handle(due, Event::Page { call, header, entries: Vec::new(), more: false }, &mut actions);
+//! assert!(matches!(actions[1], Action::Call { ask: Ask::Watch { from: 42 }, .. }));
+//! ```
+//!
+//! Two kinds of registry are followed alike. One of *streams* (etcd v3) has a revision for each change, a whole read as of
+//! one revision, and a watch that tells all changes from a revision on. One of *blocking queries* (Consul) answers with
+//! the whole state once its index has passed the one that was asked with. Either way the follower holds a copy of the
+//! keys, and what it hands on is the difference to that copy, never a list from which somebody has to guess who is new.
+//!
+//! A copy is fresh as long as something proves it. A watch is asked for its progress again and again; one that does not
+//! answer in time gets another beside it at the next endpoint, and goes when that one has proved itself, or at the end of
+//! its patience. Two watches tell the same twice; what is not newer than the copy is passed over, so that does no harm. A
+//! member that is cut off from its cluster goes on answering, always with the same revision: so the true one is asked for
+//! by a linearized read at another endpoint now and then, and a watch that does not come up to it is left.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::time::Duration;
+
+use crate::follower::View;
+
+/// Calls out at once, at most, without those that ask for the true revision: one that is silent, and one beside it.
+pub const CALLS_MOST: usize = 2;
+/// A tick that comes later than this after its time means that this machine stood still.
+const JUMP: Duration = Duration::from_secs(3);
+/// Pages are halved where one is too long, down to one key.
+const PAGE_LEAST: u32 = 1;
+/// A blocking query may end later than its wait by this part of it, as Consul has it, to spread the load.
+const BLOCK_JITTER: f64 = 1.0 / 16.0;
+/// Of what a whole read costs a registry, opening a watch costs this part.
+const WATCH_PART: f64 = 0.2;
+/// Blocking queries begin at least this far apart: each answer is the whole state.
+const BLOCK_APART: Duration = Duration::from_millis(20);
+/// Whole reads in a row that end in a compaction before their watch is open, after which there is a pause.
+const OUTRUN: u32 = 3;
+
+/// What kind of registry is followed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Interface {
+    /// Whole reads as of a revision, and watches from one on.
+    Streams,
+    /// Whole answers, once an index has been passed.
+    Blocking,
+}
+
+/// How a registry is followed.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// What kind it is.
+    pub interface: Interface,
+    /// Endpoints that answer for it.
+    pub endpoints: usize,
+    /// Nodes that follow it, and this one's number among them.
+    pub nodes: usize,
+    /// See `nodes`.
+    pub me: usize,
+    /// Whether whole reads may come from one member alone, which may be behind.
+    pub stale: bool,
+    /// Keys that are read at once.
+    pub page: u32,
+    /// Keys that are held at the most.
+    pub keys: usize,
+    /// A value of more bytes is held back.
+    pub value: usize,
+    /// A change that comes in pieces is dropped, and all read anew, beyond so many bytes.
+    pub change: usize,
+    /// An open watch is asked for its progress this long after it last spoke.
+    pub probe: Duration,
+    /// Probes of all nodes together, a second, at most.
+    pub probes_per_s: f64,
+    /// A probe may stay unanswered for this long before another watch is opened beside.
+    pub patience: Duration,
+    /// A call that is silent for so long is given up.
+    pub give_up: Duration,
+    /// The true revision is asked for this often...
+    pub confirm: Duration,
+    /// ...and a watch that is not there so long after is behind.
+    pub lag: Duration,
+    /// Without proof for so long after the first trouble, the view is blind.
+    pub blind_after: Duration,
+    /// Between rounds of calls that fail: at first, about...
+    pub retry_least: Duration,
+    /// ...and at the most.
+    pub retry_most: Duration,
+    /// After a break, whole reads of all nodes are spread over this time for each.
+    pub spread: Duration,
+    /// The wait of a blocking query while the view is doubtful...
+    pub wait_least: Duration,
+    /// ...and once it has proved good.
+    pub wait_most: Duration,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        let ms = Duration::from_millis;
+        Self {
+            interface: Interface::Streams,
+            endpoints: 1,
+            nodes: 1,
+            me: 0,
+            stale: false,
+            page: 1000,
+            keys: 20_000,
+            value: 64 << 10,
+            change: 16 << 20,
+            probe: ms(100),
+            probes_per_s: 5_000.0,
+            patience: ms(100),
+            give_up: ms(1000),
+            confirm: ms(2000),
+            lag: ms(250),
+            blind_after: ms(3000),
+            retry_least: ms(50),
+            retry_most: ms(2000),
+            spread: ms(1),
+            wait_least: ms(500),
+            wait_most: ms(5000),
+        }
+    }
+}
+
+impl Settings {
+    /// Checks that every figure makes sense.
+    ///
+    /// # Errors
+    ///
+    /// The first key that does not, and why.
+    pub fn validate(&self) -> Result<(), (&'static str, &'static str)> {
+        let need = |ok: bool, key, why| if ok { Ok(()) } else { Err((key, why)) };
+        need(self.endpoints > 0, "endpoints", "names none")?;
+        need(self.nodes > 0 && self.me < self.nodes, "nodes", "is not above `me`")?;
+        need(self.page > 0 && self.page <= 100_000, "page", "is not from 1 to 100000")?;
+        need(self.keys > 0 && self.keys <= 1_000_000, "keys", "is not from 1 to 1000000")?;
+        need(self.value > 0 && self.value <= 8 << 20, "value_bytes", "is not from 1 to 8 MiB")?;
+        need(self.change >= self.value, "change_bytes", "is under `value_bytes`")?;
+        need(self.probes_per_s >= 1.0 && self.probes_per_s <= 1e9, "probes_per_s", "is under 1")?;
+        let times = [
+            (self.probe, "probe_ms"),
+            (self.patience, "patience_ms"),
+            (self.give_up, "give_up_ms"),
+            (self.confirm, "confirm_ms"),
+            (self.lag, "lag_ms"),
+            (self.blind_after, "blind_after_ms"),
+            (self.retry_least, "retry_least_ms"),
+            (self.retry_most, "retry_most_ms"),
+            (self.wait_least, "wait_least_ms"),
+            (self.wait_most, "wait_most_ms"),
+        ];
+        for (time, key) in times {
+            let ok = time >= Duration::from_millis(1) && time <= Duration::from_secs(60);
+            need(ok, key, "is no time from 1 ms to a minute")?;
+        }
+        need(self.spread <= Duration::from_secs(1), "spread_ms", "is over a second")?;
+        need(self.patience <= self.give_up, "patience_ms", "is above `give_up_ms`")?;
+        need(self.retry_least <= self.retry_most, "retry_least_ms", "is above `retry_most_ms`")?;
+        need(self.wait_least <= self.wait_most, "wait_least_ms", "is above `wait_most_ms`")
+    }
+
+    /// How long after it last spoke a watch is asked for its progress, by what all nodes may ask together.
+    pub fn probe_every(&self) -> Duration {
+        self.probe.max(Duration::from_secs_f64((self.nodes as f64 / self.probes_per_s).min(60.0)))
+    }
+
+    /// A watch that falls silent has another beside it after this time, at the most.
+    pub fn noticed_within(&self) -> Duration {
+        self.probe_every() + self.patience
+    }
+}
+
+/// A call, by its number.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct CallId(pub u64);
+
+/// What is asked.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Ask {
+    /// A page of the whole state.
+    Range {
+        /// From the key behind this one on, or from the first.
+        after: Option<Vec<u8>>,
+        /// As of this revision, or now.
+        revision: Option<u64>,
+        /// Keys, at most.
+        limit: u32,
+        /// Whether one member may answer from what it has.
+        stale: bool,
+    },
+    /// Changes, from this revision on, until it is given up.
+    Watch {
+        /// The first.
+        from: u64,
+    },
+    /// The whole state, once the index has passed this one or the wait is over; at once for 0.
+    Block {
+        /// The index held.
+        index: u64,
+        /// The longest that the registry may wait.
+        wait: Duration,
+        /// Whether one member may answer from what it has.
+        stale: bool,
+    },
+    /// The true revision: a linearized read of no keys.
+    Confirm,
+}
+
+/// Who answered, and as of when.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Header {
+    /// The cluster; 0 where it tells none.
+    pub cluster: u64,
+    /// Its revision or index.
+    pub revision: u64,
+}
+
+/// A key as a registry has it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Entry {
+    /// Its name.
+    pub key: Vec<u8>,
+    /// Its value.
+    pub value: Value,
+}
+
+/// A value, as far as it is held.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Value {
+    /// All of it.
+    Whole(Vec<u8>),
+    /// It has so many bytes, more than may be held.
+    TooLong(usize),
+}
+
+/// One change of one key.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Edit {
+    /// Its name.
+    pub key: Vec<u8>,
+    /// Its value; none where it was deleted.
+    pub value: Option<Vec<u8>>,
+    /// The revision of this change.
+    pub revision: u64,
+}
+
+/// How a call failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Failure {
+    /// No connection.
+    Unreachable,
+    /// The connection or the answer broke, or it is none.
+    Broke,
+    /// The endpoint says that it cannot answer: no leader, overload.
+    Unavailable,
+    /// Credentials are not, or no longer, good.
+    Denied,
+    /// The answer is longer than may be taken.
+    TooLong,
+    /// The revision asked for has been compacted away.
+    Compacted,
+}
+
+/// What happens.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// Time has passed; the first one begins.
+    Tick,
+    /// A page of the whole state, or the answer to [`Ask::Confirm`].
+    Page {
+        /// The call.
+        call: CallId,
+        /// As of when.
+        header: Header,
+        /// The keys, in order, each with its value.
+        entries: Vec<(Vec<u8>, Vec<u8>)>,
+        /// Whether there are more behind them.
+        more: bool,
+    },
+    /// A watch is open.
+    Opened {
+        /// The call.
+        call: CallId,
+        /// The endpoint's present revision.
+        header: Header,
+    },
+    /// A watch tells changes.
+    Changed {
+        /// The call.
+        call: CallId,
+        /// The endpoint's present revision.
+        header: Header,
+        /// In order.
+        edits: Vec<Edit>,
+        /// More of the same revision follows.
+        fragment: bool,
+    },
+    /// A watch has told all up to a revision.
+    Progress {
+        /// The call.
+        call: CallId,
+        /// Up to there.
+        header: Header,
+    },
+    /// The endpoint has ended a watch.
+    Cancelled {
+        /// The call.
+        call: CallId,
+        /// Whether the revision it was to begin at is gone.
+        compacted: bool,
+    },
+    /// A blocking query was answered.
+    Whole {
+        /// The call.
+        call: CallId,
+        /// Its index.
+        header: Header,
+        /// Every key with its value.
+        entries: Vec<(Vec<u8>, Vec<u8>)>,
+        /// How long ago the member that answered heard of its leader; none where it knows of none.
+        contact: Option<Duration>,
+    },
+    /// A call has failed.
+    Failed {
+        /// The call.
+        call: CallId,
+        /// How.
+        why: Failure,
+    },
+}
+
+/// What has changed in the copy.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Change {
+    /// The copy is the registry's state as of this revision now.
+    pub revision: u64,
+    /// Whether it came of a whole read, and not of a watch.
+    pub whole: bool,
+    /// Keys that are new or have another value.
+    pub put: Vec<Entry>,
+    /// Keys that are gone.
+    pub gone: Vec<Vec<u8>>,
+}
+
+/// What is to be done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Ask an endpoint.
+    Call {
+        /// Its number from now on.
+        call: CallId,
+        /// Which endpoint.
+        endpoint: usize,
+        /// What.
+        ask: Ask,
+    },
+    /// Ask an open watch for its progress.
+    Probe(CallId),
+    /// Give a call up; nothing more is heard of it.
+    Abort(CallId),
+    /// The copy has changed.
+    Apply(Change),
+    /// The view is trusted otherwise than before.
+    State {
+        /// Before.
+        from: View,
+        /// Now.
+        to: View,
+        /// Why.
+        cause: Cause,
+    },
+    /// Something that operators should know.
+    Note(Note),
+}
+
+/// Why the view changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cause {
+    /// Nothing has been read yet.
+    Start,
+    /// A watch does not answer a probe, or a query is overdue.
+    Silent,
+    /// A call failed.
+    Failed(Failure),
+    /// The endpoint ended the watch.
+    Cancelled,
+    /// The endpoint is behind.
+    Behind,
+    /// No endpoint tells the true revision.
+    Unconfirmed,
+    /// The cluster is another.
+    Replaced,
+    /// Revisions run backwards.
+    Backwards,
+    /// There are more keys than may be held.
+    Full,
+    /// The machine stood still.
+    Jumped,
+    /// Nothing has proved it for too long.
+    Unproved,
+    /// It is proved.
+    Proved,
+}
+
+impl fmt::Display for Cause {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Start => "nothing has been read yet",
+            Self::Silent => "a call is silent",
+            Self::Failed(Failure::Unreachable) => "an endpoint cannot be reached",
+            Self::Failed(Failure::Broke) => "a call broke",
+            Self::Failed(Failure::Unavailable) => "an endpoint cannot answer",
+            Self::Failed(Failure::Denied) => "credentials are refused",
+            Self::Failed(Failure::TooLong) => "an answer is too long",
+            Self::Failed(Failure::Compacted) => "the revision read has been compacted",
+            Self::Cancelled => "an endpoint has ended the watch",
+            Self::Behind => "an endpoint is behind",
+            Self::Unconfirmed => "no endpoint tells the true revision",
+            Self::Replaced => "the cluster is another",
+            Self::Backwards => "revisions run backwards",
+            Self::Full => "there are more keys than may be held",
+            Self::Jumped => "this machine stood still",
+            Self::Unproved => "nothing has proved it",
+            Self::Proved => "it is proved",
+        })
+    }
+}
+
+/// What operators should know beside the view.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Note {
+    /// The revision that was wanted is gone: all is read again.
+    Compacted,
+    /// Another cluster answers.
+    Replaced {
+        /// Before.
+        from: u64,
+        /// Now.
+        to: u64,
+    },
+    /// Revisions have begun anew: the held one, and the one that is believed now.
+    Backwards {
+        /// Held.
+        from: u64,
+        /// Believed.
+        to: u64,
+    },
+    /// More keys than may be held.
+    Full,
+}
+
+/// What was done, since the start.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Pages, watches, blocking queries and confirmations that were asked for.
+    pub calls: [u64; 4],
+    /// Probes of watches.
+    pub probes: u64,
+    /// Changes of keys that were applied.
+    pub edits: u64,
+    /// Those that were known already.
+    pub known: u64,
+    /// Whole reads that were taken.
+    pub reads: u64,
+    /// Compactions met.
+    pub compacted: u64,
+    /// Calls given up as silent, and that failed otherwise.
+    pub silent: u64,
+    /// See `silent`.
+    pub failed: u64,
+    /// Endpoints found behind.
+    pub behind: u64,
+    /// Keys that found no room.
+    pub over: u64,
+}
+
+impl fmt::Display for Counts {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let [pages, watches, queries, confirms] = self.calls;
+        write!(
+            f,
+            "pages {pages}, watches {watches}, queries {queries}, confirmations {confirms}, probes {}: edits {}, \
+             known {}, whole reads {}, compactions {}, silent {}, failed {}, behind {}, without room {}",
+            self.probes,
+            self.edits,
+            self.known,
+            self.reads,
+            self.compacted,
+            self.silent,
+            self.failed,
+            self.behind,
+            self.over
+        )
+    }
+}
+
+struct Call {
+    id: CallId,
+    endpoint: usize,
+    ask: Ask,
+    /// The copy's revision when it was begun.
+    held: Option<u64>,
+    open: bool,
+    /// When it last spoke, or was begun.
+    spoke_at: Duration,
+    /// Since when a probe is out.
+    probed_at: Option<Duration>,
+    /// It is silent or behind: another one is to be begun beside it.
+    left: bool,
+    /// The revision that it must come up to, and by when.
+    must_reach: Option<(u64, Duration)>,
+    /// Up to where it has told all.
+    told: u64,
+    /// What has come of a change in pieces, and its bytes.
+    pieces: (Vec<Edit>, usize),
+}
+
+impl Call {
+    fn is_watch(&self) -> bool {
+        matches!(self.ask, Ask::Watch { .. })
+    }
+
+    /// When it should have spoken.
+    fn due_at(&self, settings: &Settings) -> Duration {
+        match (&self.ask, self.probed_at) {
+            (Ask::Block { index: 1.., wait, .. }, _) => {
+                self.spoke_at + wait.mul_f64(1.0 + BLOCK_JITTER) + settings.patience
+            }
+            // Whatever it says since shows that it lives.
+            (Ask::Watch { .. }, Some(at)) if self.open => at.max(self.spoke_at) + settings.patience,
+            (Ask::Watch { .. }, None) if self.open => Duration::MAX,
+            (Ask::Watch { .. }, _) => self.spoke_at + 2 * settings.patience,
+            _ => self.spoke_at + settings.give_up,
+        }
+    }
+
+    /// When it is given up.
+    fn give_up_at(&self, settings: &Settings) -> Duration {
+        match (&self.ask, self.probed_at) {
+            (Ask::Block { index: 1.., .. }, _) => self.due_at(settings) + settings.give_up,
+            (Ask::Watch { .. }, Some(at)) if self.open => at.max(self.spoke_at) + settings.give_up,
+            (Ask::Watch { .. }, None) if self.open => Duration::MAX,
+            _ => self.spoke_at + settings.give_up,
+        }
+    }
+}
+
+/// A whole read that is under way.
+struct Reading {
+    /// The first page's revision; the others are read as of it.
+    header: Header,
+    /// All so far.
+    entries: BTreeMap<Vec<u8>, Value>,
+}
+
+/// Follows one registry.
+pub struct Follower {
+    settings: Settings,
+    random: fastrand::Rng,
+    started: bool,
+    /// The copy, and the revision as of which it is the registry's state.
+    held: BTreeMap<Vec<u8>, Value>,
+    revision: Option<u64>,
+    cluster: u64,
+    /// All is to be read again.
+    read: bool,
+    reading: Option<Reading>,
+    page: u32,
+    /// Keys without room: once there is some, all is read again.
+    over: bool,
+    calls: Vec<Call>,
+    last_call: u64,
+    due: Option<Duration>,
+    /// The endpoint for the next call.
+    endpoint: usize,
+    /// Failures in a row, and reads that were outrun by compactions in a row.
+    failures: u32,
+    outrun: u32,
+    /// Endpoints in a row whose revision is older than the copy's.
+    older: usize,
+    /// When the true revision is asked for next, where, and in vain how often.
+    confirm: (Duration, usize, usize),
+    /// Answers in a row that were sound, for the wait of the next query.
+    good: u32,
+    view: View,
+    cause: Cause,
+    trouble_since: Option<Duration>,
+    proved_at: Option<Duration>,
+    counts: Counts,
+}
+
+impl Follower {
+    /// A follower that holds nothing. The seed spreads its pauses.
+    ///
+    /// # Errors
+    ///
+    /// The first setting that makes no sense, and why.
+    pub fn new(settings: Settings, seed: u64) -> Result<Self, (&'static str, &'static str)> {
+        settings.validate()?;
+        Ok(Self {
+            random: fastrand::Rng::with_seed(seed),
+            started: false,
+            held: BTreeMap::new(),
+            revision: None,
+            cluster: 0,
+            read: true,
+            reading: None,
+            page: settings.page,
+            over: false,
+            calls: Vec::new(),
+            last_call: 0,
+            due: None,
+            // Nodes begin at different endpoints.
+            endpoint: settings.me % settings.endpoints,
+            failures: 0,
+            outrun: 0,
+            older: 0,
+            confirm: (Duration::ZERO, settings.me % settings.endpoints, 0),
+            good: 0,
+            view: View::Doubtful,
+            cause: Cause::Start,
+            trouble_since: None,
+            proved_at: None,
+            counts: Counts::default(),
+            settings,
+        })
+    }
+
+    /// What has happened; adds what is to be done. Times count from any moment, and do not run backwards.
+    pub fn handle(&mut self, now: Duration, event: Event, actions: &mut Vec<Action>) {
+        if !self.started {
+            self.started = true;
+            self.trouble_since = Some(now);
+            // Nodes that start together do not read together.
+            let spread = self.spread(1.0);
+            self.due = Some(now + spread);
+            self.confirm.0 = now + self.confirm_every();
+        }
+        self.allow_for_standstill(now);
+        match event {
+            Event::Tick => {}
+            Event::Page { call, header, entries, more } => {
+                self.page(now, call, header, entries, more, actions);
+            }
+            Event::Opened { call, header } => self.opened(now, call, header, actions),
+            Event::Changed { call, header, edits, fragment } => {
+                self.changed(now, call, header, edits, fragment, actions);
+            }
+            Event::Progress { call, header } => self.progress(now, call, header, actions),
+            Event::Cancelled { call, compacted } => self.cancelled(now, call, compacted, actions),
+            Event::Whole { call, header, entries, contact } => {
+                self.whole(now, call, header, entries, contact, actions);
+            }
+            Event::Failed { call, why } => self.failed(now, call, why, actions),
+        }
+        self.settle(now, actions);
+    }
+
+    /// When the next [`Event::Tick`] is due, at the latest; none before the first.
+    pub fn next_wake(&self) -> Option<Duration> {
+        let settings = &self.settings;
+        let call = |call: &Call| {
+            let spoken = if call.left { call.give_up_at(settings) } else { call.due_at(settings) };
+            let probe = (call.open && call.is_watch() && call.probed_at.is_none())
+                .then(|| call.spoke_at + settings.probe_every());
+            let reach = call.must_reach.filter(|_| !call.left).map(|(_, by)| by);
+            [Some(spoken), probe, reach].into_iter().flatten().min().unwrap_or(spoken)
+        };
+        let blind = self.trouble_since.filter(|_| self.view != View::Blind);
+        let blind = blind.map(|since| since + settings.blind_after);
+        let confirms = (self.started && settings.interface == Interface::Streams).then_some(self.confirm.0);
+        self.calls.iter().map(call).chain(self.due).chain(blind).chain(confirms).min()
+    }
+
+    /// How far the copy can be trusted.
+    pub fn view(&self) -> View {
+        self.view
+    }
+
+    /// How long ago the copy was proved, where it ever was.
+    pub fn age(&self, now: Duration) -> Option<Duration> {
+        self.proved_at.map(|at| now.saturating_sub(at))
+    }
+
+    /// The copy's revision.
+    pub fn revision(&self) -> Option<u64> {
+        self.revision
+    }
+
+    /// The copy.
+    pub fn held(&self) -> &BTreeMap<Vec<u8>, Value> {
+        &self.held
+    }
+
+    /// What was done.
+    pub fn counts(&self) -> &Counts {
+        &self.counts
+    }
+
+    // ---- Pace
+
+    /// This node's part of the time over which all of them spread what costs so much of a whole read.
+    fn spread(&mut self, cost: f64) -> Duration {
+        let place = self.settings.me as f64 + self.random.f64();
+        self.settings.spread.mul_f64(place * cost).min(Duration::from_secs(30))
+    }
+
+    fn confirm_every(&mut self) -> Duration {
+        let least = self.settings.confirm;
+        let all =
+            Duration::from_secs_f64((self.settings.nodes as f64 / self.settings.probes_per_s).min(60.0));
+        least.max(all).mul_f64(0.75 + 0.5 * self.random.f64())
+    }
+
+    /// How long to wait before the next call after a failure.
+    fn pause(&mut self) -> Duration {
+        let spread = self.spread(if self.read { 1.0 } else { WATCH_PART });
+        // The first round over all endpoints costs no pause but the spread.
+        let rounds = self.failures as usize / self.settings.endpoints;
+        if rounds == 0 {
+            return spread;
+        }
+        let steps = (rounds as u32 - 1).min(16);
+        let back_off = self.settings.retry_least.saturating_mul(1 << steps).min(self.settings.retry_most);
+        back_off.mul_f64(0.5 + 0.5 * self.random.f64()).max(spread)
+    }
+
+    fn next_endpoint(&mut self, from: usize) {
+        if self.endpoint == from {
+            self.endpoint = (from + 1) % self.settings.endpoints;
+        }
+    }
+
+    // ---- Calls
+
+    fn begin(&mut self, now: Duration, endpoint: usize, ask: Ask, actions: &mut Vec<Action>) {
+        let kind = match ask {
+            Ask::Range { .. } => 0,
+            Ask::Watch { .. } => 1,
+            Ask::Block { .. } => 2,
+            Ask::Confirm => 3,
+        };
+        self.counts.calls[kind] += 1;
+        self.last_call += 1;
+        let id = CallId(self.last_call);
+        self.calls.push(Call {
+            id,
+            endpoint,
+            ask: ask.clone(),
+            held: self.revision,
+            open: false,
+            spoke_at: now,
+            probed_at: None,
+            left: false,
+            must_reach: None,
+            told: 0,
+            pieces: (Vec::new(), 0),
+        });
+        actions.push(Action::Call { call: id, endpoint, ask });
+    }
+
+    /// What follows the copy, or is to.
+    fn following(&self) -> impl Iterator<Item = &Call> {
+        self.calls.iter().filter(|call| call.ask != Ask::Confirm)
+    }
+
+    fn is_followed(&self) -> bool {
+        self.following().any(|call| !call.left)
+    }
+
+    fn due_by(&mut self, at: Duration) {
+        self.due = Some(self.due.map_or(at, |due| due.min(at)));
+    }
+
+    /// Begins the next ordinary call.
+    fn next(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        while self.following().count() >= CALLS_MOST {
+            let least = self.calls.iter().position(|call| call.left && call.ask != Ask::Confirm);
+            let least = least.or_else(|| self.calls.iter().position(|call| call.ask != Ask::Confirm));
+            let Some(least) = least else { break };
+            actions.push(Action::Abort(self.calls.remove(least).id));
+        }
+        let endpoint = self.endpoint;
+        // Once all endpoints have shown less than the copy, only what the cluster agrees on counts.
+        let stale = self.settings.stale && self.older < self.settings.endpoints;
+        let ask = match (self.settings.interface, self.revision) {
+            (Interface::Blocking, held) => {
+                let beside = self.following().next().is_some() || self.read || held.is_none();
+                let index = if beside { 0 } else { held.unwrap_or(0) };
+                Ask::Block { index, wait: self.wait(), stale }
+            }
+            (Interface::Streams, Some(held)) if !self.read => Ask::Watch { from: held + 1 },
+            (Interface::Streams, _) => {
+                self.reading = None;
+                self.abort(|call| matches!(call.ask, Ask::Range { .. }), actions);
+                Ask::Range { after: None, revision: None, limit: self.page, stale }
+            }
+        };
+        self.begin(now, endpoint, ask, actions);
+    }
+
+    fn abort(&mut self, which: impl Fn(&Call) -> bool, actions: &mut Vec<Action>) {
+        self.calls.retain(|call| {
+            let goes = which(call);
+            if goes {
+                actions.push(Action::Abort(call.id));
+            }
+            !goes
+        });
+    }
+
+    /// The wait of a blocking query: how long its silence stays unseen.
+    fn wait(&self) -> Duration {
+        let grown = self.settings.wait_least.saturating_mul(1 << self.good.min(16));
+        grown.min(self.settings.wait_most)
+    }
+
+    /// Gives up what is silent, probes, begins what is due, and says how far the copy can be trusted.
+    fn settle(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        for n in (0..self.calls.len()).rev() {
+            let settings = &self.settings;
+            let call = &mut self.calls[n];
+            if now >= call.give_up_at(settings) {
+                let call = self.calls.remove(n);
+                actions.push(Action::Abort(call.id));
+                self.counts.silent += 1;
+                self.lost(now, &call, Cause::Silent);
+                continue;
+            }
+            let late = now >= call.due_at(settings);
+            let behind = call.must_reach.is_some_and(|(to, by)| call.told < to && now >= by);
+            if !call.left && (late || behind) {
+                call.left = true;
+                let endpoint = call.endpoint;
+                self.good = 0;
+                if behind && !late {
+                    self.counts.behind += 1;
+                    self.older += 1;
+                    // None of them comes up to the copy: the cluster may have been put back.
+                    self.read |= self.older >= self.settings.endpoints;
+                }
+                self.next_endpoint(endpoint);
+                self.doubt(now, if late { Cause::Silent } else { Cause::Behind });
+                continue;
+            }
+            let probe_at = call.spoke_at + settings.probe_every();
+            if call.open && call.is_watch() && call.probed_at.is_none() && now >= probe_at {
+                call.probed_at = Some(now);
+                self.counts.probes += 1;
+                actions.push(Action::Probe(call.id));
+            }
+        }
+        if !self.is_followed() && self.due.is_none() {
+            self.due = Some(now);
+        }
+        if self.due.is_some_and(|due| due <= now) {
+            self.due = None;
+            self.next(now, actions);
+        }
+        let streams = self.settings.interface == Interface::Streams;
+        if streams && now >= self.confirm.0 {
+            self.confirm.0 = now + self.confirm_every();
+            let out = self.calls.iter().any(|call| call.ask == Ask::Confirm);
+            if self.revision.is_some() && !out {
+                // Another endpoint than the watch's, where there is one: one alone can't tell that it is cut off.
+                self.confirm.1 = (self.confirm.1 + 1) % self.settings.endpoints;
+                let watched = self.following().next().map(|call| call.endpoint);
+                if Some(self.confirm.1) == watched {
+                    self.confirm.1 = (self.confirm.1 + 1) % self.settings.endpoints;
+                }
+                self.begin(now, self.confirm.1, Ask::Confirm, actions);
+            }
+        }
+        let blind = self.trouble_since.is_some_and(|since| now >= since + self.settings.blind_after);
+        match self.view {
+            View::Fresh | View::Doubtful if blind => self.show(View::Blind, Cause::Unproved, actions),
+            View::Fresh if self.trouble_since.is_some() => self.show(View::Doubtful, self.cause, actions),
+            View::Doubtful | View::Blind if self.trouble_since.is_none() => {
+                self.show(View::Fresh, Cause::Proved, actions);
+            }
+            _ => {}
+        }
+    }
+
+    fn show(&mut self, to: View, cause: Cause, actions: &mut Vec<Action>) {
+        let from = std::mem::replace(&mut self.view, to);
+        actions.push(Action::State { from, to, cause });
+    }
+
+    fn doubt(&mut self, now: Duration, cause: Cause) {
+        if self.trouble_since.is_none() {
+            self.trouble_since = Some(now);
+            self.cause = cause;
+        }
+    }
+
+    /// The copy is known to be the registry's state, as far as one endpoint can tell.
+    fn prove(&mut self, now: Duration, by: CallId, actions: &mut Vec<Action>) {
+        (self.failures, self.outrun, self.older) = (0, 0, 0);
+        // Guards against a member that is cut off from the others, and goes on telling what it has.
+        if !self.is_unconfirmed() {
+            self.proved_at = Some(now);
+            self.trouble_since = None;
+        }
+        // What was silent or behind, or stands beside, is not needed any more.
+        self.abort(|call| call.id != by && call.ask != Ask::Confirm, actions);
+        if let Some(call) = self.calls.iter_mut().find(|call| call.id == by) {
+            call.left = false;
+            self.endpoint = call.endpoint;
+        }
+        self.due = None;
+    }
+
+    fn is_unconfirmed(&self) -> bool {
+        self.confirm.2 >= self.settings.endpoints.max(2)
+    }
+
+    fn call(&mut self, id: CallId) -> Option<&mut Call> {
+        self.calls.iter_mut().find(|call| call.id == id)
+    }
+
+    fn take(&mut self, id: CallId) -> Option<Call> {
+        let place = self.calls.iter().position(|call| call.id == id)?;
+        Some(self.calls.remove(place))
+    }
+
+    /// Guards against taking the own machine's pause for a silent registry: answers may lie in the sockets.
+    fn allow_for_standstill(&mut self, now: Duration) {
+        let Some(late) = self.next_wake().and_then(|wake| now.checked_sub(wake)) else { return };
+        if late <= JUMP {
+            return;
+        }
+        for call in &mut self.calls {
+            call.spoke_at = now;
+            call.probed_at = call.probed_at.map(|_| now);
+            call.must_reach = None;
+        }
+        self.doubt(now, Cause::Jumped);
+        self.trouble_since = Some(now);
+    }
+
+    /// A call has come to nothing.
+    fn lost(&mut self, now: Duration, call: &Call, cause: Cause) {
+        if call.ask == Ask::Confirm {
+            self.confirm.2 += 1;
+            if self.is_unconfirmed() {
+                self.doubt(now, Cause::Unconfirmed);
+            }
+            return;
+        }
+        self.failures = self.failures.saturating_add(1);
+        self.good = 0;
+        if matches!(call.ask, Ask::Range { .. }) {
+            self.reading = None;
+        }
+        self.next_endpoint(call.endpoint);
+        self.doubt(now, cause);
+        if !self.is_followed() {
+            let pause = self.pause();
+            self.due_by(now + pause);
+        }
+    }
+
+    fn failed(&mut self, now: Duration, id: CallId, why: Failure, actions: &mut Vec<Action>) {
+        let Some(call) = self.take(id) else { return };
+        let reading = matches!(call.ask, Ask::Range { .. });
+        match why {
+            Failure::Compacted => return self.compacted(now, actions),
+            Failure::TooLong if reading && self.page > PAGE_LEAST => {
+                self.page = (self.page / 2).max(PAGE_LEAST);
+                self.reading = None;
+                self.endpoint = call.endpoint;
+                return self.due_by(now);
+            }
+            _ => {}
+        }
+        self.counts.failed += 1;
+        self.lost(now, &call, Cause::Failed(why));
+    }
+
+    /// What was asked for is no longer there: all is read again.
+    fn compacted(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        self.counts.compacted += 1;
+        self.outrun = self.outrun.saturating_add(1);
+        self.read = true;
+        self.reading = None;
+        self.doubt(now, Cause::Cancelled);
+        actions.push(Action::Note(Note::Compacted));
+        // Guards against reading without end where compactions are faster than reads.
+        let pause = if self.outrun < OUTRUN {
+            Duration::ZERO
+        } else {
+            self.failures = self.failures.max(self.settings.endpoints as u32 * self.outrun.min(16));
+            self.pause()
+        };
+        self.due_by(now + pause);
+    }
+
+    fn cancelled(&mut self, now: Duration, id: CallId, compacted: bool, actions: &mut Vec<Action>) {
+        let Some(call) = self.take(id) else { return };
+        // One that was begun before the copy moved on says nothing of where it stands now.
+        if compacted && call.held == self.revision {
+            return self.compacted(now, actions);
+        }
+        self.counts.failed += 1;
+        self.lost(now, &call, Cause::Cancelled);
+    }
+
+    // ---- Whole reads
+
+    fn page(
+        &mut self,
+        now: Duration,
+        id: CallId,
+        header: Header,
+        entries: Vec<(Vec<u8>, Vec<u8>)>,
+        more: bool,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(call) = self.take(id) else { return };
+        let Ask::Range { stale, .. } = call.ask else { return self.confirmed(now, header, actions) };
+        let mut reading = match self.reading.take() {
+            Some(reading) if reading.header.cluster == header.cluster => reading,
+            // The cluster was replaced between two pages.
+            Some(_) => return self.due_by(now),
+            None => Reading { header, entries: BTreeMap::new() },
+        };
+        let last = entries.last().map(|(key, _)| key.clone());
+        let value_most = self.settings.value;
+        reading.entries.extend(entries.into_iter().map(|(key, value)| (key, bounded(value, value_most))));
+        let full = reading.entries.len() > self.settings.keys;
+        if more && !full {
+            if let Some(after) = last {
+                let (limit, revision) = (self.page, Some(reading.header.revision));
+                self.reading = Some(reading);
+                let ask = Ask::Range { after: Some(after), revision, limit, stale };
+                return self.begin(now, call.endpoint, ask, actions);
+            }
+        }
+        self.over = full;
+        while reading.entries.len() > self.settings.keys {
+            reading.entries.pop_last();
+            self.counts.over += 1;
+        }
+        if full {
+            actions.push(Action::Note(Note::Full));
+        }
+        let Reading { header, entries } = reading;
+        if !self.is_to_be_taken(now, &call, header, !stale, actions) {
+            return;
+        }
+        self.replace(header, entries, actions);
+        // Guards against changes of a cluster that has been replaced or put back: no older watch speaks any more.
+        self.abort(|call| call.ask != Ask::Confirm, actions);
+        // Changes from the next revision on, at the endpoint that has just shown what it has.
+        self.endpoint = call.endpoint;
+        self.due = None;
+        self.next(now, actions);
+    }
+
+    /// Whether a whole state counts, by its cluster and revision.
+    fn is_to_be_taken(
+        &mut self,
+        now: Duration,
+        call: &Call,
+        header: Header,
+        agreed: bool,
+        actions: &mut Vec<Action>,
+    ) -> bool {
+        if header.cluster != self.cluster && header.cluster != 0 && self.cluster != 0 {
+            self.replaced(now, header, actions);
+            return true;
+        }
+        let Some(held) = self.revision.filter(|held| header.revision < *held) else { return true };
+        if call.held.is_none_or(|then| header.revision >= then) {
+            // A watch beside it has moved the copy on meanwhile.
+            self.failures = self.failures.saturating_add(1);
+            self.next_endpoint(call.endpoint);
+            let pause = self.pause();
+            self.due_by(now + pause);
+            return false;
+        }
+        // One endpoint may be behind. What the cluster agrees on, or each endpoint says alike, is believed.
+        self.older += 1;
+        if agreed || self.older > self.settings.endpoints {
+            actions.push(Action::Note(Note::Backwards { from: held, to: header.revision }));
+            self.doubt(now, Cause::Backwards);
+            return true;
+        }
+        self.counts.behind += 1;
+        self.lost(now, call, Cause::Behind);
+        false
+    }
+
+    fn replaced(&mut self, now: Duration, header: Header, actions: &mut Vec<Action>) {
+        actions.push(Action::Note(Note::Replaced { from: self.cluster, to: header.cluster }));
+        self.doubt(now, Cause::Replaced);
+    }
+
+    /// The copy is this from now on; the difference is handed on.
+    fn replace(&mut self, header: Header, entries: BTreeMap<Vec<u8>, Value>, actions: &mut Vec<Action>) {
+        self.counts.reads += 1;
+        self.read = false;
+        self.cluster = header.cluster;
+        let first = self.revision.is_none();
+        let gone: Vec<Vec<u8>> =
+            self.held.keys().filter(|key| !entries.contains_key(*key)).cloned().collect();
+        let put: Vec<Entry> = entries
+            .iter()
+            .filter(|(key, value)| self.held.get(*key) != Some(value))
+            .map(|(key, value)| Entry { key: key.clone(), value: value.clone() })
+            .collect();
+        self.held = entries;
+        self.revision = Some(header.revision);
+        self.counts.edits += (gone.len() + put.len()) as u64;
+        if first || !gone.is_empty() || !put.is_empty() {
+            actions.push(Action::Apply(Change { revision: header.revision, whole: true, put, gone }));
+        }
+    }
+
+    /// The true revision: the watch must come up to it.
+    fn confirmed(&mut self, now: Duration, header: Header, actions: &mut Vec<Action>) {
+        self.confirm.2 = 0;
+        let other = self.cluster != 0 && header.cluster != 0 && header.cluster != self.cluster;
+        let held = self.revision.unwrap_or(0);
+        if other || header.revision < held {
+            // Another cluster, or one that was put back: the whole read settles it.
+            self.read = true;
+            self.older = self.settings.endpoints;
+            self.doubt(now, if other { Cause::Replaced } else { Cause::Backwards });
+            return self.due_by(now);
+        }
+        let by = now + self.settings.lag;
+        for call in self.calls.iter_mut().filter(|call| call.open && call.is_watch()) {
+            if call.told < header.revision {
+                call.must_reach = Some((header.revision, by));
+                if call.probed_at.is_none() {
+                    call.probed_at = Some(now);
+                    self.counts.probes += 1;
+                    actions.push(Action::Probe(call.id));
+                }
+            }
+        }
+    }
+
+    // ---- Watches
+
+    /// Whether an answer on a watch comes of the cluster that is followed.
+    fn is_of_this(&mut self, now: Duration, id: CallId, header: Header, actions: &mut Vec<Action>) -> bool {
+        let Some(call) = self.calls.iter_mut().find(|call| call.id == id) else { return false };
+        call.spoke_at = now;
+        if header.cluster == self.cluster || header.cluster == 0 || self.cluster == 0 {
+            return true;
+        }
+        actions.push(Action::Abort(id));
+        self.calls.retain(|call| call.id != id);
+        self.read = true;
+        self.doubt(now, Cause::Replaced);
+        self.due_by(now);
+        false
+    }
+
+    fn opened(&mut self, now: Duration, id: CallId, header: Header, actions: &mut Vec<Action>) {
+        if !self.is_of_this(now, id, header, actions) {
+            return;
+        }
+        let lag = self.settings.lag;
+        let Some(call) = self.call(id) else { return };
+        let Ask::Watch { from } = call.ask else { return };
+        call.open = true;
+        // It proves itself by its progress: open, it may still be silent, or behind.
+        call.probed_at = Some(now);
+        call.must_reach = Some((from - 1, now + lag));
+        self.counts.probes += 1;
+        actions.push(Action::Probe(id));
+    }
+
+    fn changed(
+        &mut self,
+        now: Duration,
+        id: CallId,
+        header: Header,
+        edits: Vec<Edit>,
+        fragment: bool,
+        actions: &mut Vec<Action>,
+    ) {
+        if !self.is_of_this(now, id, header, actions) {
+            return;
+        }
+        let change_most = self.settings.change;
+        let Some(call) = self.call(id) else { return };
+        let bytes: usize =
+            edits.iter().map(|edit| edit.key.len() + edit.value.as_ref().map_or(0, Vec::len)).sum();
+        call.pieces.0.extend(edits);
+        call.pieces.1 += bytes;
+        if call.pieces.1 > change_most {
+            // It comes in pages, then.
+            let call = self.take(id).expect("it is there");
+            actions.push(Action::Abort(id));
+            self.read = true;
+            return self.lost(now, &call, Cause::Failed(Failure::TooLong));
+        }
+        if fragment {
+            return;
+        }
+        let (edits, _) = std::mem::take(&mut call.pieces);
+        call.told = edits.last().map_or(call.told, |edit| call.told.max(edit.revision));
+        let caught_up = call.must_reach.is_some_and(|(to, _)| call.told >= to);
+        if caught_up {
+            call.must_reach = None;
+        }
+        self.edit(edits, actions);
+    }
+
+    /// Applies what is newer than the copy, as one change.
+    fn edit(&mut self, edits: Vec<Edit>, actions: &mut Vec<Action>) {
+        let Some(held) = self.revision else { return };
+        let last = edits.last().map_or(held, |edit| edit.revision);
+        if last <= held {
+            self.counts.known += edits.len() as u64;
+            return;
+        }
+        // By its last change only: what was put and deleted in between never stood in the copy.
+        let mut latest = BTreeMap::new();
+        for edit in edits {
+            if edit.revision <= held {
+                self.counts.known += 1;
+                continue;
+            }
+            self.counts.edits += 1;
+            latest.insert(edit.key, edit.value);
+        }
+        let (mut put, mut gone) = (Vec::new(), Vec::new());
+        for (key, value) in latest {
+            match value {
+                None => {
+                    if self.held.remove(&key).is_some() {
+                        gone.push(key);
+                    }
+                }
+                Some(value) => {
+                    let value = bounded(value, self.settings.value);
+                    if self.held.len() >= self.settings.keys && !self.held.contains_key(&key) {
+                        if !std::mem::replace(&mut self.over, true) {
+                            actions.push(Action::Note(Note::Full));
+                        }
+                        self.counts.over += 1;
+                        continue;
+                    }
+                    self.held.insert(key.clone(), value.clone());
+                    put.push(Entry { key, value });
+                }
+            }
+        }
+        if self.over && !gone.is_empty() {
+            // There is room again for what had none.
+            self.over = false;
+            self.read = true;
+            self.due_by(Duration::ZERO);
+        }
+        self.revision = Some(last);
+        if !put.is_empty() || !gone.is_empty() {
+            actions.push(Action::Apply(Change { revision: last, whole: false, put, gone }));
+        }
+    }
+
+    /// A watch has told everything up to a revision: all of that is in the copy.
+    fn progress(&mut self, now: Duration, id: CallId, header: Header, actions: &mut Vec<Action>) {
+        if !self.is_of_this(now, id, header, actions) {
+            return;
+        }
+        let held = self.revision.unwrap_or(0);
+        let Some(call) = self.call(id) else { return };
+        call.probed_at = None;
+        call.told = call.told.max(header.revision);
+        if call.must_reach.is_some_and(|(to, _)| call.told >= to) {
+            call.must_reach = None;
+        }
+        // Behind the copy, or behind what the cluster has: it speaks, and proves nothing.
+        if header.revision < held || call.must_reach.is_some() || !call.pieces.0.is_empty() {
+            return;
+        }
+        self.revision = Some(header.revision);
+        if self.read {
+            // What is read anew proves it, or not.
+            return;
+        }
+        self.prove(now, id, actions);
+    }
+
+    // ---- Blocking queries
+
+    fn whole(
+        &mut self,
+        now: Duration,
+        id: CallId,
+        header: Header,
+        entries: Vec<(Vec<u8>, Vec<u8>)>,
+        contact: Option<Duration>,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(call) = self.take(id) else { return };
+        let Ask::Block { stale, index, wait, .. } = call.ask else { return };
+        if contact.is_none_or(|contact| contact > self.settings.lag) {
+            // A member without a leader, or far from it, does not know better than the copy.
+            self.counts.behind += 1;
+            return self.lost(now, &call, Cause::Behind);
+        }
+        // An index of 0 would make the next query return at once, for ever.
+        let header = Header { revision: header.revision.max(1), ..header };
+        if !self.is_to_be_taken(now, &call, header, !stale, actions) {
+            return;
+        }
+        let news = self.revision != Some(header.revision);
+        let mut held = BTreeMap::new();
+        for (key, value) in entries {
+            if held.len() >= self.settings.keys {
+                self.counts.over += 1;
+                continue;
+            }
+            held.insert(key, bounded(value, self.settings.value));
+        }
+        self.replace(header, held, actions);
+        self.good = self.good.saturating_add(1);
+        self.endpoint = call.endpoint;
+        self.prove(now, id, actions);
+        // Guards against a registry that answers at once though it has no news.
+        let early = !news && index > 0 && now < call.spoke_at + wait / 2;
+        let apart = if early { self.settings.wait_least } else { BLOCK_APART };
+        self.due = Some(now.max(call.spoke_at + apart));
+    }
+}
+
+fn bounded(value: Vec<u8>, most: usize) -> Value {
+    match value.len() {
+        long if long > most => Value::TooLong(long),
+        _ => Value::Whole(value),
+    }
+}
--- a/crates/spurdrum-standin/src/lib.rs
+++ b/crates/spurdrum-standin/src/lib.rs
@@ -8,6 +8,7 @@
 mod fleet;
 pub mod manual;
 pub mod model;
+pub mod registry;
 pub mod scenario;
 mod server;
 mod tally;
--- /dev/null
+++ b/crates/spurdrum-standin/src/registry/mod.rs
@@ -0,0 +1,5 @@
+//! A key-value registry with revisions, as etcd v3 and Consul publish theirs.
+//!
+//! [`model`] is what it holds and answers, without a clock or sockets; the lab plays it in simulated time.
+
+pub mod model;
