Measure the follower of a registry on sockets; mend a confirmation that changes overtake

It showed whole reads where nothing was wrong: an answer with the true revision that changes overtook on its way was taken for a cluster put back. The stand-in's sockets had Nagle's delay.

--- a/crates/spurdrum-bench/src/main.rs
+++ b/crates/spurdrum-bench/src/main.rs
@@ -3,6 +3,7 @@
 //!     cargo run --release --bin spurdrum-bench -- stall      the generator's latencies against the stand-in's own clock
 //!     cargo run --release --bin spurdrum-bench -- rate       how late requests are sent at a high rate
 //!     cargo run --release --bin spurdrum-bench -- versus     the node beside a plain proxy, alternating
+//!     cargo run --release --bin spurdrum-bench -- registry   how late a node knows what a registry has, and what that costs
 //!     cargo run --release --bin spurdrum-bench -- restart    a node that starts with an old list while discovery fails
 
 use std::net::SocketAddr;
@@ -20,6 +21,7 @@
 use spurdrum_standin::Fleet;
 
 mod proxy;
+mod registry;
 
 #[derive(Parser)]
 struct Cli {
@@ -52,6 +54,21 @@
         #[arg(long, default_value_t = 3)]
         rounds: usize,
     },
+    /// The follower of a registry on sockets, before a stand-in cluster of three endpoints.
+    Registry {
+        /// Servers in the registry.
+        #[arg(long, value_delimiter = ',', default_value = "10,1000,10000")]
+        servers: Vec<usize>,
+        /// Changes a second.
+        #[arg(long, default_value_t = 200.0)]
+        changes: f64,
+        /// Seconds for each measurement.
+        #[arg(long, default_value_t = 10.0)]
+        for_s: f64,
+        /// Also with streams that break, endpoints that pause and compactions.
+        #[arg(long)]
+        faults: bool,
+    },
     /// All servers are replaced while discovery is down, or lags, and a node starts with the list from before.
     Restart {
         /// Another build of the node, to be measured beside this one.
@@ -75,6 +92,7 @@
         Command::Stall => stall(),
         Command::Rate { rate: requests, for_s, threads } => rate(requests, for_s, threads),
         Command::Versus { for_s, rounds } => versus(for_s, rounds.max(1)),
+        Command::Registry { servers, changes, for_s, faults } => follow(&servers, changes, for_s, faults),
         Command::Restart { beside, rounds } => restart(beside, rounds.max(1)),
         Command::PlainProxy { listen, servers } => proxy::serve(listen, servers),
     };
@@ -108,6 +126,19 @@
     run(plan, Box::new(Schedule::new(plan, 1).map(Ok)), &options, std::future::pending(), |_| {})
 }
 
+// ---- registry
+
+fn follow(servers: &[usize], changes: f64, for_s: f64, faults: bool) -> Result<(), String> {
+    let time = Duration::try_from_secs_f64(for_s).map_err(|_| format!("{for_s} is no time"))?;
+    println!("From a commit to the node's list, and how late a timer of 1 ms fires on its loop, in ms.");
+    println!("| servers | changes/s | faults | known | p50 | p99 | worst | CPU | stall p99 | worst | load | listed | newcomers |");
+    println!("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
+    for servers in servers {
+        registry::measure(&registry::Plan { servers: *servers, changes, time, faults })?;
+    }
+    Ok(())
+}
+
 // ---- stall
 
 fn stall() -> Result<(), String> {
--- a/crates/spurdrum-sources/src/registry/follower.rs
+++ b/crates/spurdrum-sources/src/registry/follower.rs
@@ -1041,7 +1041,9 @@
         actions: &mut Vec<Action>,
     ) {
         let Some(call) = self.take(id) else { return };
-        let Ask::Range { stale, .. } = call.ask else { return self.confirmed(now, header, actions) };
+        let Ask::Range { stale, .. } = call.ask else {
+            return self.confirmed(now, call.held, header, actions);
+        };
         let mut reading = match self.reading.take() {
             Some(reading) if reading.header.cluster == header.cluster => reading,
             // The cluster was replaced between two pages.
@@ -1142,11 +1144,11 @@
     }
 
     /// The true revision: the watch must come up to it.
-    fn confirmed(&mut self, now: Duration, header: Header, actions: &mut Vec<Action>) {
+    fn confirmed(&mut self, now: Duration, then: Option<u64>, header: Header, actions: &mut Vec<Action>) {
         self.confirm.2 = 0;
         let other = self.cluster != 0 && header.cluster != 0 && header.cluster != self.cluster;
-        let held = self.revision.unwrap_or(0);
-        if other || header.revision < held {
+        // Guards against taking an answer for older than the copy that was overtaken by changes on its way.
+        if other || then.is_some_and(|then| header.revision < then) {
             // Another cluster, or one that was put back: the whole read settles it.
             self.read = true;
             self.older = self.settings.endpoints;
--- a/crates/spurdrum-sources/tests/registry.rs
+++ b/crates/spurdrum-sources/tests/registry.rs
@@ -459,3 +459,42 @@
         assert_eq!(stale.held().len(), usize::from(n < 3), "every endpoint says so, and the first one twice");
     }
 }
+
+#[test]
+fn a_cluster_that_is_replaced_between_two_pages_is_read_from_the_first() {
+    let mut played = Played::new(Settings { page: 1, ..three() });
+    let (call, ..) = played.last();
+    played.page(call, header(10), &[("a", "1")], true);
+    let (call, ..) = played.last();
+    played.page(call, Header { cluster: 4, revision: 10 }, &[("b", "1")], false);
+    assert!(played.changes.is_empty());
+    assert!(matches!(played.last().2, Ask::Range { after: None, revision: None, .. }));
+}
+
+#[test]
+fn no_watch_from_before_a_whole_read_is_heard_after_it() {
+    let (mut played, old) = Played::watching(three(), &[("a", "1")]);
+    // The cluster was put back, as the true revision shows; the old watch has not broken yet.
+    let (confirm, ..) = played.confirm(header(10));
+    played.page(confirm, header(4), &[], false);
+    let (call, ..) = played.last();
+    played.page(call, header(4), &[("a", "0")], false);
+    assert!(played.aborted.contains(&old));
+    played.changed(old, 11, vec![put("x", "1", 11)], false);
+    assert_eq!(played.held(), [("a".to_owned(), "0".to_owned())]);
+}
+
+#[test]
+fn a_confirmation_that_changes_overtake_is_no_older_revision() {
+    let (mut played, call) = Played::watching(three(), &[("a", "1")]);
+    let (confirm, ..) = played.confirm(header(10));
+    played.changed(call, 12, vec![put("a", "2", 11), put("a", "3", 12)], false);
+    played.page(confirm, header(11), &[], false);
+    played.pass_alive(MS(500), header(12));
+    assert!(
+        !played.calls[1..].iter().any(|(_, _, ask)| matches!(ask, Ask::Range { .. })),
+        "{:?}",
+        played.calls
+    );
+    assert_eq!(played.follower.view(), View::Fresh);
+}
--- a/crates/spurdrum-standin/src/registry/etcd.rs
+++ b/crates/spurdrum-standin/src/registry/etcd.rs
@@ -14,7 +14,8 @@
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::sleep;
-use tokio_stream::wrappers::{ReceiverStream, TcpListenerStream};
+use tokio_stream::wrappers::ReceiverStream;
+use tonic::transport::server::TcpIncoming;
 use tonic::{Request, Response, Status, Streaming};
 
 use super::model::{Change, Compacted, Registry};
@@ -171,12 +172,12 @@
     let address = listener.local_addr()?;
     let member = Member { shared: Arc::clone(shared), number };
     let server = tonic::transport::Server::builder()
-        .tcp_nodelay(true)
         .add_service(KVServer::new(member.clone()))
         .add_service(WatchServer::new(member.clone()))
         .add_service(LeaseServer::new(member.clone()))
         .add_service(AuthServer::new(member));
-    tokio::spawn(server.serve_with_incoming(TcpListenerStream::new(listener)));
+    let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
+    tokio::spawn(server.serve_with_incoming(incoming));
     Ok(address)
 }
 
