Register a node under a lease in etcd, and take it out before it ends

Off without [sources.registry.register]. On sockets: a lost lease is asked for anew, and a node that ends stands as leaving while it still serves, is gone from the registry, and then ends.

--- a/crates/spurdrum-sources/src/registry/etcd.rs
+++ b/crates/spurdrum-sources/src/registry/etcd.rs
@@ -1,22 +1,27 @@
 //! An etcd v3 cluster over gRPC: a [`Wire`] with Range, Watch and Authenticate.
 
 use std::cell::RefCell;
+use std::future::Future;
+use std::pin::Pin;
 use std::time::Duration;
 
 use spurdrum_etcd_wire::services::{
-    auth_client::AuthClient, k_v_client::KVClient, watch_client::WatchClient,
+    auth_client::AuthClient, k_v_client::KVClient, lease_client::LeaseClient, watch_client::WatchClient,
 };
 use spurdrum_etcd_wire::{
-    prefix_end, AuthenticateRequest, RangeRequest, ResponseHeader, WatchAsk, WatchCreateRequest,
-    WatchProgressRequest, WatchRequest, WatchResponse, DELETE,
+    prefix_end, AuthenticateRequest, LeaseGrantRequest, LeaseKeepAliveRequest, LeaseRevokeRequest,
+    PutRequest, RangeRequest, ResponseHeader, WatchAsk, WatchCreateRequest, WatchProgressRequest,
+    WatchRequest, WatchResponse, DELETE,
 };
 use tokio::sync::mpsc;
+use tokio::time::{sleep_until, Instant};
 use tokio_stream::wrappers::ReceiverStream;
 use tonic::metadata::{Ascii, MetadataValue};
 use tonic::transport::{Channel, Endpoint};
 use tonic::{Code, Request, Status};
 
 use super::follower::{Ask, CallId, Edit, Event, Failure, Header};
+use super::registrar::{self, Got, Registrar, State};
 use super::shell::Wire;
 
 /// One message may be this long. Servers take requests of 1.5 MiB unless they are told otherwise.
@@ -267,6 +272,113 @@
     }
 }
 
+/// A node's own key in a cluster.
+pub struct Registration {
+    /// The cluster.
+    pub etcd: Etcd,
+    /// The key.
+    pub key: Vec<u8>,
+    /// Its value while the node serves...
+    pub active: Vec<u8>,
+    /// ...and once it is to end.
+    pub leaving: Vec<u8>,
+}
+
+type Asked<'r> = Pin<Box<dyn Future<Output = (registrar::CallId, Got)> + 'r>>;
+
+impl Registration {
+    /// Keeps the key, from now until it has been taken out once `leave` has come. Each change of its state is told.
+    ///
+    /// # Errors
+    ///
+    /// The first setting that makes no sense, and why.
+    pub async fn keep(
+        &self,
+        settings: registrar::Settings,
+        seed: u64,
+        leave: impl Future<Output = ()>,
+        told: impl Fn(State),
+    ) -> Result<(), (&'static str, &'static str)> {
+        let mut registrar = Registrar::new(settings, seed)?;
+        let (started, mut out, mut leaves) = (Instant::now(), None::<Asked>, false);
+        let mut leave = std::pin::pin!(leave);
+        let mut event = registrar::Event::Tick;
+        loop {
+            let mut actions = Vec::new();
+            registrar.handle(started.elapsed(), event, &mut actions);
+            for action in actions {
+                match action {
+                    registrar::Action::Call { call, endpoint, ask } => {
+                        out = Some(Box::pin(async move { (call, self.ask(endpoint, ask).await) }));
+                    }
+                    registrar::Action::Abort(_) => out = None,
+                    registrar::Action::State(state) => told(state),
+                }
+            }
+            let Some(wake) = registrar.next_wake() else { return Ok(()) };
+            let ended = async {
+                match &mut out {
+                    Some(call) => call.await,
+                    None => std::future::pending().await,
+                }
+            };
+            event = tokio::select! {
+                (call, got) = ended => {
+                    out = None;
+                    registrar::Event::Ended { call, got }
+                }
+                () = &mut leave, if !leaves => {
+                    leaves = true;
+                    registrar::Event::Leave
+                }
+                () = sleep_until(started + wake) => registrar::Event::Tick,
+            };
+        }
+    }
+
+    async fn ask(&self, endpoint: usize, ask: registrar::Ask) -> Got {
+        match self.request(endpoint, ask).await {
+            Ok(got) => got,
+            Err(status) if status.code() == Code::NotFound => Got::NoLease,
+            Err(status) => {
+                self.etcd.forget(endpoint, Some(failure(&status)));
+                Got::Failed
+            }
+        }
+    }
+
+    async fn request(&self, endpoint: usize, ask: registrar::Ask) -> Result<Got, Status> {
+        let channel = self.etcd.channel(endpoint).await?;
+        let seconds = |ttl: i64| Duration::from_secs(u64::try_from(ttl).unwrap_or(0));
+        let mut leases = LeaseClient::new(channel.clone());
+        match ask {
+            registrar::Ask::Grant { ttl } => {
+                let ask = LeaseGrantRequest { ttl: ttl.as_secs() as i64, id: 0 };
+                let request = self.etcd.signed(&channel, ask).await?;
+                let lease = leases.lease_grant(request).await?.into_inner();
+                Ok(Got::Granted { lease: lease.id, ttl: seconds(lease.ttl) })
+            }
+            registrar::Ask::Put { lease, leaving } => {
+                let value = if leaving { self.leaving.clone() } else { self.active.clone() };
+                let ask = PutRequest { key: self.key.clone(), value, lease };
+                let request = self.etcd.signed(&channel, ask).await?;
+                KVClient::new(channel).put(request).await.map(|_| Got::Done)
+            }
+            registrar::Ask::Renew { lease } => {
+                let asks = tokio_stream::once(LeaseKeepAliveRequest { id: lease });
+                let request = self.etcd.signed(&channel, asks).await?;
+                let answer = leases.lease_keep_alive(request).await?.into_inner().message().await?;
+                let answer = answer.ok_or_else(|| Status::aborted("the stream has ended"))?;
+                Ok(Got::Renewed { ttl: seconds(answer.ttl) })
+            }
+            registrar::Ask::Revoke { lease } => {
+                let request = self.etcd.signed(&channel, LeaseRevokeRequest { id: lease }).await?;
+                leases.lease_revoke(request).await.map(|_| Got::Done)
+            }
+        }
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/spurdrum-sources/src/registry/mod.rs
+++ b/crates/spurdrum-sources/src/registry/mod.rs
@@ -7,5 +7,6 @@
 pub mod consul;
 pub mod etcd;
 pub mod follower;
+pub mod registrar;
 pub mod schema;
 pub mod shell;
--- a/crates/spurdrum/src/file.rs
+++ b/crates/spurdrum/src/file.rs
@@ -14,7 +14,7 @@
 use crate::config::{Config, Source};
 use crate::list::Places;
 use crate::log::Format;
-use crate::registry::{MergeTable, RegistryTable};
+use crate::registry::{MergeTable, Myself, RegistryTable};
 
 /// The whole file. A table that is absent leaves its subsystem off.
 #[derive(Default, Deserialize)]
@@ -57,6 +57,13 @@
     retry_after_most_ms: Option<f64>,
 }
 
+impl NodeTable {
+    fn myself(&self) -> Myself<'_> {
+        let Self { name, listen, zone, nodes, me, .. } = self;
+        Myself { name, listen: *listen, zone, nodes: *nodes, me: *me }
+    }
+}
+
 fn node_name() -> String {
     "spurdrum".into()
 }
@@ -327,7 +334,7 @@
             return Err(("node", "listen", "there is no [[class]]"));
         }
         if let Some(registry) = registry {
-            registry.read(self.merge(), node.nodes, node.me)?;
+            registry.read(self.merge(), &node.myself())?;
         } else if fixed.is_none() && self.catalog_address().is_none() {
             return Err((
                 "node",
@@ -432,7 +439,7 @@
                 (None, Some(_)) => Source::Static,
                 (None, None) => Source::None,
             },
-            registry: self.registry().and_then(|table| table.read(self.merge(), node.nodes, node.me).ok()),
+            registry: self.registry().and_then(|table| table.read(self.merge(), &node.myself()).ok()),
             log: self.log(),
             seed: node.seed.unwrap_or_else(random_seed),
             limits: Limits {
--- a/crates/spurdrum/src/main.rs
+++ b/crates/spurdrum/src/main.rs
@@ -11,6 +11,7 @@
 use spurdrum_sources::catalog::{Catalog, News};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::oneshot;
 use tokio::task::LocalSet;
 
 mod config;
@@ -26,7 +27,7 @@
 use registry::{Place, Registry};
 use spurdrum_sources::reconciler::Event;
 use spurdrum_sources::registry::consul::Consul;
-use spurdrum_sources::registry::etcd::Etcd;
+use spurdrum_sources::registry::etcd::{Etcd, Registration};
 use spurdrum_sources::registry::shell::{Shell, Wire};
 
 /// A load-balancing reverse proxy: one node.
@@ -143,9 +144,15 @@
     })?;
     let places = Rc::new(config.places);
     // With a registry there may be several sources; without, the one there is goes to the core as it comes.
+    let mut leaves = None;
     let registry = match config.registry {
         None => None,
-        Some(registry) => {
+        Some(mut registry) => {
+            if let (Some(register), Place::Etcd(cluster)) = (registry.register.take(), &registry.place) {
+                let etcd = Etcd::new(cluster.clone());
+                let etcd = etcd.map_err(|(key, why)| format!("`sources.registry.{key}`: {why}"))?;
+                leaves = Some(keep(etcd, register, config.seed));
+            }
             let merged = Merged::new(Rc::clone(&node), Rc::clone(&places), registry.merging.clone())?;
             tokio::task::spawn_local(Rc::clone(&merged).keep_time());
             let status = watch(&merged, registry, config.seed)
@@ -184,11 +191,35 @@
     let front = Front::new(node, config.names, status);
     spurdrum_http::run(front, listener, async move {
         stop.recv().await;
+        // Who follows the registry hears of it first.
+        if let Some((leave, gone)) = leaves {
+            let _ = leave.send(());
+            let _ = gone.await;
+        }
     })
     .await;
     Ok(())
 }
 
+/// Keeps the node's own key in a registry: how to have it taken out, and what tells that it is.
+fn keep(etcd: Etcd, register: registry::Register, seed: u64) -> (oneshot::Sender<()>, oneshot::Receiver<()>) {
+    let (leave, leaves) = oneshot::channel();
+    let (tell, gone) = oneshot::channel();
+    tokio::task::spawn_local(async move {
+        let [active, leaving] = register.values.map(String::into_bytes);
+        let registration = Registration { etcd, key: register.key.clone().into_bytes(), active, leaving };
+        let leaves = async {
+            // Dropped unheard, it comes to the same.
+            let _ = leaves.await;
+        };
+        let told = |state| tracing::info!("the node's key {} in the registry: {state}", register.key);
+        // Its settings were looked at when they were read.
+        let _ = registration.keep(register.settings, seed, leaves, told).await;
+        let _ = tell.send(());
+    });
+    (leave, gone)
+}
+
 type Status = Box<dyn Fn() -> String>;
 
 /// Follows a registry for as long as the node runs. How its state is shown.
--- a/crates/spurdrum/src/registry.rs
+++ b/crates/spurdrum/src/registry.rs
@@ -8,8 +8,8 @@
 use spurdrum_sources::reconciler::{self, Combine};
 use spurdrum_sources::registry::consul::Service;
 use spurdrum_sources::registry::etcd::Cluster;
-use spurdrum_sources::registry::follower;
 use spurdrum_sources::registry::schema::{Compiled, Schema, ValueForm};
+use spurdrum_sources::registry::{follower, registrar};
 
 use crate::file::{set, set_time};
 
@@ -24,6 +24,8 @@
     pub place: Place,
     /// Where the user's password, or the token, is.
     secret_file: Option<PathBuf>,
+    /// How the node registers itself there, where it does.
+    pub register: Option<Register>,
     /// How it is followed.
     pub following: follower::Settings,
     /// How keys and values map to servers.
@@ -32,6 +34,30 @@
     pub merging: reconciler::Settings,
 }
 
+/// How a node registers itself.
+pub struct Register {
+    /// Its key.
+    pub key: String,
+    /// Its value while it serves, and once it is to end.
+    pub values: [String; 2],
+    /// When, and for how long.
+    pub settings: registrar::Settings,
+}
+
+/// What a node is told of itself.
+pub struct Myself<'f> {
+    /// Its name.
+    pub name: &'f str,
+    /// Where it listens.
+    pub listen: SocketAddr,
+    /// Where it is.
+    pub zone: &'f str,
+    /// Nodes, and its number among them.
+    pub nodes: usize,
+    /// See `nodes`.
+    pub me: usize,
+}
+
 /// Where a registry is, and what it speaks.
 pub enum Place {
     /// etcd v3.
@@ -79,6 +105,36 @@
     retry_least_ms: Option<u64>,
     retry_most_ms: Option<u64>,
     spread_ms: Option<u64>,
+    register: Option<RegisterTable>,
+}
+
+/// Table `[sources.registry.register]`. Times are in milliseconds.
+#[derive(Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+struct RegisterTable {
+    key: Option<String>,
+    address: Option<SocketAddr>,
+    ttl_ms: Option<u64>,
+    drain_ms: Option<u64>,
+}
+
+impl RegisterTable {
+    fn read(&self, me: &Myself, endpoints: usize) -> Result<Register, Wrong> {
+        const TABLE: &str = "sources.registry.register";
+        let mut settings = registrar::Settings { endpoints, ..Default::default() };
+        set_time(&mut settings.ttl, self.ttl_ms);
+        set_time(&mut settings.drain, self.drain_ms);
+        settings.validate().map_err(|(key, why)| (TABLE, key, why))?;
+        let address = self.address.unwrap_or(me.listen);
+        if address.ip().is_unspecified() || address.port() == 0 {
+            return Err((TABLE, "address", "is none that others could use"));
+        }
+        let value = |phase| {
+            serde_json::json!({"address": address.to_string(), "zone": me.zone, "phase": phase}).to_string()
+        };
+        let key = self.key.clone().unwrap_or_else(|| format!("/spurdrum/nodes/{}", me.name));
+        Ok(Register { key, values: [value("active"), value("leaving")], settings })
+    }
 }
 
 /// Table `[sources.merge]`. Times are in milliseconds.
@@ -99,7 +155,7 @@
 
 impl RegistryTable {
     /// What it says, for one of so many nodes.
-    pub fn read(&self, merge: Option<&MergeTable>, nodes: usize, me: usize) -> Result<Registry, Wrong> {
+    pub fn read(&self, merge: Option<&MergeTable>, me: &Myself) -> Result<Registry, Wrong> {
         let of = |(key, why)| (REGISTRY, key, why);
         let mut schema = match self.kind {
             Kind::Etcd => Schema::default(),
@@ -123,13 +179,21 @@
             (true, None) if self.token_file.is_some() => {
                 return Err((REGISTRY, "token_file", "is Consul's; etcd has `user` and `password_file`"));
             }
+            (false, _) if self.register.is_some() => {
+                return Err((
+                    REGISTRY,
+                    "register",
+                    "is etcd's: an agent of Consul registers what runs beside it",
+                ));
+            }
             (false, _) if self.user.is_some() => {
                 return Err((REGISTRY, "user", "is etcd's; Consul has `token_file`"));
             }
             (false, None) => return Err((REGISTRY, "service", "is missing")),
             _ => {}
         }
-        let mut following = follower::Settings { nodes, me, stale: self.stale, ..Default::default() };
+        let mut following =
+            follower::Settings { nodes: me.nodes, me: me.me, stale: self.stale, ..Default::default() };
         following.endpoints = self.endpoints.len();
         if !is_etcd {
             following.interface = follower::Interface::Blocking;
@@ -176,7 +240,9 @@
         let merging = merge.map(MergeTable::read).unwrap_or_default();
         merging.validate().map_err(|(key, why)| ("sources.merge", key, why))?;
         let secret_file = self.password_file.clone().or_else(|| self.token_file.clone());
-        Ok(Registry { place, secret_file, following, schema, merging })
+        let register = self.register.as_ref().map(|table| table.read(me, self.endpoints.len()));
+        let register = register.transpose()?;
+        Ok(Registry { place, register, secret_file, following, schema, merging })
     }
 }
 
--- a/crates/spurdrum/tests/node/alone.rs
+++ b/crates/spurdrum/tests/node/alone.rs
@@ -81,6 +81,11 @@
         (format!("{sound}{etcd}kind = \"consul\"\n"), Some("`sources.registry.service`")),
         (format!("{sound}{etcd}kind = \"consul\"\nservice = \"web\"\n"), None),
         (format!("{sound}{}", etcd.replace("http://", "https://")), Some("`sources.registry.endpoints`")),
+        (format!("{sound}{etcd}[sources.registry.register]\nttl_ms = 3000\n"), None),
+        (
+            format!("{sound}{etcd}[sources.registry.register]\nttl_ms = 3\n"),
+            Some("`sources.registry.register.ttl_ms`"),
+        ),
         (etcd.into(), Some("`sources.registry.endpoints`")),
         ("[sources.static]\nservers = []\n".into(), Some("`sources.static.servers`")),
         (sound.replace("name = \"pay\"", "name = \"read\""), Some("`class.name`")),
--- a/crates/spurdrum/tests/node/registry.rs
+++ b/crates/spurdrum/tests/node/registry.rs
@@ -137,3 +137,41 @@
     until(&node, &format!("revision {revision};"));
     (0..10).for_each(|_| goes_to(&node, &servers[0]));
 }
+
+#[test]
+fn a_node_registers_itself_and_takes_itself_out_before_it_ends() {
+    let registry = Etcd::start(2, None).expect("started");
+    let server = Server::start();
+    registry.with(|keys| keys.put(&key("one"), &value(&server, "active")));
+    let listen = own_address();
+    let more = "[sources.registry.register]\nkey = \"/nodes/n0\"\nttl_ms = 2000\ndrain_ms = 300\n";
+    let mut node = Node::alone(listen, &file(listen, &registry, more));
+    let phase = || {
+        let state = registry.with(|keys| keys.state(keys.revision()));
+        let value =
+            state.get(b"/nodes/n0".as_slice()).map(|value| String::from_utf8_lossy(value).into_owned());
+        value.map(|value| {
+            assert!(value.contains(&listen.to_string()), "{value}");
+            value.contains("leaving")
+        })
+    };
+    let stands = |wanted: Option<bool>| {
+        while phase() != wanted {
+            std::thread::yield_now();
+        }
+    };
+    stands(Some(false));
+    // Its lease is lost: it comes back under another.
+    for lease in 1..10 {
+        registry.with(|keys| keys.revoke(lease));
+    }
+    stands(Some(false));
+    until(&node, "of the registry 1,");
+    node.terminate();
+    stands(Some(true));
+    // It still serves while others hear of it.
+    goes_to(&node, &server);
+    stands(None);
+    assert_eq!(node.wait().code(), Some(0));
+    assert_eq!(registry.with(|keys| keys.leases()), 0);
+}
