Speak TLS to etcd, with the authority, certificate and key from files

Other installations encrypt. tonic's rustls (ring), the authority named and no system roots, the node's own certificate where it is asked for one, a server name. On sockets: followed when all is right; not with another authority, another name, no certificate or one that the cluster does not know.

--- a/crates/spurdrum-bench/src/registry.rs
+++ b/crates/spurdrum-bench/src/registry.rs
@@ -59,7 +59,7 @@
     let runtime = runtime.map_err(|error| error.to_string())?;
     let wrong = |(key, why): (&str, &str)| format!("{key}: {why}");
     LocalSet::new().block_on(&runtime, async {
-        let place = Cluster { endpoints: cluster.uris(), prefix: b"/spurdrum/servers/".to_vec(), user: None };
+        let place = Cluster { endpoints: cluster.uris(), prefix: b"/spurdrum/servers/".to_vec(), user: None, tls: None };
         let settings = Settings { endpoints: 3, ..Settings::default() };
         let shell = Shell::new(Etcd::new(place).map_err(wrong)?, settings, 1).map_err(wrong)?;
         let mapper = RefCell::new(Mapper::new(Schema::default().compile().map_err(wrong)?));
--- a/crates/spurdrum-sources/src/registry/etcd.rs
+++ b/crates/spurdrum-sources/src/registry/etcd.rs
@@ -17,7 +17,7 @@
 use tokio::time::{sleep_until, Instant};
 use tokio_stream::wrappers::ReceiverStream;
 use tonic::metadata::{Ascii, MetadataValue};
-use tonic::transport::{Channel, Endpoint};
+use tonic::transport::{Certificate, Channel, ClientTlsConfig, Endpoint, Identity};
 use tonic::{Code, Request, Status};
 
 use super::follower::{Ask, CallId, Edit, Event, Failure, Header};
@@ -41,6 +41,19 @@
     pub prefix: Vec<u8>,
     /// A user and their password; none where it asks for none.
     pub user: Option<(String, String)>,
+    /// What is spoken to `https://` endpoints.
+    pub tls: Option<Tls>,
+}
+
+/// How a cluster is verified, and what it is shown. All in PEM.
+#[derive(Clone, Debug, Default)]
+pub struct Tls {
+    /// Whom its certificates must come from.
+    pub ca: Vec<u8>,
+    /// The node's own certificate and key; none where it is asked for none.
+    pub identity: Option<(Vec<u8>, Vec<u8>)>,
+    /// The name that its certificates must have, where that is not the endpoint's.
+    pub name: Option<String>,
 }
 
 impl Cluster {
@@ -50,18 +63,33 @@
     ///
     /// The key that makes no sense, and why.
     pub fn check(&self) -> Result<(), (&'static str, &'static str)> {
-        self.places().map(drop)
+        self.places(false).map(drop)
     }
 
-    fn places(&self) -> Result<Vec<Endpoint>, (&'static str, &'static str)> {
+    /// Its endpoints; with TLS, what the files hold is needed and looked at.
+    fn places(&self, with_tls: bool) -> Result<Vec<Endpoint>, (&'static str, &'static str)> {
+        let scheme = if self.tls.is_some() { "https" } else { "http" };
         let place = |uri: &String| {
-            let place = Endpoint::from_shared(uri.clone()).ok()?;
-            let sound = place.uri().scheme_str() == Some("http") && place.uri().authority().is_some();
+            let wrong = ("endpoints", "has one that is not http://host:port, or https:// with `ca_file`");
+            let place = Endpoint::from_shared(uri.clone()).map_err(|_| wrong)?;
+            if place.uri().scheme_str() != Some(scheme) || place.uri().authority().is_none() {
+                return Err(wrong);
+            }
             let place = place.connect_timeout(DIAL_MOST).tcp_nodelay(true);
-            sound.then(|| place.initial_stream_window_size(WINDOW).initial_connection_window_size(2 * WINDOW))
+            let place = place.initial_stream_window_size(WINDOW).initial_connection_window_size(2 * WINDOW);
+            let Some(tls) = self.tls.as_ref().filter(|_| with_tls) else { return Ok(place) };
+            let mut config = ClientTlsConfig::new().ca_certificate(Certificate::from_pem(&tls.ca));
+            if let Some((certificate, key)) = &tls.identity {
+                config = config.identity(Identity::from_pem(certificate, key));
+            }
+            if let Some(name) = &tls.name {
+                config = config.domain_name(name);
+            }
+            place
+                .tls_config(config)
+                .map_err(|_| ("ca_file", "or `cert_file` or `key_file` holds no sound PEM"))
         };
-        let places: Option<Vec<Endpoint>> = self.endpoints.iter().map(place).collect();
-        places.ok_or(("endpoints", "has one that is not http://host:port"))
+        self.endpoints.iter().map(place).collect()
     }
 }
 
@@ -107,7 +135,7 @@
     ///
     /// The key that makes no sense, and why.
     pub fn new(cluster: Cluster) -> Result<Self, (&'static str, &'static str)> {
-        let places = cluster.places()?;
+        let places = cluster.places(true)?;
         Ok(Self {
             end: prefix_end(&cluster.prefix),
             channels: RefCell::new(vec![None; places.len()]),
--- a/crates/spurdrum-sources/tests/etcd.rs
+++ b/crates/spurdrum-sources/tests/etcd.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use spurdrum_sources::follower::View;
-use spurdrum_sources::registry::etcd::{Cluster, Etcd};
+use spurdrum_sources::registry::etcd::{Cluster, Etcd, Tls};
 use spurdrum_sources::registry::follower::{Change, Counts, Note, Settings, Value};
 use spurdrum_sources::registry::shell::{News, Shell};
 use spurdrum_standin::registry::etcd::Etcd as StandIn;
@@ -64,7 +64,16 @@
     user: Option<(&str, &str)>,
     act: impl FnOnce(Played) -> F,
 ) {
-    let cluster = StandIn::start(endpoints, user).expect("started");
+    play_with(StandIn::start(endpoints, user).expect("started"), user, None, act);
+}
+
+fn play_with<F: std::future::Future<Output = ()>>(
+    cluster: StandIn,
+    user: Option<(&str, &str)>,
+    tls: Option<Tls>,
+    act: impl FnOnce(Played) -> F,
+) {
+    let endpoints = cluster.endpoints.len();
     cluster.with(|registry| {
         for n in 0..10 {
             registry.put(&key(n), "1");
@@ -76,6 +85,7 @@
             endpoints: cluster.uris(),
             prefix: b"/servers/".to_vec(),
             user: user.map(|(name, password)| (name.to_owned(), password.to_owned())),
+            tls,
         };
         let ms = Duration::from_millis;
         let settings = Settings { endpoints, page: 3, confirm: ms(200), ..Settings::default() };
@@ -204,3 +214,64 @@
         assert!(played.counts().failed > 1, "{:?}", played.counts());
     });
 }
+
+/// An authority, and a certificate with its key that it has signed for this name.
+fn signed(name: &str) -> (String, String, String) {
+    use rcgen::{BasicConstraints, CertificateParams, IsCa, Issuer, KeyPair};
+    let (ca_key, key) = (KeyPair::generate().expect("a key"), KeyPair::generate().expect("a key"));
+    let mut ca = CertificateParams::new(Vec::new()).expect("sound");
+    ca.is_ca = IsCa::Ca(BasicConstraints::Unconstrained);
+    let ca_pem = ca.self_signed(&ca_key).expect("signed").pem();
+    let issuer = Issuer::new(ca, ca_key);
+    let leaf = CertificateParams::new(vec![name.to_owned()]).expect("sound").signed_by(&key, &issuer);
+    (ca_pem, leaf.expect("signed").pem(), key.serialize_pem())
+}
+
+#[test]
+fn a_cluster_is_verified_and_is_shown_who_asks() {
+    let (server_ca, certificate, key) = signed("registry.test");
+    let (client_ca, own, own_key) = signed("node.test");
+    let cluster = StandIn::start_tls(2, &certificate, &key, &client_ca).expect("started");
+    let tls = Tls {
+        ca: server_ca.into_bytes(),
+        identity: Some((own.into_bytes(), own_key.into_bytes())),
+        name: Some("registry.test".into()),
+    };
+    play_with(cluster, None, Some(tls), |played| async move {
+        played.cluster.break_streams(0);
+        played.cluster.with(|registry| registry.put("/servers/1", "changed"));
+        played.same("a change").await;
+    });
+}
+
+#[test]
+fn a_cluster_that_is_another_or_does_not_know_the_node_is_not_followed() {
+    let (server_ca, certificate, key) = signed("registry.test");
+    let (client_ca, own, own_key) = signed("node.test");
+    let (other_ca, stranger, stranger_key) = signed("node.test");
+    let identity = |pem: &str, key: &str| Some((pem.as_bytes().to_vec(), key.as_bytes().to_vec()));
+    let cases = [
+        ("another authority", other_ca, "registry.test", identity(&own, &own_key)),
+        ("another name", server_ca.clone(), "other.test", identity(&own, &own_key)),
+        ("no certificate", server_ca.clone(), "registry.test", None),
+        ("an unknown certificate", server_ca, "registry.test", identity(&stranger, &stranger_key)),
+    ];
+    let cluster = StandIn::start_tls(1, &certificate, &key, &client_ca).expect("started");
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    for (what, ca, name, identity) in cases {
+        let tls = Some(Tls { ca: ca.into_bytes(), identity, name: Some(name.into()) });
+        let place = Cluster { endpoints: cluster.uris(), prefix: b"/".to_vec(), user: None, tls };
+        LocalSet::new().block_on(&runtime, async {
+            let shell = Shell::new(Etcd::new(place).expect("sound"), Settings::default(), 5).expect("sound");
+            let following = tokio::task::spawn_local(Rc::clone(&shell).follow(|_| {}));
+            let refused = async {
+                while shell.status().3.failed < 3 {
+                    tokio::time::sleep(Duration::from_millis(5)).await;
+                }
+            };
+            assert!(timeout(LONG, refused).await.is_ok(), "{what}: {:?}", shell.status());
+            assert_eq!(shell.status().2, None, "{what}");
+            following.abort();
+        });
+    }
+}
--- a/crates/spurdrum-standin/src/registry/etcd.rs
+++ b/crates/spurdrum-standin/src/registry/etcd.rs
@@ -16,6 +16,7 @@
 use tokio::time::sleep;
 use tokio_stream::wrappers::ReceiverStream;
 use tonic::transport::server::TcpIncoming;
+use tonic::transport::{Certificate, Identity, ServerTlsConfig};
 use tonic::{Request, Response, Status, Streaming};
 
 use super::model::{Change, Compacted, Registry};
@@ -54,6 +55,7 @@
 pub struct Etcd {
     /// Where its endpoints listen.
     pub endpoints: Vec<SocketAddr>,
+    scheme: &'static str,
     shared: Arc<Shared>,
     stop: Option<oneshot::Sender<()>>,
     thread: Option<JoinHandle<()>>,
@@ -66,6 +68,31 @@
     ///
     /// What the system says.
     pub fn start(endpoints: usize, user: Option<(&str, &str)>) -> Result<Self, String> {
+        Self::start_with(endpoints, user, None)
+    }
+
+    /// Starts so that its endpoints speak TLS, and only to those whom its CA knows.
+    ///
+    /// # Errors
+    ///
+    /// What the system says.
+    pub fn start_tls(
+        endpoints: usize,
+        certificate: &str,
+        key: &str,
+        client_ca: &str,
+    ) -> Result<Self, String> {
+        let identity = Identity::from_pem(certificate, key);
+        let tls = ServerTlsConfig::new().identity(identity).client_ca_root(Certificate::from_pem(client_ca));
+        Self::start_with(endpoints, None, Some(tls))
+    }
+
+    fn start_with(
+        endpoints: usize,
+        user: Option<(&str, &str)>,
+        tls: Option<ServerTlsConfig>,
+    ) -> Result<Self, String> {
+        let scheme = if tls.is_some() { "https" } else { "http" };
         let shared = Arc::new(Shared {
             registry: Mutex::new(Registry::new(7)),
             commits: Mutex::default(),
@@ -86,7 +113,7 @@
             runtime.block_on(async move {
                 let mut addresses = Vec::new();
                 for n in 0..endpoints {
-                    match serve(&of, n).await {
+                    match serve(&of, n, tls.clone()).await {
                         Ok(address) => addresses.push(address),
                         Err(error) => return drop(tell.send(Err(error.to_string()))),
                     }
@@ -109,12 +136,12 @@
             });
         });
         let endpoints = told.recv().map_err(|_| "the registry did not start".to_owned())??;
-        Ok(Self { endpoints, shared, stop: Some(stop), thread: Some(thread) })
+        Ok(Self { endpoints, scheme, shared, stop: Some(stop), thread: Some(thread) })
     }
 
     /// Its endpoints as URIs.
     pub fn uris(&self) -> Vec<String> {
-        self.endpoints.iter().map(|address| format!("http://{address}")).collect()
+        self.endpoints.iter().map(|address| format!("{}://{address}", self.scheme)).collect()
     }
 
     /// Does something with what it holds, and tells its watches.
@@ -167,11 +194,19 @@
     }
 }
 
-async fn serve(shared: &Arc<Shared>, number: usize) -> std::io::Result<SocketAddr> {
+async fn serve(
+    shared: &Arc<Shared>,
+    number: usize,
+    tls: Option<ServerTlsConfig>,
+) -> std::io::Result<SocketAddr> {
     let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
     let address = listener.local_addr()?;
     let member = Member { shared: Arc::clone(shared), number };
-    let server = tonic::transport::Server::builder()
+    let mut server = tonic::transport::Server::builder();
+    if let Some(tls) = tls {
+        server = server.tls_config(tls).map_err(std::io::Error::other)?;
+    }
+    let server = server
         .add_service(KVServer::new(member.clone()))
         .add_service(WatchServer::new(member.clone()))
         .add_service(LeaseServer::new(member.clone()))
--- a/crates/spurdrum/src/main.rs
+++ b/crates/spurdrum/src/main.rs
@@ -108,7 +108,7 @@
     let mut reload = hear(SignalKind::hangup(), "SIGHUP")?;
     let mut config = platform::read(file.as_deref())?;
     if let Some(registry) = &mut config.registry {
-        registry.read_secret()?;
+        registry.read_files()?;
     }
     let _log = log::start(&config.name, config.log);
     raise_descriptors(&mut config);
--- a/crates/spurdrum/src/registry.rs
+++ b/crates/spurdrum/src/registry.rs
@@ -7,7 +7,7 @@
 use serde::Deserialize;
 use spurdrum_sources::reconciler::{self, Combine};
 use spurdrum_sources::registry::consul::Service;
-use spurdrum_sources::registry::etcd::Cluster;
+use spurdrum_sources::registry::etcd::{Cluster, Tls};
 use spurdrum_sources::registry::schema::{Compiled, Schema, ValueForm};
 use spurdrum_sources::registry::{follower, registrar};
 
@@ -24,6 +24,8 @@
     pub place: Place,
     /// Where the user's password, or the token, is.
     secret_file: Option<PathBuf>,
+    /// Where what TLS needs is: the authority, and the node's certificate with its key.
+    tls_files: Option<TlsFiles>,
     /// How the node registers itself there, where it does.
     pub register: Option<Register>,
     /// How it is followed.
@@ -34,6 +36,11 @@
     pub merging: reconciler::Settings,
 }
 
+struct TlsFiles {
+    ca: PathBuf,
+    identity: Option<(PathBuf, PathBuf)>,
+}
+
 /// How a node registers itself.
 pub struct Register {
     /// Its key.
@@ -82,6 +89,10 @@
     kind: Kind,
     service: Option<String>,
     token_file: Option<PathBuf>,
+    ca_file: Option<PathBuf>,
+    cert_file: Option<PathBuf>,
+    key_file: Option<PathBuf>,
+    server_name: Option<String>,
     wait_least_ms: Option<u64>,
     wait_most_ms: Option<u64>,
     endpoints: Vec<String>,
@@ -189,9 +200,22 @@
             (false, _) if self.user.is_some() => {
                 return Err((REGISTRY, "user", "is etcd's; Consul has `token_file`"));
             }
+            (false, _) if self.ca_file.is_some() => {
+                return Err((REGISTRY, "ca_file", "is etcd's: TLS to Consul is not there yet"));
+            }
             (false, None) => return Err((REGISTRY, "service", "is missing")),
             _ => {}
         }
+        let tls_files = match (&self.ca_file, &self.cert_file, &self.key_file) {
+            (Some(ca), None, None) => Some(TlsFiles { ca: ca.clone(), identity: None }),
+            (Some(ca), Some(cert), Some(key)) => {
+                Some(TlsFiles { ca: ca.clone(), identity: Some((cert.clone(), key.clone())) })
+            }
+            (None, None, None) if self.server_name.is_none() => None,
+            _ => {
+                return Err((REGISTRY, "ca_file", "goes with `server_name`, and `cert_file` with `key_file`"))
+            }
+        };
         let mut following =
             follower::Settings { nodes: me.nodes, me: me.me, stale: self.stale, ..Default::default() };
         following.endpoints = self.endpoints.len();
@@ -221,6 +245,7 @@
                     endpoints: self.endpoints.clone(),
                     prefix: schema.prefix().as_bytes().to_vec(),
                     user: self.user.clone().map(|user| (user, String::new())),
+                    tls: tls_files.as_ref().map(|_| Tls { name: self.server_name.clone(), ..Tls::default() }),
                 };
                 cluster.check().map_err(of)?;
                 Place::Etcd(cluster)
@@ -242,7 +267,7 @@
         let secret_file = self.password_file.clone().or_else(|| self.token_file.clone());
         let register = self.register.as_ref().map(|table| table.read(me, self.endpoints.len()));
         let register = register.transpose()?;
-        Ok(Registry { place, register, secret_file, following, schema, merging })
+        Ok(Registry { place, register, secret_file, tls_files, following, schema, merging })
     }
 }
 
@@ -264,12 +289,23 @@
 }
 
 impl Registry {
-    /// Reads the password or token, so that it stands in no configuration.
-    pub fn read_secret(&mut self) -> Result<(), String> {
+    /// Reads what stands in files of its own: password or token, certificates and keys.
+    pub fn read_files(&mut self) -> Result<(), String> {
+        let read = |key: &str, path: &PathBuf| {
+            std::fs::read(path)
+                .map_err(|error| format!("`{REGISTRY}.{key}`: {} cannot be read: {error}", path.display()))
+        };
+        if let (Some(files), Place::Etcd(Cluster { tls: Some(tls), .. })) = (&self.tls_files, &mut self.place)
+        {
+            tls.ca = read("ca_file", &files.ca)?;
+            if let Some((cert, key)) = &files.identity {
+                tls.identity = Some((read("cert_file", cert)?, read("key_file", key)?));
+            }
+        }
         let Some(path) = &self.secret_file else { return Ok(()) };
         let key = if matches!(self.place, Place::Etcd(_)) { "password_file" } else { "token_file" };
-        let text = std::fs::read_to_string(path)
-            .map_err(|error| format!("`{REGISTRY}.{key}`: {} cannot be read: {error}", path.display()))?;
+        let text =
+            String::from_utf8(read(key, path)?).map_err(|_| format!("`{REGISTRY}.{key}`: is no text"))?;
         let secret = text.trim_end_matches(['\r', '\n']).to_owned();
         match &mut self.place {
             Place::Etcd(cluster) => {
