--- a/crates/spurdrum-sources/src/follower.rs
+++ b/crates/spurdrum-sources/src/follower.rs
@@ -24,7 +24,7 @@
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::Duration;
 
-use crate::{List, Phase};
+use crate::{back_off, List, Phase};
 
 /// Calls out at once, at most: one that is overdue or deaf, and one beside it.
 pub const CALLS_MOST: usize = 2;
@@ -633,14 +633,13 @@
 
     fn retry_after(&mut self) -> Duration {
         let spread = self.spread().mul_f64(self.random.f64());
-        let steps = self.failures.saturating_sub(2).min(16);
+        let steps = self.failures.saturating_sub(2);
         // Many nodes that all fail may fail for being many.
         let most = self.settings.retry_most.max(NODE_MOST * self.settings.nodes.min(1000) as u32);
-        let back_off = self.settings.retry_least.saturating_mul(1 << steps).min(most);
         match self.failures {
             // One that breaks early may have had something to tell.
             0 | 1 => spread,
-            _ => back_off.mul_f64(0.5 + 0.5 * self.random.f64()).max(spread),
+            _ => back_off(&mut self.random, self.settings.retry_least, most, steps).max(spread),
         }
     }
 
--- a/crates/spurdrum-sources/src/lib.rs
+++ b/crates/spurdrum-sources/src/lib.rs
@@ -6,6 +6,8 @@
 //! carries it out on HTTP. A [`registry`] is followed by watches, by a follower of its own. Where there are several
 //! sources, a [`reconciler::Reconciler`] makes one list of theirs.
 
+use std::time::Duration;
+
 pub mod catalog;
 mod fixed;
 pub mod follower;
@@ -13,5 +15,11 @@
 pub mod reconciler;
 pub mod registry;
 
+/// A pause that doubles with each step from the least to the most, and is anything between its half and all of it: nodes that
+/// failed together do not try again together.
+fn back_off(random: &mut fastrand::Rng, least: Duration, most: Duration, steps: u32) -> Duration {
+    least.saturating_mul(1 << steps.min(16)).min(most).mul_f64(0.5 + 0.5 * random.f64())
+}
+
 pub use fixed::{Static, StaticServer};
 pub use list::{List, Member, Phase};
--- a/crates/spurdrum-sources/src/registry/follower.rs
+++ b/crates/spurdrum-sources/src/registry/follower.rs
@@ -32,6 +32,7 @@
 use std::fmt;
 use std::time::Duration;
 
+use crate::back_off;
 use crate::follower::View;
 
 /// Calls out at once, at most, without those that ask for the true revision: one that is silent, and one beside it.
@@ -176,7 +177,7 @@
         self.probe.max(Duration::from_secs_f64((self.nodes as f64 / self.probes_per_s).min(60.0)))
     }
 
-    /// A watch that falls silent has another beside it after this time, at the most.
+    /// A watch that falls silent has another beside it after this time, at the most, where the way is short.
     pub fn noticed_within(&self) -> Duration {
         self.probe_every() + self.patience
     }
@@ -543,16 +544,16 @@
         matches!(self.ask, Ask::Watch { .. })
     }
 
-    /// When it should have spoken.
-    fn due_at(&self, settings: &Settings) -> Duration {
+    /// When it should have spoken, where answers are waited for so long.
+    fn due_at(&self, settings: &Settings, patience: Duration) -> Duration {
         match (&self.ask, self.probed_at) {
             (Ask::Block { index: 1.., wait, .. }, _) => {
-                self.spoke_at + wait.mul_f64(1.0 + BLOCK_JITTER) + settings.patience
+                self.spoke_at + wait.mul_f64(1.0 + BLOCK_JITTER) + patience
             }
             // Whatever it says since shows that it lives.
-            (Ask::Watch { .. }, Some(at)) if self.open => at.max(self.spoke_at) + settings.patience,
+            (Ask::Watch { .. }, Some(at)) if self.open => at.max(self.spoke_at) + patience,
             (Ask::Watch { .. }, None) if self.open => Duration::MAX,
-            (Ask::Watch { .. }, _) => self.spoke_at + 2 * settings.patience,
+            (Ask::Watch { .. }, _) => self.spoke_at + 2 * patience,
             _ => self.spoke_at + settings.give_up,
         }
     }
@@ -560,7 +561,7 @@
     /// When it is given up.
     fn give_up_at(&self, settings: &Settings) -> Duration {
         match (&self.ask, self.probed_at) {
-            (Ask::Block { index: 1.., .. }, _) => self.due_at(settings) + settings.give_up,
+            (Ask::Block { index: 1.., .. }, _) => self.due_at(settings, settings.patience) + settings.give_up,
             (Ask::Watch { .. }, Some(at)) if self.open => at.max(self.spoke_at) + settings.give_up,
             (Ask::Watch { .. }, None) if self.open => Duration::MAX,
             _ => self.spoke_at + settings.give_up,
@@ -601,6 +602,8 @@
     outrun: u32,
     /// Endpoints in a row whose revision is older than the copy's.
     older: usize,
+    /// How long a probe's answer takes, and how far that varies, in seconds.
+    way: Option<(f64, f64)>,
     /// When the true revision is asked for next, where, and in vain how often.
     confirm: (Duration, usize, usize),
     /// Answers in a row that were sound, for the wait of the next query.
@@ -638,6 +641,7 @@
             failures: 0,
             outrun: 0,
             older: 0,
+            way: None,
             confirm: (Duration::ZERO, settings.me % settings.endpoints, 0),
             good: 0,
             view: View::Doubtful,
@@ -683,7 +687,8 @@
     pub fn next_wake(&self) -> Option<Duration> {
         let settings = &self.settings;
         let call = |call: &Call| {
-            let spoken = if call.left { call.give_up_at(settings) } else { call.due_at(settings) };
+            let due_at = call.due_at(settings, self.patience());
+            let spoken = if call.left { call.give_up_at(settings) } else { due_at };
             let probe = (call.open && call.is_watch() && call.probed_at.is_none())
                 .then(|| call.spoke_at + settings.probe_every());
             let reach = call.must_reach.filter(|_| !call.left).map(|(_, by)| by);
@@ -743,9 +748,23 @@
         if rounds == 0 {
             return spread;
         }
-        let steps = (rounds as u32 - 1).min(16);
-        let back_off = self.settings.retry_least.saturating_mul(1 << steps).min(self.settings.retry_most);
-        back_off.mul_f64(0.5 + 0.5 * self.random.f64()).max(spread)
+        let Settings { retry_least, retry_most, .. } = self.settings;
+        back_off(&mut self.random, retry_least, retry_most, rounds as u32 - 1).max(spread)
+    }
+
+    /// How long an answer may take before it is late: as long as is set, and longer where the way is.
+    fn patience(&self) -> Duration {
+        let Some((mean, deviation)) = self.way else { return self.settings.patience };
+        let usual = Duration::from_secs_f64((mean + 4.0 * deviation).min(60.0));
+        usual.min(self.settings.give_up / 2).max(self.settings.patience)
+    }
+
+    /// Learns from the time of an answer, as RFC 6298 has it.
+    fn time(&mut self, took: Duration) {
+        let took = took.as_secs_f64();
+        let (mean, deviation) = self.way.get_or_insert((took, took / 2.0));
+        *deviation += ((took - *mean).abs() - *deviation) / 4.0;
+        *mean += (took - *mean) / 8.0;
     }
 
     fn next_endpoint(&mut self, from: usize) {
@@ -798,9 +817,9 @@
     /// Begins the next ordinary call.
     fn next(&mut self, now: Duration, actions: &mut Vec<Action>) {
         while self.following().count() >= CALLS_MOST {
-            let least = self.calls.iter().position(|call| call.left && call.ask != Ask::Confirm);
-            let least = least.or_else(|| self.calls.iter().position(|call| call.ask != Ask::Confirm));
-            let Some(least) = least else { break };
+            // One that has spoken and does not any more. One that never did may be on a long way.
+            let least = self.calls.iter().position(|call| call.left && (call.open || !call.is_watch()));
+            let Some(least) = least else { return };
             actions.push(Action::Abort(self.calls.remove(least).id));
         }
         let endpoint = self.endpoint;
@@ -841,6 +860,7 @@
     /// Gives up what is silent, probes, begins what is due, and says how far the copy can be trusted.
     fn settle(&mut self, now: Duration, actions: &mut Vec<Action>) {
         for n in (0..self.calls.len()).rev() {
+            let patience = self.patience();
             let settings = &self.settings;
             let call = &mut self.calls[n];
             if now >= call.give_up_at(settings) {
@@ -850,7 +870,7 @@
                 self.lost(now, &call, Cause::Silent);
                 continue;
             }
-            let late = now >= call.due_at(settings);
+            let late = now >= call.due_at(settings, patience);
             let behind = call.must_reach.is_some_and(|(to, by)| call.told < to && now >= by);
             if !call.left && (late || behind) {
                 call.left = true;
@@ -1194,6 +1214,7 @@
         let Some(call) = self.call(id) else { return };
         let Ask::Watch { from } = call.ask else { return };
         call.open = true;
+        call.left = false;
         // It proves itself by its progress: open, it may still be silent, or behind.
         call.probed_at = Some(now);
         call.must_reach = Some((from - 1, now + lag));
@@ -1297,7 +1318,10 @@
         }
         let held = self.revision.unwrap_or(0);
         let Some(call) = self.call(id) else { return };
-        call.probed_at = None;
+        if let Some(at) = call.probed_at.take() {
+            self.time(now.saturating_sub(at));
+        }
+        let Some(call) = self.call(id) else { return };
         call.told = call.told.max(header.revision);
         if call.must_reach.is_some_and(|(to, _)| call.told >= to) {
             call.must_reach = None;
--- a/crates/spurdrum-sources/src/registry/registrar.rs
+++ b/crates/spurdrum-sources/src/registry/registrar.rs
@@ -17,6 +17,8 @@
 use std::fmt;
 use std::time::Duration;
 
+use crate::back_off;
+
 /// A lease is renewed after this part of its time.
 const RENEW: u32 = 3;
 
@@ -326,9 +328,8 @@
         if rounds == 0 {
             return Duration::ZERO;
         }
-        let steps = (rounds as u32 - 1).min(16);
-        let back_off = self.settings.retry_least.saturating_mul(1 << steps).min(self.settings.retry_most);
-        back_off.mul_f64(0.5 + 0.5 * self.random.f64())
+        let Settings { retry_least, retry_most, .. } = self.settings;
+        back_off(&mut self.random, retry_least, retry_most, rounds as u32 - 1)
     }
 
     fn leave(&mut self, now: Duration, actions: &mut Vec<Action>) {
--- a/crates/spurdrum-sources/tests/registry.rs
+++ b/crates/spurdrum-sources/tests/registry.rs
@@ -498,3 +498,45 @@
     );
     assert_eq!(played.follower.view(), View::Fresh);
 }
+
+#[test]
+fn a_long_way_makes_patience_longer_and_is_no_silence() {
+    let (mut played, call) = Played::watching(three(), &[("a", "1")]);
+    // Each answer takes 180 ms, more than the patience that is set.
+    let mut beside = 0;
+    for _ in 0..50 {
+        let calls = played.calls.len();
+        while played.probes.last() != Some(&call) {
+            played.pass(MS(1));
+        }
+        played.probes.clear();
+        played.pass(MS(180));
+        beside = if played.calls[calls..].iter().any(|(_, _, ask)| matches!(ask, Ask::Watch { .. })) {
+            beside + 1
+        } else {
+            beside
+        };
+        played.tell(Event::Progress { call, header: header(10) });
+        assert!(!played.aborted.contains(&call));
+    }
+    assert!(beside <= 3, "{beside}");
+    // And when it really is silent, it is noticed all the same.
+    let calls = played.calls.len();
+    played.pass(MS(700));
+    assert!(played.calls[calls..].iter().any(|(_, _, ask)| matches!(ask, Ask::Watch { .. })));
+}
+
+#[test]
+fn a_watch_that_takes_long_to_open_is_not_given_up_for_another_that_does() {
+    let mut played = Played::new(three());
+    let (call, ..) = played.last();
+    played.page(call, header(10), &[("a", "1")], false);
+    let (slow, ..) = played.last();
+    played.pass(MS(900));
+    assert!(!played.aborted.contains(&slow), "its dial may be under way still");
+    let watches = played.calls.iter().filter(|(_, _, ask)| matches!(ask, Ask::Watch { .. })).count();
+    assert_eq!(watches, 2, "one beside it, and no third");
+    played.tell(Event::Opened { call: slow, header: header(10) });
+    played.tell(Event::Progress { call: slow, header: header(10) });
+    assert_eq!(played.follower.view(), View::Fresh);
+}
--- a/crates/spurdrum-standin/src/registry/consul.rs
+++ b/crates/spurdrum-standin/src/registry/consul.rs
@@ -1,16 +1,16 @@
 //! The registry on sockets, as Consul answers for the health of one service.
 
 use std::net::{Ipv4Addr, SocketAddr};
-use std::sync::{mpsc as channel, Arc, Mutex, MutexGuard, PoisonError};
-use std::thread::JoinHandle;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{oneshot, watch};
+use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
 use super::model::Registry;
+use super::Running;
 
 const HEAD_MOST: usize = 16 * 1024;
 
@@ -39,8 +39,7 @@
     /// Where its endpoints listen.
     pub endpoints: Vec<SocketAddr>,
     shared: Arc<Shared>,
-    stop: Option<oneshot::Sender<()>>,
-    thread: Option<JoinHandle<()>>,
+    _running: Running,
 }
 
 impl Consul {
@@ -56,33 +55,17 @@
             stirs: watch::Sender::new(0),
             token: token.map(str::to_owned),
         });
-        let (tell, told) = channel::channel();
-        let (stop, stopped) = oneshot::channel::<()>();
         let of = Arc::clone(&shared);
-        let thread = std::thread::spawn(move || {
-            let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
-                Ok(runtime) => runtime,
-                Err(error) => return drop(tell.send(Err(error.to_string()))),
-            };
-            runtime.block_on(async move {
-                let mut addresses = Vec::new();
-                for number in 0..endpoints {
-                    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await;
-                    let bound = listener.and_then(|listener| Ok((listener.local_addr()?, listener)));
-                    match bound {
-                        Ok((address, listener)) => {
-                            addresses.push(address);
-                            tokio::spawn(accept(Arc::clone(&of), number, listener));
-                        }
-                        Err(error) => return drop(tell.send(Err(error.to_string()))),
-                    }
-                }
-                let _ = tell.send(Ok(addresses));
-                let _ = stopped.await;
-            });
-        });
-        let endpoints = told.recv().map_err(|_| "the registry did not start".to_owned())??;
-        Ok(Self { endpoints, shared, stop: Some(stop), thread: Some(thread) })
+        let (running, endpoints) = Running::start(move || async move {
+            let mut addresses = Vec::new();
+            for number in 0..endpoints {
+                let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
+                addresses.push(listener.local_addr()?);
+                tokio::spawn(accept(Arc::clone(&of), number, listener));
+            }
+            Ok(addresses)
+        })?;
+        Ok(Self { endpoints, shared, _running: running })
     }
 
     /// Does something with what it holds, and answers the queries that wait for it.
@@ -113,17 +96,6 @@
     }
 }
 
-impl Drop for Consul {
-    fn drop(&mut self) {
-        if let Some(stop) = self.stop.take() {
-            let _ = stop.send(());
-        }
-        if let Some(thread) = self.thread.take() {
-            let _ = thread.join();
-        }
-    }
-}
-
 /// The JSON of an instance.
 pub fn instance(id: &str, address: SocketAddr, status: &str, meta: &serde_json::Value) -> String {
     serde_json::json!({
--- a/crates/spurdrum-standin/src/registry/etcd.rs
+++ b/crates/spurdrum-standin/src/registry/etcd.rs
@@ -2,8 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr};
-use std::sync::{mpsc as channel, Arc, Mutex, MutexGuard, PoisonError};
-use std::thread::JoinHandle;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use spurdrum_etcd_wire::services::auth_server::{Auth, AuthServer};
@@ -12,7 +11,7 @@
 use spurdrum_etcd_wire::services::watch_server::{Watch, WatchServer};
 use spurdrum_etcd_wire::*;
 use tokio::net::TcpListener;
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::sync::{mpsc, watch};
 use tokio::time::sleep;
 use tokio_stream::wrappers::ReceiverStream;
 use tonic::transport::server::TcpIncoming;
@@ -20,6 +19,7 @@
 use tonic::{Request, Response, Status, Streaming};
 
 use super::model::{Change, Compacted, Registry};
+use super::Running;
 
 /// A change of one key is told in pieces of so many events where the watch allows it.
 const PIECE: usize = 100;
@@ -57,8 +57,7 @@
     pub endpoints: Vec<SocketAddr>,
     scheme: &'static str,
     shared: Arc<Shared>,
-    stop: Option<oneshot::Sender<()>>,
-    thread: Option<JoinHandle<()>>,
+    _running: Running,
 }
 
 impl Etcd {
@@ -102,41 +101,16 @@
             token: Mutex::new(1),
             begun: Instant::now(),
         });
-        let (tell, told) = channel::channel();
-        let (stop, stopped) = oneshot::channel::<()>();
         let of = Arc::clone(&shared);
-        let thread = std::thread::spawn(move || {
-            let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
-                Ok(runtime) => runtime,
-                Err(error) => return drop(tell.send(Err(error.to_string()))),
-            };
-            runtime.block_on(async move {
-                let mut addresses = Vec::new();
-                for n in 0..endpoints {
-                    match serve(&of, n, tls.clone()).await {
-                        Ok(address) => addresses.push(address),
-                        Err(error) => return drop(tell.send(Err(error.to_string()))),
-                    }
-                }
-                let _ = tell.send(Ok(addresses));
-                let expire = async {
-                    loop {
-                        sleep(Duration::from_millis(20)).await;
-                        let before = lock(&of.registry).revision();
-                        lock(&of.registry).expire(of.begun.elapsed());
-                        if lock(&of.registry).revision() != before {
-                            of.committed();
-                        }
-                    }
-                };
-                tokio::select! {
-                    () = expire => {}
-                    _ = stopped => {}
-                }
-            });
-        });
-        let endpoints = told.recv().map_err(|_| "the registry did not start".to_owned())??;
-        Ok(Self { endpoints, scheme, shared, stop: Some(stop), thread: Some(thread) })
+        let (running, endpoints) = Running::start(move || async move {
+            let mut addresses = Vec::new();
+            for number in 0..endpoints {
+                addresses.push(serve(&of, number, tls.clone()).await?);
+            }
+            tokio::spawn(expire(of));
+            Ok(addresses)
+        })?;
+        Ok(Self { endpoints, scheme, shared, _running: running })
     }
 
     /// Its endpoints as URIs.
@@ -183,13 +157,14 @@
     }
 }
 
-impl Drop for Etcd {
-    fn drop(&mut self) {
-        if let Some(stop) = self.stop.take() {
-            let _ = stop.send(());
-        }
-        if let Some(thread) = self.thread.take() {
-            let _ = thread.join();
+/// Ends leases whose time is over.
+async fn expire(shared: Arc<Shared>) {
+    loop {
+        sleep(Duration::from_millis(20)).await;
+        let before = lock(&shared.registry).revision();
+        lock(&shared.registry).expire(shared.begun.elapsed());
+        if lock(&shared.registry).revision() != before {
+            shared.committed();
         }
     }
 }
