TLS to Consul too; a node that starts alone does not wait for ten thousand others

One connector for both kinds, from files. Simulated with 10,000 nodes, first reads spread over 10 s left a node that starts alone without servers for up to that long: 1 s in all now, whatever their number.

--- a/crates/spurdrum-lab/src/main.rs
+++ b/crates/spurdrum-lab/src/main.rs
@@ -168,6 +168,34 @@
     for row in rows {
         println!("{row}");
     }
+    println!("\nThe same by nodes: 10 servers, one replaced a second.\n");
+    println!("| nodes | messages/s of a node | of all | KB/s of all | p99 of knowing, ms | worst |");
+    println!("| --- | --- | --- | --- | --- | --- |");
+    let rows: Vec<String> = [10, 1000, 10_000]
+        .par_iter()
+        .map(|nodes| {
+            let plan = registry::Plan {
+                nodes: *nodes,
+                servers: 10,
+                every: s(1),
+                length: s(60),
+                check: false,
+                ..base.clone()
+            };
+            let played = registry::play(&plan);
+            let all = played.messages as f64 / 60.0;
+            format!(
+                "| {nodes} | {:.2} | {all:.0} | {:.0} | {:.2} | {:.0} |",
+                all / *nodes as f64,
+                played.bytes as f64 / 60e3,
+                played.within_ms(0.99),
+                played.within_ms(1.0)
+            )
+        })
+        .collect();
+    for row in rows {
+        println!("{row}");
+    }
     println!("\nMessages and bytes a second and node, 80 s, by servers and commits a second;");
     println!("polling is a whole read as often as the watch's p99 asks for, at 10 ms.\n");
     println!("| servers | commits/s | kind | messages/s | KB/s | polling every 10 ms: messages/s | KB/s |");
--- a/crates/spurdrum-sources/src/registry/consul.rs
+++ b/crates/spurdrum-sources/src/registry/consul.rs
@@ -15,12 +15,16 @@
 use hyper_util::rt::TokioIo;
 use serde::Deserialize;
 use serde_json::{json, Map, Value};
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::time::timeout;
+use tokio_rustls::rustls::pki_types::ServerName;
+use tokio_rustls::TlsConnector;
 
 use super::follower::{Ask, CallId, Event, Failure, Header};
 use super::shell::Wire;
+use super::tls::Tls;
 
 /// An answer may be this long: 10,000 instances and some more.
 const ANSWER_MOST: usize = 32 << 20;
@@ -36,6 +40,8 @@
     pub name: String,
     /// A token, where one is asked for.
     pub token: Option<String>,
+    /// What is spoken instead of plain HTTP.
+    pub tls: Option<Tls>,
 }
 
 type Sender = SendRequest<Empty<Bytes>>;
@@ -43,6 +49,7 @@
 /// Asks for one service.
 pub struct Consul {
     service: Service,
+    tls: Option<TlsConnector>,
     /// Connections whose last query was answered, one for each endpoint.
     kept: RefCell<Vec<Option<Sender>>>,
 }
@@ -125,9 +132,14 @@
 
 impl Consul {
     /// A way to a service.
-    pub fn new(service: Service) -> Self {
+    ///
+    /// # Errors
+    ///
+    /// The key that makes no sense, and why.
+    pub fn new(service: Service) -> Result<Self, (&'static str, &'static str)> {
         let kept = service.endpoints.iter().map(|_| None).collect();
-        Self { service, kept: RefCell::new(kept) }
+        let tls = service.tls.as_ref().map(Tls::connector).transpose()?;
+        Ok(Self { service, tls, kept: RefCell::new(kept) })
     }
 
     async fn sender(&self, endpoint: usize) -> Result<Sender, Failure> {
@@ -140,13 +152,26 @@
         let stream = timeout(DIAL_MOST, TcpStream::connect(self.service.endpoints[endpoint])).await;
         let stream = stream.ok().and_then(Result::ok).ok_or(Failure::Unreachable)?;
         stream.set_nodelay(true).map_err(|_| Failure::Broke)?;
-        let (sender, connection) =
-            http1::handshake(TokioIo::new(stream)).await.map_err(|_| Failure::Broke)?;
-        tokio::task::spawn_local(connection);
-        Ok(sender)
+        let Some(tls) = &self.tls else { return handshake(stream).await };
+        let named = self.service.tls.as_ref().and_then(|tls| tls.name.clone());
+        let name = match named {
+            Some(name) => ServerName::try_from(name).map_err(|_| Failure::Unreachable)?,
+            None => ServerName::from(self.service.endpoints[endpoint].ip()),
+        };
+        let stream = timeout(DIAL_MOST, tls.connect(name, stream)).await;
+        handshake(stream.ok().and_then(Result::ok).ok_or(Failure::Unreachable)?).await
     }
 }
 
+async fn handshake<S>(stream: S) -> Result<Sender, Failure>
+where
+    S: AsyncRead + AsyncWrite + Unpin + 'static,
+{
+    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.map_err(|_| Failure::Broke)?;
+    tokio::task::spawn_local(connection);
+    Ok(sender)
+}
+
 impl Wire for Consul {
     async fn ask(
         &self,
--- a/crates/spurdrum-sources/src/registry/etcd.rs
+++ b/crates/spurdrum-sources/src/registry/etcd.rs
@@ -23,6 +23,7 @@
 use super::follower::{Ask, CallId, Edit, Event, Failure, Header};
 use super::registrar::{self, Got, Registrar, State};
 use super::shell::Wire;
+use super::tls::Tls;
 
 /// One message may be this long. Servers take requests of 1.5 MiB unless they are told otherwise.
 const MESSAGE_MOST: usize = 8 << 20;
@@ -45,17 +46,6 @@
     pub tls: Option<Tls>,
 }
 
-/// How a cluster is verified, and what it is shown. All in PEM.
-#[derive(Clone, Debug, Default)]
-pub struct Tls {
-    /// Whom its certificates must come from.
-    pub ca: Vec<u8>,
-    /// The node's own certificate and key; none where it is asked for none.
-    pub identity: Option<(Vec<u8>, Vec<u8>)>,
-    /// The name that its certificates must have, where that is not the endpoint's.
-    pub name: Option<String>,
-}
-
 impl Cluster {
     /// Checks that every endpoint is one.
     ///
@@ -78,6 +68,7 @@
             let place = place.connect_timeout(DIAL_MOST).tcp_nodelay(true);
             let place = place.initial_stream_window_size(WINDOW).initial_connection_window_size(2 * WINDOW);
             let Some(tls) = self.tls.as_ref().filter(|_| with_tls) else { return Ok(place) };
+            tls.connector()?;
             let mut config = ClientTlsConfig::new().ca_certificate(Certificate::from_pem(&tls.ca));
             if let Some((certificate, key)) = &tls.identity {
                 config = config.identity(Identity::from_pem(certificate, key));
--- a/crates/spurdrum-sources/src/registry/follower.rs
+++ b/crates/spurdrum-sources/src/registry/follower.rs
@@ -45,6 +45,10 @@
 const BLOCK_JITTER: f64 = 1.0 / 16.0;
 /// Of what a whole read costs a registry, opening a watch costs this part.
 const WATCH_PART: f64 = 0.2;
+/// All nodes begin within this time, however many: one that starts alone has nothing to serve with until then...
+const START_MOST: Duration = Duration::from_secs(1);
+/// ...while after a break it has its copy.
+const SPREAD_MOST: Duration = Duration::from_secs(10);
 /// Blocking queries begin at least this far apart: each answer is the whole state.
 const BLOCK_APART: Duration = Duration::from_millis(20);
 /// Whole reads in a row that end in a compaction before their watch is open, after which there is a pause.
@@ -659,7 +663,7 @@
             self.started = true;
             self.trouble_since = Some(now);
             // Nodes that start together do not read together.
-            let spread = self.spread(1.0);
+            let spread = self.spread(1.0, START_MOST);
             self.due = Some(now + spread);
             self.confirm.0 = now + self.confirm_every();
         }
@@ -727,10 +731,11 @@
 
     // ---- Pace
 
-    /// This node's part of the time over which all of them spread what costs so much of a whole read.
-    fn spread(&mut self, cost: f64) -> Duration {
-        let place = self.settings.me as f64 + self.random.f64();
-        self.settings.spread.mul_f64(place * cost).min(Duration::from_secs(30))
+    /// This node's part of the time, so long at most, over which all of them spread what costs so much of a whole read.
+    fn spread(&mut self, cost: f64, most: Duration) -> Duration {
+        let nodes = self.settings.nodes as f64;
+        let all = self.settings.spread.mul_f64(nodes * cost).min(most);
+        all.mul_f64((self.settings.me as f64 + self.random.f64()) / nodes)
     }
 
     fn confirm_every(&mut self) -> Duration {
@@ -742,7 +747,7 @@
 
     /// How long to wait before the next call after a failure.
     fn pause(&mut self) -> Duration {
-        let spread = self.spread(if self.read { 1.0 } else { WATCH_PART });
+        let spread = self.spread(if self.read { 1.0 } else { WATCH_PART }, SPREAD_MOST);
         // The first round over all endpoints costs no pause but the spread.
         let rounds = self.failures as usize / self.settings.endpoints;
         if rounds == 0 {
--- a/crates/spurdrum-sources/src/registry/mod.rs
+++ b/crates/spurdrum-sources/src/registry/mod.rs
@@ -10,3 +10,4 @@
 pub mod registrar;
 pub mod schema;
 pub mod shell;
+pub mod tls;
--- a/crates/spurdrum-sources/tests/consul.rs
+++ b/crates/spurdrum-sources/tests/consul.rs
@@ -1,5 +1,8 @@
 //! Blocking queries on sockets, before a stand-in that pauses, cuts its answers, has no leader and begins anew.
 
+#[path = "common/signed.rs"]
+mod signed;
+
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -12,6 +15,7 @@
 use spurdrum_sources::registry::follower::{Interface, Settings};
 use spurdrum_sources::registry::schema::{Mapper, Schema};
 use spurdrum_sources::registry::shell::{News, Shell};
+use spurdrum_sources::registry::tls::Tls;
 use spurdrum_sources::{Member, Phase};
 use spurdrum_standin::registry::consul::{instance, Consul as StandIn};
 use spurdrum_standin::registry::model::Registry;
@@ -47,9 +51,13 @@
             wait_most: ms(200),
             ..Settings::default()
         };
-        let service =
-            Service { endpoints: agent.endpoints.clone(), name: "s".into(), token: Some("t0ken".into()) };
-        let shell = Shell::new(Consul::new(service), settings, 5).expect("sound settings");
+        let service = Service {
+            endpoints: agent.endpoints.clone(),
+            name: "s".into(),
+            token: Some("t0ken".into()),
+            tls: None,
+        };
+        let shell = Shell::new(Consul::new(service).expect("sound"), settings, 5).expect("sound settings");
         let mapper = RefCell::new(Mapper::new(Schema::consul().compile().expect("sound")));
         let listed: Rc<RefCell<BTreeMap<String, Member>>> = Rc::default();
         let faults = Rc::new(RefCell::new(0));
@@ -101,3 +109,32 @@
         following.abort();
     });
 }
+
+#[test]
+fn an_agent_is_verified() {
+    let (ca, certificate, key) = signed::signed("consul.test");
+    let (other, ..) = signed::signed("consul.test");
+    let agent = StandIn::start_tls(1, &certificate, &key).expect("started");
+    agent.with(|registry| registry.put("one", &instance("one", at(1), "passing", &json!({}))));
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    for (ca, name, followed) in
+        [(&ca, "consul.test", true), (&other, "consul.test", false), (&ca, "other.test", false)]
+    {
+        let tls = Tls { ca: ca.clone().into_bytes(), identity: None, name: Some(name.into()) };
+        let service =
+            Service { endpoints: agent.endpoints.clone(), name: "s".into(), token: None, tls: Some(tls) };
+        LocalSet::new().block_on(&runtime, async {
+            let settings = Settings { interface: Interface::Blocking, ..Settings::default() };
+            let shell = Shell::new(Consul::new(service).expect("sound"), settings, 5).expect("sound");
+            let following = tokio::task::spawn_local(Rc::clone(&shell).follow(|_| {}));
+            let settled = async {
+                while shell.status().0 != View::Fresh && shell.status().3.failed < 3 {
+                    sleep(Duration::from_millis(5)).await;
+                }
+            };
+            assert!(timeout(LONG, settled).await.is_ok(), "{name}: {:?}", shell.status());
+            assert_eq!(shell.status().2.is_some(), followed, "{name}");
+            following.abort();
+        });
+    }
+}
--- a/crates/spurdrum-sources/tests/etcd.rs
+++ b/crates/spurdrum-sources/tests/etcd.rs
@@ -1,14 +1,19 @@
 //! The follower on sockets, before a stand-in cluster with the faults that clusters have.
 
+#[path = "common/signed.rs"]
+mod signed;
+
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
+use signed::signed;
 use spurdrum_sources::follower::View;
-use spurdrum_sources::registry::etcd::{Cluster, Etcd, Tls};
+use spurdrum_sources::registry::etcd::{Cluster, Etcd};
 use spurdrum_sources::registry::follower::{Change, Counts, Note, Settings, Value};
 use spurdrum_sources::registry::shell::{News, Shell};
+use spurdrum_sources::registry::tls::Tls;
 use spurdrum_standin::registry::etcd::Etcd as StandIn;
 use tokio::sync::Notify;
 use tokio::task::LocalSet;
@@ -215,18 +220,6 @@
     });
 }
 
-/// An authority, and a certificate with its key that it has signed for this name.
-fn signed(name: &str) -> (String, String, String) {
-    use rcgen::{BasicConstraints, CertificateParams, IsCa, Issuer, KeyPair};
-    let (ca_key, key) = (KeyPair::generate().expect("a key"), KeyPair::generate().expect("a key"));
-    let mut ca = CertificateParams::new(Vec::new()).expect("sound");
-    ca.is_ca = IsCa::Ca(BasicConstraints::Unconstrained);
-    let ca_pem = ca.self_signed(&ca_key).expect("signed").pem();
-    let issuer = Issuer::new(ca, ca_key);
-    let leaf = CertificateParams::new(vec![name.to_owned()]).expect("sound").signed_by(&key, &issuer);
-    (ca_pem, leaf.expect("signed").pem(), key.serialize_pem())
-}
-
 #[test]
 fn a_cluster_is_verified_and_is_shown_who_asks() {
     let (server_ca, certificate, key) = signed("registry.test");
--- a/crates/spurdrum-sources/tests/registry.rs
+++ b/crates/spurdrum-sources/tests/registry.rs
@@ -540,3 +540,10 @@
     played.tell(Event::Progress { call: slow, header: header(10) });
     assert_eq!(played.follower.view(), View::Fresh);
 }
+
+#[test]
+fn one_of_many_nodes_that_starts_alone_does_not_wait_for_the_others() {
+    let mut played = Played::new(Settings { nodes: 10_000, me: 9_999, ..three() });
+    played.pass(Duration::from_secs(1));
+    assert!(matches!(played.last().2, Ask::Range { .. }));
+}
--- a/crates/spurdrum-standin/src/registry/consul.rs
+++ b/crates/spurdrum-standin/src/registry/consul.rs
@@ -4,12 +4,18 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
 use super::model::Registry;
+use tokio_rustls::rustls::crypto::ring;
+use tokio_rustls::rustls::pki_types::pem::{self, PemObject};
+use tokio_rustls::rustls::pki_types::{CertificateDer, PrivateKeyDer};
+use tokio_rustls::rustls::ServerConfig;
+use tokio_rustls::TlsAcceptor;
+
 use super::Running;
 
 const HEAD_MOST: usize = 16 * 1024;
@@ -49,6 +55,26 @@
     ///
     /// What the system says.
     pub fn start(endpoints: usize, token: Option<&str>) -> Result<Self, String> {
+        Self::start_with(endpoints, token, None)
+    }
+
+    /// Starts so that its endpoints speak TLS, with this certificate and key in PEM.
+    ///
+    /// # Errors
+    ///
+    /// What the system says, or what is wrong with the PEM.
+    pub fn start_tls(endpoints: usize, certificate: &str, key: &str) -> Result<Self, String> {
+        let wrong = |error: pem::Error| error.to_string();
+        let chain: Result<Vec<_>, _> = CertificateDer::pem_slice_iter(certificate.as_bytes()).collect();
+        let key = PrivateKeyDer::from_pem_slice(key.as_bytes()).map_err(wrong)?;
+        let config = ServerConfig::builder_with_provider(Arc::new(ring::default_provider()));
+        let config = config.with_safe_default_protocol_versions().map_err(|error| error.to_string())?;
+        let config = config.with_no_client_auth().with_single_cert(chain.map_err(wrong)?, key);
+        let config = config.map_err(|error| error.to_string())?;
+        Self::start_with(endpoints, None, Some(TlsAcceptor::from(Arc::new(config))))
+    }
+
+    fn start_with(endpoints: usize, token: Option<&str>, tls: Option<TlsAcceptor>) -> Result<Self, String> {
         let shared = Arc::new(Shared {
             registry: Mutex::new(Registry::new(1)),
             troubles: Mutex::new(vec![Trouble::default(); endpoints]),
@@ -61,7 +87,7 @@
             for number in 0..endpoints {
                 let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
                 addresses.push(listener.local_addr()?);
-                tokio::spawn(accept(Arc::clone(&of), number, listener));
+                tokio::spawn(accept(Arc::clone(&of), number, listener, tls.clone()));
             }
             Ok(addresses)
         })?;
@@ -107,14 +133,24 @@
     .to_string()
 }
 
-async fn accept(shared: Arc<Shared>, number: usize, listener: TcpListener) {
+async fn accept(shared: Arc<Shared>, number: usize, listener: TcpListener, tls: Option<TlsAcceptor>) {
     while let Ok((stream, _)) = listener.accept().await {
         let _ = stream.set_nodelay(true);
-        tokio::spawn(answer(Arc::clone(&shared), number, stream));
+        let (shared, tls) = (Arc::clone(&shared), tls.clone());
+        tokio::spawn(async move {
+            match tls {
+                None => answer(shared, number, stream).await,
+                Some(tls) => {
+                    if let Ok(stream) = tls.accept(stream).await {
+                        answer(shared, number, stream).await;
+                    }
+                }
+            }
+        });
     }
 }
 
-async fn answer(shared: Arc<Shared>, number: usize, mut stream: TcpStream) {
+async fn answer(shared: Arc<Shared>, number: usize, mut stream: impl AsyncRead + AsyncWrite + Unpin) {
     let mut read: Vec<u8> = Vec::new();
     loop {
         let end = loop {
--- a/crates/spurdrum/src/main.rs
+++ b/crates/spurdrum/src/main.rs
@@ -236,7 +236,7 @@
     }
     match &registry.place {
         Place::Etcd(cluster) => follow(merged, Etcd::new(cluster.clone())?, registry, seed),
-        Place::Consul(service) => follow(merged, Consul::new(service.clone()), registry, seed),
+        Place::Consul(service) => follow(merged, Consul::new(service.clone())?, registry, seed),
     }
 }
 
--- a/crates/spurdrum/src/registry.rs
+++ b/crates/spurdrum/src/registry.rs
@@ -7,8 +7,9 @@
 use serde::Deserialize;
 use spurdrum_sources::reconciler::{self, Combine};
 use spurdrum_sources::registry::consul::Service;
-use spurdrum_sources::registry::etcd::{Cluster, Tls};
+use spurdrum_sources::registry::etcd::Cluster;
 use spurdrum_sources::registry::schema::{Compiled, Schema, ValueForm};
+use spurdrum_sources::registry::tls::Tls;
 use spurdrum_sources::registry::{follower, registrar};
 
 use crate::file::{set, set_time};
@@ -200,9 +201,6 @@
             (false, _) if self.user.is_some() => {
                 return Err((REGISTRY, "user", "is etcd's; Consul has `token_file`"));
             }
-            (false, _) if self.ca_file.is_some() => {
-                return Err((REGISTRY, "ca_file", "is etcd's: TLS to Consul is not there yet"));
-            }
             (false, None) => return Err((REGISTRY, "service", "is missing")),
             _ => {}
         }
@@ -239,13 +237,14 @@
         set_time(&mut following.retry_most, self.retry_most_ms);
         set_time(&mut following.spread, self.spread_ms);
         following.validate().map_err(of)?;
+        let tls = tls_files.as_ref().map(|_| Tls { name: self.server_name.clone(), ..Tls::default() });
         let place = match &self.service {
             None => {
                 let cluster = Cluster {
                     endpoints: self.endpoints.clone(),
                     prefix: schema.prefix().as_bytes().to_vec(),
                     user: self.user.clone().map(|user| (user, String::new())),
-                    tls: tls_files.as_ref().map(|_| Tls { name: self.server_name.clone(), ..Tls::default() }),
+                    tls,
                 };
                 cluster.check().map_err(of)?;
                 Place::Etcd(cluster)
@@ -255,11 +254,15 @@
                 if name.is_empty() || !name.chars().all(sound) {
                     return Err((REGISTRY, "service", "has a letter that no name of a service has"));
                 }
-                let address = |uri: &String| uri.strip_prefix("http://")?.parse().ok();
+                let scheme = if tls.is_some() { "https://" } else { "http://" };
+                let address = |uri: &String| uri.strip_prefix(scheme)?.parse().ok();
                 let endpoints: Option<Vec<SocketAddr>> = self.endpoints.iter().map(address).collect();
-                let endpoints =
-                    endpoints.ok_or((REGISTRY, "endpoints", "has one that is not http://address:port"))?;
-                Place::Consul(Service { endpoints, name: name.clone(), token: None })
+                let endpoints = endpoints.ok_or((
+                    REGISTRY,
+                    "endpoints",
+                    "has one that is not http://address:port, or https:// with `ca_file`",
+                ))?;
+                Place::Consul(Service { endpoints, name: name.clone(), token: None, tls })
             }
         };
         let merging = merge.map(MergeTable::read).unwrap_or_default();
@@ -295,8 +298,11 @@
             std::fs::read(path)
                 .map_err(|error| format!("`{REGISTRY}.{key}`: {} cannot be read: {error}", path.display()))
         };
-        if let (Some(files), Place::Etcd(Cluster { tls: Some(tls), .. })) = (&self.tls_files, &mut self.place)
-        {
+        let tls = match &mut self.place {
+            Place::Etcd(cluster) => &mut cluster.tls,
+            Place::Consul(service) => &mut service.tls,
+        };
+        if let (Some(files), Some(tls)) = (&self.tls_files, tls) {
             tls.ca = read("ca_file", &files.ca)?;
             if let Some((cert, key)) = &files.identity {
                 tls.identity = Some((read("cert_file", cert)?, read("key_file", key)?));
