--- a/crates/spurdrum-sources/src/reconciler.rs
+++ b/crates/spurdrum-sources/src/reconciler.rs
@@ -259,6 +259,8 @@
     /// Returns of a server in a window, and when that began.
     flaps: HashMap<String, (u32, Duration)>,
     held: usize,
+    /// A source tells its first list: what stands there was there before the node.
+    beginning: bool,
     wakes: BTreeSet<(Duration, String)>,
     /// Unix time, in milliseconds, from which times count.
     unix_ms: f64,
@@ -292,6 +294,7 @@
             at: HashMap::new(),
             flaps: HashMap::new(),
             held: 0,
+            beginning: false,
             wakes: BTreeSet::new(),
             unix_ms,
         })
@@ -320,6 +323,7 @@
         for id in touched {
             self.merge(now, &id, &mut out, actions);
         }
+        self.beginning = false;
         if !out.is_empty() {
             actions.push(Action::Apply(out));
         }
@@ -371,6 +375,7 @@
         actions: &mut Vec<Action>,
     ) {
         if !std::mem::replace(&mut self.sources[number].told, true) {
+            self.beginning = true;
             // What the others have may need this one too.
             self.touch_all(touched);
         }
@@ -525,7 +530,7 @@
         member.up_since_ms = match same {
             Some(known) => known.member.up_since_ms,
             // What comes without a start, once the node serves, may have been started just now.
-            None if raw_start == 0.0 && (before.is_some() || now > Duration::ZERO) => self.unix(now),
+            None if raw_start == 0.0 && (before.is_some() || !self.beginning) => self.unix(now),
             None => raw_start,
         };
         let mut held_until = None;
--- a/crates/spurdrum-sources/tests/reconciler.rs
+++ b/crates/spurdrum-sources/tests/reconciler.rs
@@ -138,14 +138,16 @@
 #[test]
 fn what_comes_without_a_start_while_the_node_serves_is_cold_and_what_was_there_is_not() {
     let mut played = Played::new(Settings::default(), 1);
+    // The first list takes a moment to come.
+    played.pass(MS(50));
     played.whole(0, &[member("old", 1, Phase::Active, 0.0)]);
     played.pass(MS(2000));
     played.put(0, &[member("new", 2, Phase::Active, 0.0)]);
-    assert_eq!((played.list["old"].up_since_ms, played.list["new"].up_since_ms), (0.0, UNIX + 2000.0));
+    assert_eq!((played.list["old"].up_since_ms, played.list["new"].up_since_ms), (0.0, UNIX + 2050.0));
     // Said again, it is not started again.
     played.pass(MS(2000));
     played.put(0, &[member("new", 2, Phase::Active, 0.0)]);
-    assert_eq!(played.list["new"].up_since_ms, UNIX + 2000.0);
+    assert_eq!(played.list["new"].up_since_ms, UNIX + 2050.0);
 }
 
 #[test]
