Say once what a follower, its settings and the log say twice

One word for another cluster, for a probe, for what a watch has told, for the turn of a node and for a view's age; the connector is made once and not for each endpoint; no list is made of an action to be taken apart again. Behaviour is as it was.

--- a/crates/spurdrum-sources/src/reconciler.rs
+++ b/crates/spurdrum-sources/src/reconciler.rs
@@ -35,7 +35,7 @@
 use std::time::Duration;
 
 use crate::follower::View;
-use crate::{List, Member, Phase};
+use crate::{Member, Phase};
 
 /// A source that never had so many servers is believed, whatever it loses.
 const MANY: usize = 4;
@@ -168,16 +168,6 @@
     },
 }
 
-impl Action {
-    /// The list's change, for those that take lists.
-    pub fn into_list(self) -> Option<List> {
-        match self {
-            Self::Apply(members) => Some(List { revision: 0, complete: false, members }),
-            _ => None,
-        }
-    }
-}
-
 struct Entry {
     member: Member,
     /// The source does not have it any more, and is not believed.
@@ -241,7 +231,7 @@
 /// A server as it was handed on.
 struct Known {
     member: Member,
-    /// The start as sources tell it, and the one that was handed on.
+    /// The start as sources tell it; the member has the one that was handed on.
     raw_start: f64,
     /// When it is forgotten; none while a source has it.
     forgotten_at: Option<Duration>,
--- a/crates/spurdrum-sources/src/registry/etcd.rs
+++ b/crates/spurdrum-sources/src/registry/etcd.rs
@@ -58,6 +58,9 @@
 
     /// Its endpoints; with TLS, what the files hold is needed and looked at.
     fn places(&self, with_tls: bool) -> Result<Vec<Endpoint>, (&'static str, &'static str)> {
+        if let Some(tls) = self.tls.as_ref().filter(|_| with_tls) {
+            tls.connector()?;
+        }
         let scheme = if self.tls.is_some() { "https" } else { "http" };
         let place = |uri: &String| {
             let wrong = ("endpoints", "has one that is not http://host:port, or https:// with `ca_file`");
@@ -68,7 +71,6 @@
             let place = place.connect_timeout(DIAL_MOST).tcp_nodelay(true);
             let place = place.initial_stream_window_size(WINDOW).initial_connection_window_size(2 * WINDOW);
             let Some(tls) = self.tls.as_ref().filter(|_| with_tls) else { return Ok(place) };
-            tls.connector()?;
             let mut config = ClientTlsConfig::new().ca_certificate(Certificate::from_pem(&tls.ca));
             if let Some((certificate, key)) = &tls.identity {
                 config = config.identity(Identity::from_pem(certificate, key));
--- a/crates/spurdrum-sources/src/registry/follower.rs
+++ b/crates/spurdrum-sources/src/registry/follower.rs
@@ -178,7 +178,12 @@
 
     /// How long after it last spoke a watch is asked for its progress, by what all nodes may ask together.
     pub fn probe_every(&self) -> Duration {
-        self.probe.max(Duration::from_secs_f64((self.nodes as f64 / self.probes_per_s).min(60.0)))
+        self.probe.max(self.turn())
+    }
+
+    /// Time in which each node may ask once, by what all of them may ask together.
+    fn turn(&self) -> Duration {
+        Duration::from_secs_f64((self.nodes as f64 / self.probes_per_s).min(60.0))
     }
 
     /// A watch that falls silent has another beside it after this time, at the most, where the way is short.
@@ -548,6 +553,20 @@
         matches!(self.ask, Ask::Watch { .. })
     }
 
+    /// Asks for its progress.
+    fn probe(&mut self, now: Duration, counts: &mut Counts, actions: &mut Vec<Action>) {
+        self.probed_at = Some(now);
+        counts.probes += 1;
+        actions.push(Action::Probe(self.id));
+    }
+
+    /// It has told all up to a revision.
+    fn has_told(&mut self, revision: u64) {
+        self.told = self.told.max(revision);
+        let told = self.told;
+        self.must_reach.take_if(|(to, _)| told >= *to);
+    }
+
     /// When it should have spoken, where answers are waited for so long.
     fn due_at(&self, settings: &Settings, patience: Duration) -> Duration {
         match (&self.ask, self.probed_at) {
@@ -739,10 +758,7 @@
     }
 
     fn confirm_every(&mut self) -> Duration {
-        let least = self.settings.confirm;
-        let all =
-            Duration::from_secs_f64((self.settings.nodes as f64 / self.settings.probes_per_s).min(60.0));
-        least.max(all).mul_f64(0.75 + 0.5 * self.random.f64())
+        self.settings.confirm.max(self.settings.turn()).mul_f64(0.75 + 0.5 * self.random.f64())
     }
 
     /// How long to wait before the next call after a failure.
@@ -893,9 +909,7 @@
             }
             let probe_at = call.spoke_at + settings.probe_every();
             if call.open && call.is_watch() && call.probed_at.is_none() && now >= probe_at {
-                call.probed_at = Some(now);
-                self.counts.probes += 1;
-                actions.push(Action::Probe(call.id));
+                call.probe(now, &mut self.counts, actions);
             }
         }
         if !self.is_followed() && self.due.is_none() {
@@ -952,7 +966,7 @@
         }
         // What was silent or behind, or stands beside, is not needed any more.
         self.abort(|call| call.id != by && call.ask != Ask::Confirm, actions);
-        if let Some(call) = self.calls.iter_mut().find(|call| call.id == by) {
+        if let Some(call) = self.call(by) {
             call.left = false;
             self.endpoint = call.endpoint;
         }
@@ -1117,8 +1131,9 @@
         agreed: bool,
         actions: &mut Vec<Action>,
     ) -> bool {
-        if header.cluster != self.cluster && header.cluster != 0 && self.cluster != 0 {
-            self.replaced(now, header, actions);
+        if self.is_another(header) {
+            actions.push(Action::Note(Note::Replaced { from: self.cluster, to: header.cluster }));
+            self.doubt(now, Cause::Replaced);
             return true;
         }
         let Some(held) = self.revision.filter(|held| header.revision < *held) else { return true };
@@ -1142,9 +1157,9 @@
         false
     }
 
-    fn replaced(&mut self, now: Duration, header: Header, actions: &mut Vec<Action>) {
-        actions.push(Action::Note(Note::Replaced { from: self.cluster, to: header.cluster }));
-        self.doubt(now, Cause::Replaced);
+    /// Whether another cluster answers than the one that is followed; 0 is one that tells none.
+    fn is_another(&self, header: Header) -> bool {
+        header.cluster != self.cluster && header.cluster != 0 && self.cluster != 0
     }
 
     /// The copy is this from now on; the difference is handed on.
@@ -1171,7 +1186,7 @@
     /// The true revision: the watch must come up to it.
     fn confirmed(&mut self, now: Duration, then: Option<u64>, header: Header, actions: &mut Vec<Action>) {
         self.confirm.2 = 0;
-        let other = self.cluster != 0 && header.cluster != 0 && header.cluster != self.cluster;
+        let other = self.is_another(header);
         // Guards against taking an answer for older than the copy that was overtaken by changes on its way.
         if other || then.is_some_and(|then| header.revision < then) {
             // Another cluster, or one that was put back: the whole read settles it.
@@ -1186,9 +1201,7 @@
                 // Guards against a deadline that moves on with each confirmation, and is never met.
                 call.must_reach.get_or_insert((header.revision, by));
                 if call.probed_at.is_none() {
-                    call.probed_at = Some(now);
-                    self.counts.probes += 1;
-                    actions.push(Action::Probe(call.id));
+                    call.probe(now, &mut self.counts, actions);
                 }
             }
         }
@@ -1198,13 +1211,12 @@
 
     /// Whether an answer on a watch comes of the cluster that is followed.
     fn is_of_this(&mut self, now: Duration, id: CallId, header: Header, actions: &mut Vec<Action>) -> bool {
-        let Some(call) = self.calls.iter_mut().find(|call| call.id == id) else { return false };
+        let Some(call) = self.call(id) else { return false };
         call.spoke_at = now;
-        if header.cluster == self.cluster || header.cluster == 0 || self.cluster == 0 {
+        if !self.is_another(header) {
             return true;
         }
-        actions.push(Action::Abort(id));
-        self.calls.retain(|call| call.id != id);
+        self.abort(|call| call.id == id, actions);
         self.read = true;
         self.doubt(now, Cause::Replaced);
         self.due_by(now);
@@ -1216,15 +1228,13 @@
             return;
         }
         let lag = self.settings.lag;
-        let Some(call) = self.call(id) else { return };
+        let Some(call) = self.calls.iter_mut().find(|call| call.id == id) else { return };
         let Ask::Watch { from } = call.ask else { return };
         call.open = true;
         call.left = false;
         // It proves itself by its progress: open, it may still be silent, or behind.
-        call.probed_at = Some(now);
         call.must_reach = Some((from - 1, now + lag));
-        self.counts.probes += 1;
-        actions.push(Action::Probe(id));
+        call.probe(now, &mut self.counts, actions);
     }
 
     fn changed(
@@ -1256,11 +1266,7 @@
             return;
         }
         let (edits, _) = std::mem::take(&mut call.pieces);
-        call.told = edits.last().map_or(call.told, |edit| call.told.max(edit.revision));
-        let caught_up = call.must_reach.is_some_and(|(to, _)| call.told >= to);
-        if caught_up {
-            call.must_reach = None;
-        }
+        call.has_told(edits.last().map_or(0, |edit| edit.revision));
         self.edit(edits, actions);
     }
 
@@ -1327,10 +1333,7 @@
             self.time(now.saturating_sub(at));
         }
         let Some(call) = self.call(id) else { return };
-        call.told = call.told.max(header.revision);
-        if call.must_reach.is_some_and(|(to, _)| call.told >= to) {
-            call.must_reach = None;
-        }
+        call.has_told(header.revision);
         // Behind the copy, or behind what the cluster has: it speaks, and proves nothing.
         if header.revision < held || call.must_reach.is_some() || !call.pieces.0.is_empty() {
             return;
--- a/crates/spurdrum/src/list.rs
+++ b/crates/spurdrum/src/list.rs
@@ -50,11 +50,16 @@
     }
 }
 
+/// The age of a view and its version, as operators are shown them.
+pub fn shown(age: Option<std::time::Duration>, revision: Option<u64>) -> (String, String) {
+    let age = age.map_or("never".to_owned(), |age| format!("{:.1} s ago", age.as_secs_f64()));
+    (age, revision.map_or("none".to_owned(), |revision| revision.to_string()))
+}
+
 /// The state of a list in one line, for operators.
 pub fn status(
     (view, age, revision, counts): (View, Option<std::time::Duration>, Option<u64>, Counts),
 ) -> String {
-    let age = age.map_or("never".to_owned(), |age| format!("{:.1} s ago", age.as_secs_f64()));
-    let revision = revision.map_or("none".to_owned(), |revision| revision.to_string());
+    let (age, revision) = shown(age, revision);
     format!("list {view}, confirmed {age}, version {revision}; {counts}")
 }
--- a/crates/spurdrum/src/merge.rs
+++ b/crates/spurdrum/src/merge.rs
@@ -13,7 +13,7 @@
 use tokio::sync::Notify;
 use tokio::time::{sleep_until, Instant};
 
-use crate::list::Places;
+use crate::list::{self, Places};
 
 /// Sources by their precedence.
 pub const REGISTRY: usize = 0;
@@ -77,10 +77,9 @@
                     NAMES[source],
                     if counts { "count again" } else { "do not count any more: it has been blind for long" }
                 ),
-                change @ Action::Apply(_) => {
-                    if let Some(list) = change.into_list() {
-                        self.node.listed(false, self.places.listed(&list));
-                    }
+                Action::Apply(members) => {
+                    let list = List { revision: 0, complete: false, members };
+                    self.node.listed(list.complete, self.places.listed(&list));
                 }
             }
         }
@@ -145,7 +144,6 @@
 /// The state of a registry's copy in one line, for operators.
 pub fn status<W: Wire>(registry: &Shell<W>) -> String {
     let (view, age, revision, counts) = registry.status();
-    let age = age.map_or("never".to_owned(), |age| format!("{:.1} s ago", age.as_secs_f64()));
-    let revision = revision.map_or("none".to_owned(), |revision| revision.to_string());
+    let (age, revision) = list::shown(age, revision);
     format!("registry {view}, proved {age}, revision {revision}; {counts}")
 }
