Keep time by one alarm in the catalog, the registry's shell and the merged list

Three loops slept until what a pure module had said, or until something earlier came up, each with its own cell and notification. Behaviour is as it was; their tests pass unchanged.

--- a/crates/spurdrum-sources/src/catalog.rs
+++ b/crates/spurdrum-sources/src/catalog.rs
@@ -13,14 +13,13 @@
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
-use tokio::sync::Notify;
 use tokio::task::AbortHandle;
-use tokio::time::{sleep_until, timeout, Instant};
+use tokio::time::timeout;
 
 use crate::follower::{
     Action, Ask, CallId, Cause, Counts, Event, Evidence, Failure, Follower, Settings, View,
 };
-use crate::List;
+use crate::{Alarm, List};
 
 /// A list may be this long: 10,000 servers and some more.
 const LIST_MOST: usize = 8 << 20;
@@ -52,12 +51,10 @@
 pub struct Catalog {
     address: Cell<SocketAddr>,
     follower: RefCell<Follower>,
-    started: Instant,
+    alarm: Alarm,
     calls: RefCell<HashMap<CallId, AbortHandle>>,
     /// A connection whose last call was answered, and where it leads.
     kept: RefCell<Option<(SocketAddr, Sender)>>,
-    sleeps_until: Cell<Option<Duration>>,
-    changed: Notify,
     news: RefCell<Option<Listener>>,
 }
 
@@ -76,11 +73,9 @@
         Ok(Rc::new(Self {
             address: Cell::new(address),
             follower: RefCell::new(Follower::new(settings, seed, known)?),
-            started: Instant::now(),
+            alarm: Alarm::default(),
             calls: RefCell::default(),
             kept: RefCell::default(),
-            sleeps_until: Cell::new(None),
-            changed: Notify::new(),
             news: RefCell::default(),
         }))
     }
@@ -91,12 +86,10 @@
         loop {
             self.tell(Event::Tick);
             let wake = self.follower.borrow().next_wake();
-            self.sleeps_until.set(wake);
-            let Some(wake) = wake else { return };
-            tokio::select! {
-                () = self.changed.notified() => {}
-                () = sleep_until(self.started + wake) => {}
+            if wake.is_none() {
+                return;
             }
+            self.alarm.sleep(wake).await;
         }
     }
 
@@ -118,12 +111,7 @@
     /// How far the view can be trusted, its age where it was ever confirmed, its version, and what was done.
     pub fn status(&self) -> (View, Option<Duration>, Option<u64>, Counts) {
         let follower = self.follower.borrow();
-        (
-            follower.view(),
-            follower.age(self.started.elapsed()),
-            follower.revision(),
-            follower.counts().clone(),
-        )
+        (follower.view(), follower.age(self.alarm.now()), follower.revision(), follower.counts().clone())
     }
 
     fn tell(self: &Rc<Self>, event: Event) {
@@ -132,7 +120,7 @@
             return;
         }
         let mut actions = Vec::new();
-        self.follower.borrow_mut().handle(self.started.elapsed(), event, &mut actions);
+        self.follower.borrow_mut().handle(self.alarm.now(), event, &mut actions);
         for action in actions {
             match action {
                 Action::Call { call, ask } => self.call(call, ask),
@@ -146,10 +134,7 @@
                 Action::Shorter(before, now) => self.hand_over(News::Shorter(before, now)),
             }
         }
-        let wake = self.follower.borrow().next_wake();
-        if wake.is_some_and(|wake| self.sleeps_until.get().is_none_or(|until| wake < until)) {
-            self.changed.notify_one();
-        }
+        self.alarm.sooner(self.follower.borrow().next_wake());
     }
 
     fn hand_over(&self, news: News) {
--- a/crates/spurdrum-sources/src/lib.rs
+++ b/crates/spurdrum-sources/src/lib.rs
@@ -8,6 +8,7 @@
 
 use std::time::Duration;
 
+mod alarm;
 pub mod catalog;
 mod fixed;
 pub mod follower;
@@ -21,5 +22,6 @@
     least.saturating_mul(1 << steps.min(16)).min(most).mul_f64(0.5 + 0.5 * random.f64())
 }
 
+pub use alarm::Alarm;
 pub use fixed::{Static, StaticServer};
 pub use list::{List, Member, Phase};
--- a/crates/spurdrum-sources/src/registry/shell.rs
+++ b/crates/spurdrum-sources/src/registry/shell.rs
@@ -1,16 +1,16 @@
 //! Carries out what a [`Follower`] decides, on whatever a registry speaks.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::sync::{mpsc, Notify};
+use tokio::sync::mpsc;
 use tokio::task::AbortHandle;
-use tokio::time::{sleep_until, Instant};
 
 use super::follower::{Action, Ask, CallId, Cause, Change, Counts, Event, Failure, Follower, Note, Settings};
 use crate::follower::View;
+use crate::Alarm;
 
 /// Probes that wait to be sent; one that finds no room shows that the watch is silent.
 const PROBES_MOST: usize = 4;
@@ -70,10 +70,8 @@
 pub struct Shell<W> {
     wire: W,
     follower: RefCell<Follower>,
-    started: Instant,
+    alarm: Alarm,
     calls: RefCell<HashMap<CallId, Out>>,
-    sleeps_until: Cell<Option<Duration>>,
-    changed: Notify,
     news: RefCell<Option<Listener>>,
 }
 
@@ -87,10 +85,8 @@
         Ok(Rc::new(Self {
             wire,
             follower: RefCell::new(Follower::new(settings, seed)?),
-            started: Instant::now(),
+            alarm: Alarm::default(),
             calls: RefCell::default(),
-            sleeps_until: Cell::new(None),
-            changed: Notify::new(),
             news: RefCell::default(),
         }))
     }
@@ -100,26 +96,22 @@
         *self.news.borrow_mut() = Some(Box::new(news));
         loop {
             self.tell(Event::Tick);
-            let most = self.started.elapsed() + TICK_MOST;
+            let most = self.alarm.now() + TICK_MOST;
             let wake = self.follower.borrow().next_wake().map_or(most, |wake| wake.min(most));
-            self.sleeps_until.set(Some(wake));
-            tokio::select! {
-                () = self.changed.notified() => {}
-                () = sleep_until(self.started + wake) => {}
-            }
+            self.alarm.sleep(Some(wake)).await;
         }
     }
 
     /// How far the copy can be trusted, its age where it was ever proved, its revision, and what was done.
     pub fn status(&self) -> (View, Option<Duration>, Option<u64>, Counts) {
         let follower = self.follower.borrow();
-        let age = follower.age(self.started.elapsed());
+        let age = follower.age(self.alarm.now());
         (follower.view(), age, follower.revision(), follower.counts().clone())
     }
 
     fn tell(self: &Rc<Self>, event: Event) {
         let mut actions = Vec::new();
-        self.follower.borrow_mut().handle(self.started.elapsed(), event, &mut actions);
+        self.follower.borrow_mut().handle(self.alarm.now(), event, &mut actions);
         for action in actions {
             match action {
                 Action::Call { call, endpoint, ask } => self.call(call, endpoint, ask),
@@ -140,10 +132,7 @@
                 Action::Note(note) => self.hand_over(News::Note(note)),
             }
         }
-        let wake = self.follower.borrow().next_wake();
-        if wake.is_some_and(|wake| self.sleeps_until.get().is_none_or(|until| wake < until)) {
-            self.changed.notify_one();
-        }
+        self.alarm.sooner(self.follower.borrow().next_wake());
     }
 
     fn hand_over(&self, news: News) {
--- a/crates/spurdrum/src/merge.rs
+++ b/crates/spurdrum/src/merge.rs
@@ -1,17 +1,15 @@
 //! Several sources of servers before one node: carries out what a [`Reconciler`] decides.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::rc::Rc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{SystemTime, UNIX_EPOCH};
 
 use spurdrum_core::Node;
 use spurdrum_http::Upstream;
 use spurdrum_sources::reconciler::{Action, Event, Reconciler, Settings};
 use spurdrum_sources::registry::schema::{Compiled, Mapper};
 use spurdrum_sources::registry::shell::{News, Shell, Wire};
-use spurdrum_sources::{List, Member};
-use tokio::sync::Notify;
-use tokio::time::{sleep_until, Instant};
+use spurdrum_sources::{Alarm, List, Member};
 
 use crate::list::{self, Places};
 
@@ -28,9 +26,7 @@
     node: Rc<Node<Upstream>>,
     places: Rc<Places>,
     reconciler: RefCell<Reconciler>,
-    started: Instant,
-    sleeps_until: Cell<Option<Duration>>,
-    changed: Notify,
+    alarm: Alarm,
 }
 
 impl Merged {
@@ -39,14 +35,7 @@
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).map_err(|e| format!("the clock: {e}"))?;
         let reconciler = Reconciler::new(settings, NAMES.len(), unix.as_secs_f64() * 1000.0);
         let reconciler = reconciler.map_err(|(key, why)| format!("`sources.merge.{key}`: {why}"))?;
-        Ok(Rc::new(Self {
-            node,
-            places,
-            reconciler: RefCell::new(reconciler),
-            started: Instant::now(),
-            sleeps_until: Cell::new(None),
-            changed: Notify::new(),
-        }))
+        Ok(Rc::new(Self { node, places, reconciler: RefCell::new(reconciler), alarm: Alarm::default() }))
     }
 
     /// A source tells a list, whole or of changes.
@@ -61,7 +50,7 @@
     /// Something has happened.
     pub fn tell(&self, event: Event) {
         let mut actions = Vec::new();
-        self.reconciler.borrow_mut().handle(self.started.elapsed(), event, &mut actions);
+        self.reconciler.borrow_mut().handle(self.alarm.now(), event, &mut actions);
         for action in actions {
             match action {
                 Action::Suspect { source, before, now } => tracing::warn!(
@@ -83,10 +72,7 @@
                 }
             }
         }
-        let wake = self.reconciler.borrow().next_wake();
-        if wake.is_some_and(|wake| self.sleeps_until.get().is_none_or(|until| wake < until)) {
-            self.changed.notify_one();
-        }
+        self.alarm.sooner(self.reconciler.borrow().next_wake());
     }
 
     /// Keeps time for as long as this is awaited.
@@ -94,17 +80,7 @@
         loop {
             self.tell(Event::Tick);
             let wake = self.reconciler.borrow().next_wake();
-            self.sleeps_until.set(wake);
-            let sleep = async {
-                match wake {
-                    Some(wake) => sleep_until(self.started + wake).await,
-                    None => std::future::pending().await,
-                }
-            };
-            tokio::select! {
-                () = self.changed.notified() => {}
-                () = sleep => {}
-            }
+            self.alarm.sleep(wake).await;
         }
     }
 
