--- a/crates/spurdrum-core/src/connections.rs
+++ b/crates/spurdrum-core/src/connections.rs
@@ -31,6 +31,8 @@
 pub struct Seat {
     /// What the decisions call it.
     pub id: ConnId,
+    /// Where it comes from.
+    pub peer: IpAddr,
     connections: Rc<Connections>,
     order: Cell<Option<Order>>,
     /// Raised with an order.
@@ -160,6 +162,7 @@
         }
         let seat = Rc::new(Seat {
             id,
+            peer,
             connections: Rc::clone(self),
             order: Cell::new(None),
             ordered: Notify::new(),
--- a/crates/spurdrum-core/src/node.rs
+++ b/crates/spurdrum-core/src/node.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use spurdrum_affinity::Affinity;
 use spurdrum_policy::{
     Action, Availability, Balancer, Ending, Event, Listing, Outcome, Report, Request, RequestId, ServerEntry,
     ServerId, Settings,
@@ -96,6 +97,8 @@
     /// Hears what the servers show of the list.
     signs: Box<dyn Fn(Sign)>,
     balancer: RefCell<Balancer>,
+    /// Which server keys are bound to, where that is on.
+    affinity: Option<Rc<RefCell<Affinity>>>,
     requests: RefCell<HashMap<RequestId, Held<T>>>,
     /// What clients call them. Guards against two requests that servers would take for one.
     names: RefCell<HashSet<<T::Request as Asked>::Name>>,
@@ -120,6 +123,7 @@
         connections: Rc<Connections>,
         transport: T,
         signs: impl Fn(Sign) + 'static,
+        affinity: Option<Rc<RefCell<Affinity>>>,
     ) -> Result<Rc<Self>, String> {
         let balancer =
             Balancer::new(config.settings.clone(), config.seed).map_err(|e| format!("`settings`: {e}"))?;
@@ -130,6 +134,7 @@
             transport,
             signs: Box::new(signs),
             balancer: RefCell::new(balancer),
+            affinity,
             requests: RefCell::default(),
             names: RefCell::default(),
             last_id: Cell::new(0),
@@ -142,7 +147,7 @@
     }
 
     /// Unix time in milliseconds that never runs backwards: starts of servers are told in it.
-    fn now(&self) -> f64 {
+    pub fn now(&self) -> f64 {
         self.started_unix_ms + self.started.elapsed().as_secs_f64() * 1000.0
     }
 
@@ -223,9 +228,11 @@
         }
         self.last_id.set(self.last_id.get() + 1);
         let id = RequestId(self.last_id.get());
+        let prefers = self.affinity.as_ref().zip(asked.affinity());
+        let prefers = prefers.and_then(|(affinity, ask)| affinity.borrow_mut().prefers(self.now(), ask));
         let held = Held { request: Rc::new(asked), answer: Some(answer), attempts: Vec::new() };
         self.requests.borrow_mut().insert(id, held);
-        self.handle(Event::Request(Request { id, ..request }));
+        self.handle(Event::Request(Request { id, prefers, ..request }));
         Ok(id)
     }
 
@@ -260,8 +267,15 @@
         elapsed: Duration,
         reply: Reply<T::Body>,
     ) {
+        let mut ask = None;
         if let Some(held) = self.requests.borrow_mut().get_mut(&id) {
             held.attempts[attempt] = None;
+            ask = held.request.affinity();
+        }
+        if let Some(affinity) = self.affinity.as_ref().filter(|_| reply.ending == Ending::Served) {
+            for ask in ask.into_iter().chain(reply.names.filter(|names| Some(*names) != ask)) {
+                affinity.borrow_mut().served(self.now(), ask, server);
+            }
         }
         let listed = self.starts.borrow().get(&server).copied();
         if listed.zip(reply.started_at).is_some_and(|(listed, said)| said > listed + SAME_START) {
@@ -317,6 +331,7 @@
 
     /// The entries of a list, their servers numbered and their addresses noted.
     fn entries(&self, complete: bool, servers: Vec<Listed>) -> Vec<ServerEntry> {
+        let mut bound = Vec::new();
         let mut ids = self.ids.borrow_mut();
         if complete {
             let listed: HashSet<_> = servers.iter().map(|server| &server.id).collect();
@@ -344,8 +359,14 @@
                 self.transport.list(number, address, entry.availability == Availability::Ready);
             }
             entry.server = number;
+            if self.affinity.is_some() {
+                bound.push(bindable(id, &entry, self.config.settings.zone));
+            }
             entries.push(entry);
         }
+        if let Some(affinity) = &self.affinity {
+            affinity.borrow_mut().listed(self.now(), complete, bound);
+        }
         entries
     }
 
@@ -365,3 +386,16 @@
         }
     }
 }
+
+/// A server as keys are bound to it.
+fn bindable(id: String, entry: &ServerEntry, zone: usize) -> spurdrum_affinity::Listed {
+    spurdrum_affinity::Listed {
+        id,
+        server: entry.server,
+        availability: entry.availability,
+        started_at: entry.started_at,
+        near: entry.zone == zone,
+        weight: entry.weight,
+        key: entry.key,
+    }
+}
--- a/crates/spurdrum-core/src/transport.rs
+++ b/crates/spurdrum-core/src/transport.rs
@@ -4,6 +4,7 @@
 use std::hash::Hash;
 use std::net::SocketAddr;
 
+use spurdrum_affinity::Ask;
 use spurdrum_policy::{Ending, Report, ServerId};
 use tokio::sync::oneshot;
 
@@ -14,6 +15,11 @@
 
     /// What the client calls it.
     fn name(&self) -> &Self::Name;
+
+    /// The key whose requests had better reach one server, where it has one.
+    fn affinity(&self) -> Option<Ask> {
+        None
+    }
 }
 
 /// How an attempt or a probe ended.
@@ -24,6 +30,8 @@
     pub report: Option<Report>,
     /// When the server says that it was started, in Unix milliseconds.
     pub started_at: Option<f64>,
+    /// The key that the server gives to requests that are to come back to it.
+    pub names: Option<Ask>,
     /// The whole body, where it was served.
     pub body: Option<B>,
 }
@@ -31,7 +39,7 @@
 impl<B> Reply<B> {
     /// An end without an answer.
     pub fn none(ending: Ending) -> Self {
-        Self { ending, report: None, started_at: None, body: None }
+        Self { ending, report: None, started_at: None, names: None, body: None }
     }
 }
 
--- a/crates/spurdrum-http/src/front.rs
+++ b/crates/spurdrum-http/src/front.rs
@@ -29,6 +29,7 @@
 use tokio::time::{sleep, sleep_until, timeout_at, Instant};
 
 use crate::client::{Framing, Socket};
+use crate::keys::Keys;
 use crate::socket::Io;
 use crate::upstream::{Forward, Upstream, BODY_MOST};
 
@@ -83,6 +84,8 @@
 pub struct Front {
     node: Rc<Node>,
     names: Names,
+    /// How keys are made, where that is on.
+    keys: Option<Rc<Keys>>,
     /// What `/_health` says beside its own.
     status: Box<dyn Fn() -> String>,
     ending: Cell<bool>,
@@ -97,12 +100,19 @@
         Self {
             node,
             names,
+            keys: None,
             status: Box::new(status),
             ending: Cell::new(false),
             reserve: RefCell::new(spare_descriptor()),
             backoff: Cell::new(BACKOFF.0),
         }
     }
+
+    /// Requests have keys.
+    #[must_use]
+    pub fn with_keys(self, keys: Option<Rc<Keys>>) -> Self {
+        Self { keys, ..self }
+    }
 }
 
 /// Serves clients until `stop` is done and all that was taken is answered.
@@ -449,7 +459,7 @@
         return plain(StatusCode::BAD_REQUEST, "GET has no body\n");
     }
     // A whole URL names the host that is meant; servers get the short form.
-    let mut uri = head.uri.into_parts();
+    let mut uri = head.uri.clone().into_parts();
     let authority = uri.authority.take().and_then(|host| HeaderValue::from_str(host.as_str()).ok());
     uri.scheme = None;
     let Ok(uri) = Uri::from_parts(uri) else { return plain(StatusCode::BAD_REQUEST, "a bad target\n") };
@@ -459,6 +469,15 @@
             headers.insert(name, value.clone());
         }
     }
+    let (mut ask, mut naming) = (None, None);
+    if let Some(keys) = &front.keys {
+        (ask, naming) = keys.of((&head.headers, &head.uri), (asked.class, asked.tenant), seat.peer);
+        for name in keys.fields() {
+            if let Some(value) = head.headers.get(name) {
+                headers.insert(name, value.clone());
+            }
+        }
+    }
     if let Some(host) = authority {
         headers.insert(HOST, host);
     }
@@ -466,7 +485,7 @@
     let gives_up_at = came + wait.saturating_sub(MARGIN).max(wait / 2);
     let budget = gives_up_at.saturating_duration_since(Instant::now());
     asked.budget_ms = budget.as_secs_f64() * 1000.0;
-    let forward = Forward { method: head.method, uri, headers, body, gives_up_at };
+    let forward = Forward { method: head.method, uri, headers, body, gives_up_at, ask, naming };
     let (answer, answered) = oneshot::channel();
     let id = match node.take(forward, asked, answer) {
         Ok(id) => id,
@@ -477,7 +496,14 @@
     let _waiting = Waiting { node: Rc::clone(node), id };
     // Guards against decisions that leave a request without an answer.
     match timeout_at(gives_up_at + MARGIN / 2, answered).await {
-        Ok(Ok(Answer::Served(body))) => Response::new(Full::new(body)),
+        Ok(Ok(Answer::Served(body))) => {
+            let mut response = Response::new(Full::new(body.bytes));
+            let name = front.keys.as_ref().and_then(|keys| keys.answer());
+            if let Some((name, value)) = name.zip(body.given) {
+                response.headers_mut().insert(name, value);
+            }
+            response
+        }
         Ok(Ok(Answer::Refused(retry_after_ms))) => refusal(retry_after_ms),
         Ok(Ok(Answer::Failed) | Err(_)) => plain(StatusCode::BAD_GATEWAY, "failed\n"),
         Err(_) => plain(StatusCode::GATEWAY_TIMEOUT, "no answer in time\n"),
@@ -492,7 +518,8 @@
 ) -> Result<(Duration, spurdrum_policy::Request), &'static str> {
     // Guards against one meaning here and another at a server.
     let doubled = |name: &&str| headers.get_all(*name).iter().nth(1).is_some();
-    if FIELDS.iter().any(doubled) {
+    let doubled_key = front.keys.iter().any(|keys| keys.fields().any(|name| doubled(&name.as_str())));
+    if doubled_key || FIELDS.iter().any(doubled) {
         return Err("a field comes twice\n");
     }
     let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
--- a/crates/spurdrum-http/src/lib.rs
+++ b/crates/spurdrum-http/src/lib.rs
@@ -2,8 +2,10 @@
 
 mod client;
 pub mod front;
+pub mod keys;
 mod socket;
 mod upstream;
 
 pub use front::{run, Front, Names};
-pub use upstream::{load_report, Forward, Upstream, BODY_MOST};
+pub use keys::Keys;
+pub use upstream::{load_report, Forward, Served, Upstream, BODY_MOST};
--- a/crates/spurdrum-http/src/upstream.rs
+++ b/crates/spurdrum-http/src/upstream.rs
@@ -16,12 +16,14 @@
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
 use spurdrum_admission::Event as ConnectionEvent;
+use spurdrum_affinity::Ask;
 use spurdrum_core::{is_starved, Asked, Connections, Reply, ServerSlot, Transport};
 use spurdrum_policy::{Ending, Report, ServerId};
 use tokio::net::TcpStream;
 use tokio::sync::oneshot;
 use tokio::time::{sleep_until, timeout, Instant};
 
+use crate::keys::{Keys, Naming};
 use crate::socket::{self, has_input, Io};
 
 /// Bodies hold this much at most.
@@ -48,6 +50,18 @@
     pub body: Bytes,
     /// When the node stops waiting.
     pub gives_up_at: Instant,
+    /// Its key.
+    pub ask: Option<Ask>,
+    /// What a key is made of that its answer gives.
+    pub naming: Option<Naming>,
+}
+
+/// What a client gets of a server's answer.
+pub struct Served {
+    /// The body.
+    pub bytes: Bytes,
+    /// The value of the field by which servers give out keys.
+    pub given: Option<HeaderValue>,
 }
 
 impl Asked for Forward {
@@ -56,9 +70,13 @@
     fn name(&self) -> &HeaderValue {
         &self.headers["x-request-id"]
     }
+
+    fn affinity(&self) -> Option<Ask> {
+        self.ask
+    }
 }
 
-type Answered = Reply<Bytes>;
+type Answered = Reply<Served>;
 
 struct Socket {
     stream: TcpStream,
@@ -134,13 +152,22 @@
     connections: Rc<Connections>,
     keep: Duration,
     dial_timeout: Duration,
+    /// How keys are made, where that is on.
+    keys: Option<Rc<Keys>>,
 }
 
 impl Upstream {
     /// No server is known yet. Servers close connections that stand idle for `conn_idle`; one that is not made within
     /// `dial_timeout` has failed.
     pub fn new(connections: Rc<Connections>, conn_idle: Duration, dial_timeout: Duration) -> Self {
-        Self { servers: RefCell::default(), connections, keep: conn_idle.mul_f64(IDLE_PART), dial_timeout }
+        let (servers, keep) = (RefCell::default(), conn_idle.mul_f64(IDLE_PART));
+        Self { servers, connections, keep, dial_timeout, keys: None }
+    }
+
+    /// Servers may give out keys in their answers.
+    #[must_use]
+    pub fn with_keys(self, keys: Option<Rc<Keys>>) -> Self {
+        Self { keys, ..self }
     }
 
     /// A place for one more socket, for which the one that stood idle longest is closed if need be.
@@ -219,7 +246,13 @@
                     }
                 }
             };
-            let (reply, sound) = read(response).await;
+            let given = self.keys.as_ref().and_then(|keys| response.headers().get(keys.answer()?).cloned());
+            let (mut reply, sound) = read(response).await;
+            let naming = forward.and_then(|forward| forward.naming.as_ref());
+            if let (Some(given), Some(naming), Some(body)) = (given, naming, &mut reply.body) {
+                reply.names = self.keys.as_ref().and_then(|keys| keys.given(naming, &given));
+                body.given = Some(given);
+            }
             if sound {
                 server.keep(connection);
             }
@@ -236,7 +269,7 @@
 
 impl Transport for Upstream {
     type Request = Forward;
-    type Body = Bytes;
+    type Body = Served;
 
     fn list(&self, server: ServerId, address: SocketAddr, ready: bool) {
         let mut servers = self.servers.borrow_mut();
@@ -293,7 +326,7 @@
         let reply = timeout(self.dial_timeout, self.exchange(server, None, &sent)).await;
         let mut reply = reply.unwrap_or_else(|_| Reply::none(Ending::TimedOut));
         if let Some(body) = reply.body.take() {
-            reply.report = std::str::from_utf8(&body).ok().and_then(load_report).or(reply.report);
+            reply.report = std::str::from_utf8(&body.bytes).ok().and_then(load_report).or(reply.report);
         }
         reply
     }
@@ -334,7 +367,8 @@
         StatusCode::OK => Ending::Served,
         _ => Ending::Error,
     };
-    let reply = Reply { ending, report, started_at, body: body.filter(|_| ending == Ending::Served) };
+    let body = body.filter(|_| ending == Ending::Served).map(|bytes| Served { bytes, given: None });
+    let reply = Reply { ending, report, started_at, names: None, body };
     (reply, whole)
 }
 
--- a/crates/spurdrum-policy/src/interface.rs
+++ b/crates/spurdrum-policy/src/interface.rs
@@ -134,6 +134,8 @@
     pub waste_price: f64,
     /// Price of requests that cross zones, as a fraction of the result.
     pub cross_zone_price: f64,
+    /// A server that a request prefers is taken while its rank is at most this multiple of the lowest, one or more.
+    pub preference_slack: f64,
 }
 
 impl Settings {
@@ -165,6 +167,7 @@
             tip_after_ms: 1_000.0,
             waste_price: 0.0,
             cross_zone_price: 0.0,
+            preference_slack: 2.0,
         }
     }
 
@@ -199,7 +202,8 @@
         need(some(self.tip_after_ms), "tip_after_ms")?;
         need(zero_up(self.probe_price), "probe_price")?;
         need(zero_up(self.waste_price), "waste_price")?;
-        need(zero_up(self.cross_zone_price), "cross_zone_price")
+        need(zero_up(self.cross_zone_price), "cross_zone_price")?;
+        need(self.preference_slack.is_finite() && self.preference_slack >= 1.0, "preference_slack")
     }
 }
 
@@ -303,13 +307,15 @@
     pub cost_ms: Option<f64>,
     /// Whether the client repeats an earlier try.
     pub repeat: bool,
+    /// The server that had better have it, as far as its count allows; see [`Settings::preference_slack`].
+    pub prefers: Option<ServerId>,
 }
 
 impl Request {
     /// A first try of the first tenant.
     #[must_use]
     pub fn new(id: RequestId, class: usize, budget_ms: f64) -> Self {
-        Self { id, class, tenant: 0, budget_ms, cost_ms: None, repeat: false }
+        Self { id, class, tenant: 0, budget_ms, cost_ms: None, repeat: false, prefers: None }
     }
 }
 
--- a/crates/spurdrum-policy/src/rules.rs
+++ b/crates/spurdrum-policy/src/rules.rs
@@ -106,6 +106,8 @@
 #[derive(Default)]
 struct Server {
     entry: ServerEntry,
+    /// Whether it is in the node's slice.
+    sliced: bool,
     /// The array of HSQ: the last fresh report and what this node has sent since.
     count: Option<f64>,
     /// This node's attempts that are out.
@@ -155,6 +157,8 @@
     asked: Vec<usize>,
     reported: Vec<usize>,
     limit: f64,
+    /// The server that had better have it.
+    prefers: Option<usize>,
 }
 
 /// A server as `pick` sees it: the answer expected there, and its count in the same unit.
@@ -300,6 +304,10 @@
         }
         self.slice = [0..near.min(length), near..ring.len().min(near + length)];
         self.ring = ring;
+        self.servers.values_mut().for_each(|server| server.sliced = false);
+        for at in self.slice.clone().into_iter().flatten() {
+            self.servers.get_mut(&self.ring[at]).expect("listed").sliced = true;
+        }
     }
 
     /// Guards against a lost subscription: without one the node would send to servers long gone.
@@ -326,7 +334,8 @@
     }
 
     /// The eligible servers with the lowest counts, ties broken at random.
-    fn pick(&mut self, now: f64, held: &Held, limit: f64, most: usize) -> Vec<usize> {
+    /// One that is preferred comes first, where its count is not much higher.
+    fn pick(&mut self, now: f64, held: &Held, limit: f64, few: usize) -> Vec<usize> {
         let mut candidates = self.candidates(now, held);
         // Those that are not healthy, or tried already, are left only where there are no others.
         let fittest = candidates.iter().map(|c| c.unfit).min();
@@ -335,10 +344,22 @@
         let bound = if self.asks > 0 { limit } else { least * BACKED_UP };
         // A crossing has its price; and nodes that keep to their zones are less in each other's way, unseen.
         let near = self.asks == 0 && candidates.iter().any(|c| c.near && c.wait <= bound);
-        candidates.retain(|c| c.wait <= bound && (c.near || !near));
+        let preferred = |c: &Candidate| held.prefers == Some(c.server);
+        candidates.retain(|c| (c.wait <= bound || preferred(c)) && (c.near || !near));
         self.random.shuffle(&mut candidates);
         candidates.sort_by(|a, b| a.rank.total_cmp(&b.rank));
-        candidates.iter().take(most).map(|c| c.server).collect()
+        if let Some(at) = candidates.iter().position(preferred) {
+            // Guards against a preference that overloads its server: it counts only near the lowest.
+            let slack = self.settings.preference_slack;
+            let lowest = candidates.iter().find(|c| c.wait <= bound).map_or(f64::INFINITY, |c| c.rank);
+            let Candidate { rank, wait, .. } = candidates[at];
+            if rank <= lowest * slack && wait <= bound.max(least * slack) {
+                candidates[..=at].rotate_right(1);
+            } else if wait > bound {
+                candidates.remove(at);
+            }
+        }
+        candidates.iter().take(few).map(|c| c.server).collect()
     }
 
     /// All servers that the rules allow for this request.
@@ -361,7 +382,13 @@
         let mut candidates = Vec::new();
         // A request that may have run is bound to its group, wherever that is; any other stays in the slice.
         let [near, far] = if home.is_some() { [0..self.ring.len(), 0..0] } else { self.slice.clone() };
-        for at in near.chain(far).map(|i| self.ring[i]) {
+        // A preference holds beyond the slice, but not for a cold server: its budget is the slices' alone.
+        let beyond = |s: &Server| {
+            let warm = now - s.entry.started_at.unwrap_or(f64::NEG_INFINITY) >= self.settings.cold_ms;
+            home.is_none() && !s.sliced && s.entry.availability == Availability::Ready && warm
+        };
+        let beyond = held.prefers.filter(|at| self.servers.get(at).is_some_and(beyond));
+        for at in near.chain(far).map(|i| self.ring[i]).chain(beyond) {
             let first = held.attempts.is_empty();
             let asked = first && held.reported.contains(&at);
             let server = self.servers.get_mut(&at).expect("listed");
@@ -406,6 +433,7 @@
 
     fn request(&mut self, now: f64, request: &Request, actions: &mut Vec<Action>) {
         let mut held = Held { class: request.class, gives_up_at: now + request.budget_ms, ..Held::default() };
+        held.prefers = request.prefers.map(|server| server.0);
         if request.class >= self.settings.classes.len() {
             return actions.push(Action::Fail { request: request.id });
         }
--- a/crates/spurdrum-simhost/src/wire.rs
+++ b/crates/spurdrum-simhost/src/wire.rs
@@ -241,6 +241,7 @@
                     budget_ms: line.need_figure("budget_ms")?,
                     cost_ms: line.figure("cost_ms")?.filter(|_| marks & 1 != 0),
                     repeat: marks & 2 != 0,
+                    prefers: None,
                 })
             }
             "ACK_FIRST" => Event::StreamStarted {
--- a/crates/spurdrum-standin/src/manual.rs
+++ b/crates/spurdrum-standin/src/manual.rs
@@ -87,15 +87,14 @@
 impl Exchange {
     /// Answers; the connection takes a next request.
     pub fn answer(mut self, status: &str, headers: &str, body: &[u8]) {
-        write!(self.stream, "HTTP/1.1 {status}\r\ncontent-length: {}\r\n{headers}\r\n", body.len())
-            .and_then(|()| self.stream.write_all(body))
-            .expect("answered");
+        // In one piece: a second write would wait for the first one's acknowledgement.
+        let head = format!("HTTP/1.1 {status}\r\ncontent-length: {}\r\n{headers}\r\n", body.len());
+        self.stream.write_all(&[head.as_bytes(), body].concat()).expect("answered");
         self.go_on.send(()).expect("the connection goes on");
     }
 
     /// Answers, where the node still waits for it.
     pub fn answer_if_wanted(mut self, body: &[u8]) {
-        // In one piece: a second write would wait for the first one's acknowledgement.
         let mut whole = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", body.len()).into_bytes();
         whole.extend_from_slice(body);
         self.write(&whole);
--- /dev/null
+++ b/crates/spurdrum-store/src/lib.rs
@@ -0,0 +1,16 @@
+//! State that a node has again after a restart. It is written behind what happens, by a thread of its own, so that neither
+//! a slow disk nor a broken one is felt by those who are served.
+//!
+//! - [`pace`]: when to open, write and try again, and how much at once; no I/O, no clock.
+//! - [`disk`]: the file (a `redb` database), its checks, and what is done with one that is broken.
+//! - [`shell`]: the thread, and what ties all to the event loop.
+//!
+//! What is kept comes from a [`Keeper`]: it says what waits to be written, and takes in what an earlier life wrote.
+
+pub mod disk;
+pub mod pace;
+pub mod shell;
+
+pub use disk::{About, Disk, Row, Trouble};
+pub use pace::{Pace, Settings};
+pub use shell::{keep, keep_by, Keeper, Status};
--- /dev/null
+++ b/crates/spurdrum-store/src/shell.rs
@@ -0,0 +1,270 @@
+//! The thread that has the file, and what ties it to the event loop.
+
+use std::cell::RefCell;
+use std::future::Future;
+use std::path::PathBuf;
+use std::pin::pin;
+use std::rc::Rc;
+use std::sync::mpsc;
+
+use tokio::sync::mpsc as async_mpsc;
+use tokio::time::{sleep_until, timeout_at, Instant};
+
+use crate::disk::{About, Disk, Row, Trouble};
+use crate::pace::{Action, Event, Pace, Settings};
+
+/// Rows of an earlier life that are taken in at once: the event loop goes on between two chunks.
+const CHUNK: usize = 512;
+
+/// Who has the state that is kept.
+pub trait Keeper {
+    /// The tables, in the order in which they are read.
+    const TABLES: &'static [&'static str];
+
+    /// Rows that wait to be written.
+    fn unwritten(&self) -> usize;
+
+    /// Rows to write next, so many at the most or a few more.
+    fn take(&mut self, most: usize) -> Vec<Row>;
+
+    /// These could not be written.
+    fn not_written(&mut self, rows: Vec<Row>);
+
+    /// What an earlier life wrote, a part at a time.
+    fn restore(&mut self, table: &'static str, rows: Vec<(u64, Vec<u8>)>);
+
+    /// The file is empty, and was not before: all is to be written again.
+    fn rewrite(&mut self);
+
+    /// Something has happened that operators should see.
+    fn note(&self, what: &str);
+}
+
+enum Command {
+    Open,
+    Load(&'static [&'static str]),
+    Write(Vec<Row>),
+}
+
+enum Told {
+    Opened { fresh: bool, aside: Option<Trouble> },
+    Rows(&'static str, Vec<(u64, Vec<u8>)>),
+    Loaded,
+    Written(usize),
+    Failed(Trouble, Vec<Row>),
+}
+
+/// How the store does, for operators.
+#[derive(Default)]
+pub struct Status {
+    /// Batches written, rows in them, and troubles.
+    pub batches: u64,
+    /// See `batches`.
+    pub rows: u64,
+    /// See `batches`.
+    pub troubles: u64,
+    /// Whether it can be written to, and whether an earlier life's rows are in.
+    pub open: bool,
+    /// See `open`.
+    pub loaded: bool,
+    /// The last trouble.
+    pub last: Option<Trouble>,
+}
+
+impl std::fmt::Display for Status {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let state = match (self.open, self.loaded) {
+            (true, _) => "open",
+            (false, true) => "closed",
+            (false, false) => "not yet read",
+        };
+        write!(f, "store {state}, batches {}, rows {}, troubles {}", self.batches, self.rows, self.troubles)?;
+        match &self.last {
+            Some(last) => write!(f, ", the last: {last}"),
+            None => Ok(()),
+        }
+    }
+}
+
+/// The thread's work: one command at a time, until nobody listens.
+fn work(
+    mut open: impl FnMut() -> Result<Disk, Trouble>,
+    commands: &mpsc::Receiver<Command>,
+    tell: &async_mpsc::Sender<Told>,
+) {
+    let mut disk = None;
+    while let Ok(command) = commands.recv() {
+        let (done, rows) = match command {
+            Command::Open => {
+                // Guards against a file that this process itself still has.
+                disk = None;
+                let opened = open().map(|opened| {
+                    let told = Told::Opened { fresh: opened.is_fresh(), aside: opened.aside().cloned() };
+                    disk = Some(opened);
+                    told
+                });
+                (opened, Vec::new())
+            }
+            Command::Load(tables) => (load(disk.as_ref(), tables, tell), Vec::new()),
+            Command::Write(rows) => (written(disk.as_ref(), &rows), rows),
+        };
+        let told = done.unwrap_or_else(|why| {
+            disk = None;
+            Told::Failed(why, rows)
+        });
+        if tell.blocking_send(told).is_err() {
+            return;
+        }
+    }
+}
+
+fn closed() -> Trouble {
+    Trouble::Refused("it is not open".to_owned())
+}
+
+fn load(
+    disk: Option<&Disk>,
+    tables: &[&'static str],
+    tell: &async_mpsc::Sender<Told>,
+) -> Result<Told, Trouble> {
+    let disk = disk.ok_or_else(closed)?;
+    for table in tables {
+        let mut from = Some(0);
+        while let Some(at) = from {
+            let rows = disk.read(table, at, CHUNK)?;
+            from = rows.last().filter(|_| rows.len() == CHUNK).and_then(|(key, _)| key.checked_add(1));
+            // Where nobody listens, the thread ends with the next answer.
+            let _ = tell.blocking_send(Told::Rows(table, rows));
+        }
+    }
+    Ok(Told::Loaded)
+}
+
+fn written(disk: Option<&Disk>, rows: &[Row]) -> Result<Told, Trouble> {
+    disk.ok_or_else(closed)?.write(rows).map(|()| Told::Written(rows.len()))
+}
+
+/// Keeps what `keeper` has in a file, until `stop` is done and what was left is written, or the time for that is over.
+///
+/// # Errors
+///
+/// There is no thread to be had.
+pub async fn keep<K: Keeper>(
+    path: PathBuf,
+    about: About,
+    settings: Settings,
+    keeper: Rc<RefCell<K>>,
+    status: Rc<RefCell<Status>>,
+    chance: impl FnMut() -> f64,
+    stop: impl Future<Output = ()>,
+) -> std::io::Result<()> {
+    let open = move || Disk::open(&path, about);
+    keep_by(open, settings, keeper, status, chance, stop).await
+}
+
+/// As [`keep`], with a way of opening of one's own.
+///
+/// # Errors
+///
+/// There is no thread to be had.
+pub async fn keep_by<K: Keeper>(
+    open: impl FnMut() -> Result<Disk, Trouble> + Send + 'static,
+    settings: Settings,
+    keeper: Rc<RefCell<K>>,
+    status: Rc<RefCell<Status>>,
+    mut chance: impl FnMut() -> f64,
+    stop: impl Future<Output = ()>,
+) -> std::io::Result<()> {
+    // One command is out at a time, and few answers wait.
+    let (command, commands) = mpsc::sync_channel(1);
+    let (tell, mut told) = async_mpsc::channel(2);
+    std::thread::Builder::new().name("store".into()).spawn(move || work(open, &commands, &tell))?;
+    let begun = Instant::now();
+    let mut pace = Pace::new(settings);
+    let mut stop = pin!(stop);
+    let mut ending = false;
+    loop {
+        let unwritten = keeper.borrow().unwritten();
+        let next = match pace.next(begun.elapsed(), unwritten) {
+            Action::Open => Some(Command::Open),
+            Action::Load => Some(Command::Load(K::TABLES)),
+            Action::Write(most) => Some(Command::Write(keeper.borrow_mut().take(most))),
+            Action::End => break,
+            Action::Wait(until) => {
+                let sleep = async {
+                    match until {
+                        Some(until) => sleep_until(begun + until).await,
+                        None => std::future::pending().await,
+                    }
+                };
+                tokio::select! {
+                    () = &mut stop, if !ending => {
+                        ending = true;
+                        pace.handle(begun.elapsed(), Event::Ending, chance());
+                    }
+                    answer = told.recv() => {
+                        // The thread ends only with this.
+                        let Some(answer) = answer else { return Ok(()) };
+                        if let Some(event) = heard(answer, &keeper, &status) {
+                            pace.handle(begun.elapsed(), event, chance());
+                        }
+                    }
+                    () = sleep => {}
+                }
+                None
+            }
+        };
+        {
+            let mut status = status.borrow_mut();
+            (status.open, status.loaded) = (pace.is_open(), pace.is_loaded());
+        }
+        if let Some(next) = next {
+            // One is out at a time, so this neither waits nor fails while the thread lives.
+            if command.try_send(next).is_err() {
+                return Ok(());
+            }
+        }
+    }
+    // The next life can open it once the thread has closed it; one that hangs is left behind.
+    drop(command);
+    let closed = async { while told.recv().await.is_some() {} };
+    let _ = timeout_at(begun + pace.ends_by().unwrap_or_default(), closed).await;
+    Ok(())
+}
+
+fn heard<K: Keeper>(told: Told, keeper: &RefCell<K>, status: &RefCell<Status>) -> Option<Event> {
+    let mut status = status.borrow_mut();
+    match told {
+        Told::Opened { fresh, aside } => {
+            if let Some(why) = aside {
+                keeper.borrow().note(&format!("the file was put aside, and is begun anew: {why}"));
+                status.last = Some(why);
+            }
+            // Before it was loaded, nothing of this life has been written.
+            if fresh && status.loaded {
+                keeper.borrow_mut().rewrite();
+            }
+            Some(Event::Opened)
+        }
+        Told::Rows(table, rows) => {
+            keeper.borrow_mut().restore(table, rows);
+            None
+        }
+        Told::Loaded => Some(Event::Loaded),
+        Told::Written(rows) => {
+            status.batches += 1;
+            status.rows += rows as u64;
+            Some(Event::Written)
+        }
+        Told::Failed(why, rows) => {
+            status.troubles += 1;
+            // Guards against a line for each try.
+            if status.last.as_ref() != Some(&why) {
+                keeper.borrow().note(&format!("the file can't be used: {why}"));
+            }
+            status.last = Some(why);
+            keeper.borrow_mut().not_written(rows);
+            Some(Event::Failed)
+        }
+    }
+}
--- /dev/null
+++ b/crates/spurdrum/src/affinity.rs
@@ -0,0 +1,335 @@
+//! Bindings of keys to servers: what the file says of them, and how they outlive the node.
+
+use std::cell::RefCell;
+use std::future::Future;
+use std::io::{ErrorKind, Read, Write as _};
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::Duration;
+
+use serde::Deserialize;
+use spurdrum_affinity::record::{self, Stored, Write};
+use spurdrum_affinity::{Affinity, First, Keyer, Settings};
+use spurdrum_http::keys::{Making, Owner};
+use spurdrum_store::shell::Keeper;
+use spurdrum_store::{About, Row};
+use tokio::time::sleep;
+
+use crate::file::{set, set_time};
+
+/// How often bindings are looked at, where nobody asks for any.
+const LOOK: Duration = Duration::from_secs(1);
+/// While more of them are over than one look clears.
+const AGAIN: Duration = Duration::from_millis(1);
+const RUNS: &str = "runs";
+const PLACES: &str = "places";
+
+/// Table `[affinity]`. Times are in milliseconds.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct AffinityTable {
+    key: Vec<String>,
+    #[serde(default)]
+    classes: Vec<String>,
+    answer: Option<String>,
+    owner: Option<OwnerName>,
+    prefix_v4: Option<u8>,
+    prefix_v6: Option<u8>,
+    slack: Option<f64>,
+    first: Option<FirstName>,
+    entries: Option<usize>,
+    idle_ms: Option<f64>,
+    most_ms: Option<f64>,
+    return_within_ms: Option<f64>,
+    moves_after: Option<u8>,
+    settle_ms: Option<f64>,
+    store: Option<StoreTable>,
+}
+
+#[derive(Clone, Copy, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum OwnerName {
+    Tenant,
+    Address,
+}
+
+#[derive(Clone, Copy, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum FirstName {
+    Lowest,
+    Ring,
+}
+
+/// Table `[affinity.store]`. Times are in milliseconds.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct StoreTable {
+    path: PathBuf,
+    write_every_ms: Option<u64>,
+    share: Option<f64>,
+    aim_ms: Option<u64>,
+    batch: Option<usize>,
+    retry_least_ms: Option<u64>,
+    retry_most_ms: Option<u64>,
+    flush_most_ms: Option<u64>,
+}
+
+/// What is wrong: the table, the key, and why.
+type Wrong = (&'static str, &'static str, &'static str);
+
+/// All that the file says of it.
+pub struct Bindings {
+    /// How keys are made; the classes by name.
+    making: Making,
+    classes: Vec<String>,
+    /// Whether the file names who places are counted to.
+    owner_named: bool,
+    /// How far a preference goes before counts.
+    pub slack: f64,
+    settings: Settings,
+    /// Where they are kept, if they are.
+    store: Option<(PathBuf, spurdrum_store::Settings)>,
+}
+
+impl AffinityTable {
+    /// What the table says.
+    pub fn read(&self) -> Result<Bindings, Wrong> {
+        let wrong = |key| move |why| ("affinity", key, why);
+        let parts: Result<Vec<_>, _> =
+            self.key.iter().map(|part| part.parse().map_err(wrong("key"))).collect();
+        let parts = parts?;
+        if parts.is_empty() {
+            return Err(("affinity", "key", "is empty"));
+        }
+        let prefixes = [self.prefix_v4.unwrap_or(24), self.prefix_v6.unwrap_or(56)];
+        if prefixes[0] > 32 || prefixes[1] > 128 {
+            return Err(("affinity", "prefix_v", "is longer than an address"));
+        }
+        let slack = self.slack.unwrap_or(2.0);
+        if !(slack.is_finite() && slack >= 1.0) {
+            return Err(("affinity", "slack", "is under 1"));
+        }
+        let mut settings = Settings::default();
+        set(&mut settings.entries, self.entries);
+        set(&mut settings.idle_ms, self.idle_ms);
+        set(&mut settings.most_ms, self.most_ms);
+        set(&mut settings.return_within_ms, self.return_within_ms);
+        set(&mut settings.moves_after, self.moves_after);
+        set(&mut settings.settle_ms, self.settle_ms);
+        settings.first = match self.first {
+            Some(FirstName::Ring) => First::Ring,
+            Some(FirstName::Lowest) | None => First::Lowest,
+        };
+        settings.validate().map_err(|(key, why)| ("affinity", key, why))?;
+        let store = self.store.as_ref().map(StoreTable::read).transpose()?;
+        let owner = match self.owner {
+            Some(OwnerName::Address) => Owner::Address,
+            Some(OwnerName::Tenant) | None => Owner::Tenant,
+        };
+        let mut making = Making { parts, owner, prefixes, ..Making::default() };
+        if let Some(name) = &self.answer {
+            making.give(name).map_err(wrong("answer"))?;
+        }
+        Ok(Bindings {
+            making,
+            classes: self.classes.clone(),
+            owner_named: self.owner.is_some(),
+            slack,
+            settings,
+            store,
+        })
+    }
+}
+
+impl AffinityTable {
+    /// A class that is named and that there is not.
+    pub fn unknown_class(&self, is_class: impl Fn(&str) -> bool) -> Option<&String> {
+        self.classes.iter().find(|name| !is_class(name))
+    }
+}
+
+impl StoreTable {
+    fn read(&self) -> Result<(PathBuf, spurdrum_store::Settings), Wrong> {
+        let mut settings = spurdrum_store::Settings::default();
+        set_time(&mut settings.every, self.write_every_ms);
+        set(&mut settings.share, self.share);
+        set_time(&mut settings.aim, self.aim_ms);
+        set(&mut settings.batch, self.batch);
+        set_time(&mut settings.retry_least, self.retry_least_ms);
+        set_time(&mut settings.retry_most, self.retry_most_ms);
+        set_time(&mut settings.flush_most, self.flush_most_ms);
+        settings.validate().map_err(|(key, why)| ("affinity.store", key, why))?;
+        Ok((self.path.clone(), settings))
+    }
+}
+
+impl Bindings {
+    /// How keys are made of the requests of a node with these classes and tenants. The error names the class that there is not.
+    pub fn making(&self, names: &spurdrum_http::Names) -> Result<Making, String> {
+        let class = |name: &String| {
+            let at = names.classes.iter().position(|class| class == name);
+            at.ok_or_else(|| format!("`affinity.classes`: there is no class `{name}`"))
+        };
+        let classes = self.classes.iter().map(class).collect::<Result<_, _>>()?;
+        // Without tenants all would be one owner, and nobody held back.
+        let by_address = !self.owner_named && names.tenants.is_empty();
+        let owner = if by_address { Owner::Address } else { self.making.owner };
+        Ok(Making { classes, owner, ..self.making.clone() })
+    }
+
+    /// The bindings of a node whose servers are cold for so long.
+    pub fn start(&self, now: f64, cold_ms: f64) -> Result<Rc<RefCell<Affinity>>, String> {
+        let settings = Settings { cold_ms, ..self.settings.clone() };
+        let affinity =
+            Affinity::new(settings, now).map_err(|(key, why)| format!("`affinity.{key}`: {why}"))?;
+        Ok(Rc::new(RefCell::new(affinity)))
+    }
+
+    /// The secret by which keys are hashed: of the store's own file, or drawn anew where nothing is kept.
+    pub fn keyer(&self) -> Result<Keyer, String> {
+        let Some((path, _)) = &self.store else { return random_secret().map(Keyer::new) };
+        let mut name = path.as_os_str().to_owned();
+        name.push(".secret");
+        secret(Path::new(&name)).map(Keyer::new).map_err(|error| {
+            format!("`affinity.store.path`: {} cannot be had: {error}", Path::new(&name).display())
+        })
+    }
+
+    /// Where they are kept, if they are.
+    pub fn store(&self) -> Option<&(PathBuf, spurdrum_store::Settings)> {
+        self.store.as_ref()
+    }
+}
+
+fn random_secret() -> Result<[u8; 16], String> {
+    let mut secret = [0; 16];
+    let mut read = || std::fs::File::open("/dev/urandom")?.read_exact(&mut secret);
+    read().map_err(|error| format!("`affinity`: no random numbers: {error}"))?;
+    Ok(secret)
+}
+
+/// The secret of a file, which is made where there is none. Whoever makes it does so whole: two nodes that start together
+/// have one secret.
+fn secret(path: &Path) -> std::io::Result<[u8; 16]> {
+    use std::os::unix::fs::OpenOptionsExt;
+    let read = || {
+        let bytes = std::fs::read(path)?;
+        <[u8; 16]>::try_from(bytes)
+            .map_err(|_| std::io::Error::new(ErrorKind::InvalidData, "it does not hold 16 bytes"))
+    };
+    match read() {
+        Err(error) if error.kind() == ErrorKind::NotFound => {}
+        done => return done,
+    }
+    let new = path.with_extension(format!("new-{}", std::process::id()));
+    let mut file =
+        std::fs::OpenOptions::new().write(true).create(true).truncate(true).mode(0o600).open(&new)?;
+    file.write_all(&random_secret().map_err(std::io::Error::other)?)?;
+    file.sync_all()?;
+    // It fails where another was first.
+    let linked = std::fs::hard_link(&new, path);
+    std::fs::remove_file(&new)?;
+    match linked {
+        Err(error) if error.kind() != ErrorKind::AlreadyExists => Err(error),
+        _ => read(),
+    }
+}
+
+/// Bindings as rows of a file.
+pub struct Kept {
+    affinity: Rc<RefCell<Affinity>>,
+    now: Box<dyn Fn() -> f64>,
+}
+
+impl Keeper for Kept {
+    const TABLES: &'static [&'static str] = &[RUNS, PLACES];
+
+    fn unwritten(&self) -> usize {
+        self.affinity.borrow().unwritten()
+    }
+
+    fn take(&mut self, most: usize) -> Vec<Row> {
+        let writes = self.affinity.borrow_mut().take_writes(most);
+        let (mut runs, mut places) = (Vec::new(), Vec::new());
+        for write in writes {
+            match write {
+                Write::Run(key, run) => {
+                    let value = run.and_then(|(id, started_at)| record::run_to_bytes(&id, started_at));
+                    runs.push(Row { table: RUNS, key, value });
+                }
+                Write::Place(at, stored) => {
+                    let value = stored.map(|stored| stored.to_bytes().to_vec());
+                    places.push(Row { table: PLACES, key: u64::from(at), value });
+                }
+            }
+        }
+        runs.append(&mut places);
+        runs
+    }
+
+    fn not_written(&mut self, rows: Vec<Row>) {
+        let write = |row: Row| match row.table {
+            RUNS => Some(Write::Run(row.key, row.value.as_deref().and_then(record::run_from_bytes))),
+            _ => u32::try_from(row.key).ok().map(|at| Write::Place(at, None)),
+        };
+        self.affinity.borrow_mut().not_written(rows.into_iter().filter_map(write).collect());
+    }
+
+    fn restore(&mut self, table: &'static str, rows: Vec<(u64, Vec<u8>)>) {
+        let now = (self.now)();
+        let mut affinity = self.affinity.borrow_mut();
+        for (key, value) in rows {
+            if table == RUNS {
+                match record::run_from_bytes(&value) {
+                    Some((id, started_at)) => drop(affinity.restore_run(now, key, &id, started_at)),
+                    None => affinity.not_written(vec![Write::Run(key, None)]),
+                }
+            } else if let Ok(at) = u32::try_from(key) {
+                match Stored::from_bytes(&value) {
+                    Some(stored) => affinity.restore_place(now, at, &stored),
+                    None => affinity.not_written(vec![Write::Place(at, None)]),
+                }
+            }
+        }
+    }
+
+    fn rewrite(&mut self) {
+        self.affinity.borrow_mut().rewrite();
+    }
+
+    fn note(&self, what: &str) {
+        tracing::warn!("the bindings' store: {what}");
+    }
+}
+
+/// Lets bindings age for as long as this is awaited.
+pub async fn keep_time(affinity: Rc<RefCell<Affinity>>, now: impl Fn() -> f64) {
+    loop {
+        affinity.borrow_mut().tick(now());
+        let due = affinity.borrow().next_wake().is_some_and(|wake| wake <= now());
+        sleep(if due { AGAIN } else { LOOK }).await;
+    }
+}
+
+/// Keeps bindings in their file until `stop` is done.
+pub async fn keep(
+    store: (PathBuf, spurdrum_store::Settings),
+    keyer: Keyer,
+    affinity: Rc<RefCell<Affinity>>,
+    status: Rc<RefCell<spurdrum_store::Status>>,
+    now: impl Fn() -> f64 + 'static,
+    stop: impl Future<Output = ()>,
+) {
+    let about = About { format: record::FORMAT, mark: keyer.mark() };
+    let (path, settings) = store;
+    let kept = Rc::new(RefCell::new(Kept { affinity, now: Box::new(now) }));
+    // Nodes that start together must not come together: their numbers do not.
+    let mut last = u64::from(std::process::id());
+    let chance = move || {
+        last = last.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        (last >> 11) as f64 / (1_u64 << 53) as f64
+    };
+    if let Err(error) = spurdrum_store::keep(path, about, settings, kept, status, chance, stop).await {
+        tracing::warn!("the bindings' store: there is no thread for it: {error}");
+    }
+}
--- a/crates/spurdrum/src/config.rs
+++ b/crates/spurdrum/src/config.rs
@@ -8,6 +8,7 @@
 use spurdrum_policy::Settings;
 use spurdrum_sources::{follower, List};
 
+use crate::affinity::Bindings;
 use crate::list::Places;
 use crate::log::Format;
 use crate::registry::Registry;
@@ -48,6 +49,8 @@
     pub dial_timeout: Duration,
     /// Requests that it may hold at once.
     pub most_held: usize,
+    /// Which requests had better share a server, where that is on.
+    pub affinity: Option<Bindings>,
 }
 
 /// Where a list of servers comes from.
--- a/crates/spurdrum/src/file.rs
+++ b/crates/spurdrum/src/file.rs
@@ -11,6 +11,7 @@
 use spurdrum_policy::{Class, Effect, Group};
 use spurdrum_sources::{follower, List, Static};
 
+use crate::affinity::{AffinityTable, Bindings};
 use crate::config::{Config, Source};
 use crate::list::Places;
 use crate::log::Format;
@@ -27,6 +28,7 @@
     log: Option<LogTable>,
     connections: Option<Connections>,
     sources: Option<Sources>,
+    affinity: Option<AffinityTable>,
 }
 
 /// Table `[node]`: a node that is told everything by this file.
@@ -300,6 +302,11 @@
         self.log.as_ref().map(|log| log.format).unwrap_or_default()
     }
 
+    /// Which requests had better share a server.
+    pub fn affinity(&self) -> Option<Bindings> {
+        self.affinity.as_ref().and_then(|table| table.read().ok())
+    }
+
     /// Whether it tells a node everything.
     pub fn has_node(&self) -> bool {
         self.node.is_some()
@@ -307,6 +314,7 @@
 
     /// What makes no sense: the table, the key, and why.
     fn check(&self) -> Result<(), (&'static str, &'static str, &'static str)> {
+        self.affinity.as_ref().map(AffinityTable::read).transpose()?;
         let fixed = self.fixed();
         if let Some((key, why)) = fixed.and_then(|fixed| fixed.check().err()) {
             return Err(("sources.static", key, why));
@@ -345,6 +353,10 @@
         if node.sockets < 32 || node.most_held == 0 || node.me >= node.nodes {
             return Err(("node", "sockets", "is under 32, `most_held` 0, or `me` not below `nodes`"));
         }
+        let is_class = |name: &str| self.class.iter().any(|class| class.name == name);
+        if self.affinity.as_ref().is_some_and(|table| table.unknown_class(is_class).is_some()) {
+            return Err(("affinity", "classes", "names a class that there is not"));
+        }
         let mut names = HashSet::new();
         if !self.class.iter().all(|class| names.insert(&class.name)) {
             return Err(("class", "name", "two classes have one name"));
@@ -457,6 +469,7 @@
             conn_idle: time(servers.and_then(|servers| servers.idle_ms), 20_000),
             dial_timeout: time(servers.and_then(|servers| servers.dial_timeout_ms), 250),
             most_held: node.most_held,
+            affinity: self.affinity(),
             settings,
         })
     }
--- a/crates/spurdrum/src/main.rs
+++ b/crates/spurdrum/src/main.rs
@@ -1,19 +1,22 @@
 //! One real node: starts, serves until SIGTERM, answers what it has taken, and ends. SIGHUP makes it read its
 //! configuration again.
 
+use std::cell::RefCell;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::rc::Rc;
 
 use clap::{Parser, Subcommand};
+use spurdrum_affinity::{Affinity, Keyer};
 use spurdrum_core::{Connections, Node};
-use spurdrum_http::{Front, Upstream};
+use spurdrum_http::{Front, Keys, Upstream};
 use spurdrum_sources::catalog::{Catalog, News};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::oneshot;
 use tokio::task::LocalSet;
 
+mod affinity;
 mod config;
 mod file;
 mod list;
@@ -129,7 +132,19 @@
             Some(catalog.map_err(|(key, why)| format!("`sources.catalog.{key}`: {why}"))?)
         }
     };
+    let bindings = match &config.affinity {
+        None => None,
+        Some(bindings) => {
+            config.settings.preference_slack = bindings.slack;
+            let (making, keyer) = (bindings.making(&config.names)?, bindings.keyer()?);
+            let affinity = bindings.start(unix_ms()?, config.settings.cold_ms)?;
+            Some((affinity, Rc::new(Keys::new(making, keyer)), keyer))
+        }
+    };
+    let affinity = bindings.as_ref().map(|(affinity, ..)| Rc::clone(affinity));
+    let keys = bindings.as_ref().map(|(_, keys, _)| Rc::clone(keys));
     let upstream = Upstream::new(Rc::clone(&connections), config.conn_idle, config.dial_timeout);
+    let upstream = upstream.with_keys(keys.clone());
     let signs = catalog.clone();
     let core = spurdrum_core::Config {
         seed: config.seed,
@@ -137,11 +152,19 @@
         most_held: config.most_held,
         tidy_every: config.conn_idle / 20,
     };
-    let node = Node::new(core, Rc::clone(&connections), upstream, move |sign| {
-        if let Some(catalog) = &signs {
-            catalog.evidence(list::evidence(sign));
-        }
-    })?;
+    let node = Node::new(
+        core,
+        Rc::clone(&connections),
+        upstream,
+        move |sign| {
+            if let Some(catalog) = &signs {
+                catalog.evidence(list::evidence(sign));
+            }
+        },
+        affinity.clone(),
+    )?;
+    let (end_store, store_ends) = oneshot::channel();
+    let (store_status, stored) = keep_bindings(&node, &config.affinity, bindings, store_ends);
     let places = Rc::new(config.places);
     // With a registry there may be several sources; without, the one there is goes to the core as it comes.
     let mut leaves = None;
@@ -180,15 +203,21 @@
         }
     });
     let status = move || {
+        let shown = affinity.as_ref().map(|affinity| {
+            let store =
+                store_status.as_ref().map_or(String::new(), |status| format!("\n{}", status.borrow()));
+            format!("\n{}{store}", affinity.borrow().status())
+        });
         let list = catalog.as_ref().map(|catalog| list::status(catalog.status()));
         let registry = registry.as_ref().map(|(merged, of)| format!("{}; {}", of(), merged.status()));
-        match (list, registry) {
+        let list = match (list, registry) {
             (Some(list), Some(registry)) => format!("{registry}\n{list}"),
             (Some(one), None) | (None, Some(one)) => one,
             (None, None) => "list static".to_owned(),
-        }
+        };
+        list + &shown.unwrap_or_default()
     };
-    let front = Front::new(node, config.names, status);
+    let front = Front::new(node, config.names, status).with_keys(keys);
     spurdrum_http::run(front, listener, async move {
         stop.recv().await;
         // Who follows the registry hears of it first.
@@ -198,9 +227,47 @@
         }
     })
     .await;
+    // What was bound last is written once nothing is bound any more.
+    let _ = end_store.send(());
+    if let Some(stored) = stored {
+        let _ = stored.await;
+    }
     Ok(())
 }
 
+fn unix_ms() -> Result<f64, String> {
+    use std::time::{SystemTime, UNIX_EPOCH};
+    let unix = SystemTime::now().duration_since(UNIX_EPOCH).map_err(|e| format!("the clock: {e}"))?;
+    Ok(unix.as_secs_f64() * 1000.0)
+}
+
+type StoreStatus = Option<Rc<RefCell<spurdrum_store::Status>>>;
+
+/// Lets bindings age, and keeps them where they are to be kept, until `end`. How the store does, and what tells that it is
+/// done.
+fn keep_bindings(
+    node: &Rc<Node<Upstream>>,
+    config: &Option<affinity::Bindings>,
+    bindings: Option<(Rc<RefCell<Affinity>>, Rc<Keys>, Keyer)>,
+    end: oneshot::Receiver<()>,
+) -> (StoreStatus, Option<tokio::task::JoinHandle<()>>) {
+    let Some((affinity, _, keyer)) = bindings else { return (None, None) };
+    let clock = |node: &Rc<Node<Upstream>>| {
+        let node = Rc::clone(node);
+        move || node.now()
+    };
+    tokio::task::spawn_local(affinity::keep_time(Rc::clone(&affinity), clock(node)));
+    let store = config.as_ref().and_then(|config| config.store());
+    let Some(store) = store.cloned() else { return (None, None) };
+    let status = Rc::new(RefCell::new(spurdrum_store::Status::default()));
+    let ends = async {
+        // Dropped unheard, it comes to the same.
+        let _ = end.await;
+    };
+    let kept = affinity::keep(store, keyer, affinity, Rc::clone(&status), clock(node), ends);
+    (Some(status), Some(tokio::task::spawn_local(kept)))
+}
+
 /// Keeps the node's own key in a registry: how to have it taken out, and what tells that it is.
 fn keep(etcd: Etcd, register: registry::Register, seed: u64) -> (oneshot::Sender<()>, oneshot::Receiver<()>) {
     let (leave, leaves) = oneshot::channel();
--- a/crates/spurdrum/src/platform.rs
+++ b/crates/spurdrum/src/platform.rs
@@ -65,6 +65,7 @@
         conn_idle: millis(allowed, "conn_idle_ms")?,
         dial_timeout: millis(allowed, "dial_timeout_ms")?,
         most_held: whole(allowed, "most_held")?,
+        affinity: file.affinity(),
     })
 }
 
--- a/crates/spurdrum/tests/node.rs
+++ b/crates/spurdrum/tests/node.rs
@@ -1,5 +1,7 @@
 //! The real node over loopback sockets, among scripted servers, clients and discovery.
 
+#[path = "node/affinity.rs"]
+mod affinity;
 #[path = "node/alone.rs"]
 mod alone;
 #[path = "node/connections.rs"]
--- a/crates/spurdrum/tests/node/alone.rs
+++ b/crates/spurdrum/tests/node/alone.rs
@@ -93,6 +93,18 @@
         ("[sources.static]\nservers = []\n".into(), Some("`sources.static.servers`")),
         (sound.replace("name = \"pay\"", "name = \"read\""), Some("`class.name`")),
     ];
+    let affinity = |more: &str| format!("{sound}[affinity]\nkey = [\"tenant\"]\n{more}");
+    let cases = cases.into_iter().chain([
+        (affinity("first = \"ring\"\n[affinity.store]\npath = \"b.redb\"\n"), None),
+        (affinity("").replace("[\"tenant\"]", "[]"), Some("`affinity.key`")),
+        (affinity("").replace("\"tenant\"]", "\"cookie\"]"), Some("`affinity.key`")),
+        (affinity("answer = \"x-session\"\n"), Some("`affinity.answer`")),
+        (affinity("slack = 0.5\n"), Some("`affinity.slack`")),
+        (affinity("entries = 1\n"), Some("`affinity.entries`")),
+        (affinity("classes = [\"rite\"]\n"), Some("`affinity.classes`")),
+        (affinity("[affinity.store]\npath = \"b\"\nshare = 0.0\n"), Some("`affinity.store.share`")),
+        (affinity("[affinity.store]\n"), Some("`[affinity.store]`")),
+    ]);
     let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join("checked.toml");
     for (text, wrong) in cases {
         std::fs::write(&path, &text).expect("written");
--- a/crates/spurdrum/tests/node/registry.rs
+++ b/crates/spurdrum/tests/node/registry.rs
@@ -16,16 +16,16 @@
     )
 }
 
-fn key(id: &str) -> String {
+pub fn key(id: &str) -> String {
     format!("/spurdrum/servers/{id}")
 }
 
-fn value(server: &Server, phase: &str) -> String {
+pub fn value(server: &Server, phase: &str) -> String {
     format!(r#"{{"address":"{}","zone":"a","phase":"{phase}","started_ms":1000000}}"#, server.address)
 }
 
 /// What health tells, once it tells this.
-fn until(node: &Node, told: &str) -> String {
+pub fn until(node: &Node, told: &str) -> String {
     loop {
         let answer = node.client().ask("GET /_health HTTP/1.1\r\nhost: n\r\n\r\n");
         let text = String::from_utf8_lossy(&answer.body).into_owned();
