Measure bindings: a lab of slacks, loads and troubles, a bench beside plain maps; tenants by name

What a preference wins and costs was not known. spurdrum-lab affinity plays nodes with the real decisions and the real table before servers that work twice as long for a key they have not had of late; spurdrum-bench affinity measures the table, the ring, a noisy owner and the file. Keys and owners go by a tenant's name: by its number, keys that an earlier life wrote passed to another tenant with a change of their order (test seen to fail).

--- a/crates/spurdrum-bench/src/main.rs
+++ b/crates/spurdrum-bench/src/main.rs
@@ -3,6 +3,7 @@
 //!     cargo run --release --bin spurdrum-bench -- stall      the generator's latencies against the stand-in's own clock
 //!     cargo run --release --bin spurdrum-bench -- rate       how late requests are sent at a high rate
 //!     cargo run --release --bin spurdrum-bench -- versus     the node beside a plain proxy, alternating
+//!     cargo run --release --bin spurdrum-bench -- affinity   what bindings of keys to servers cost, and their file
 //!     cargo run --release --bin spurdrum-bench -- registry   how late a node knows what a registry has, and what that costs
 //!     cargo run --release --bin spurdrum-bench -- restart    a node that starts with an old list while discovery fails
 
@@ -20,6 +21,7 @@
 use spurdrum_standin::scenario::Scenario;
 use spurdrum_standin::Fleet;
 
+mod affinity;
 mod proxy;
 mod registry;
 
@@ -69,6 +71,12 @@
         #[arg(long)]
         faults: bool,
     },
+    /// The table of bindings beside plain maps, and its file.
+    Affinity {
+        /// Where files are written for a while.
+        #[arg(long, default_value = ".")]
+        folder: PathBuf,
+    },
     /// All servers are replaced while discovery is down, or lags, and a node starts with the list from before.
     Restart {
         /// Another build of the node, to be measured beside this one.
@@ -93,6 +101,7 @@
         Command::Rate { rate: requests, for_s, threads } => rate(requests, for_s, threads),
         Command::Versus { for_s, rounds } => versus(for_s, rounds.max(1)),
         Command::Registry { servers, changes, for_s, faults } => follow(&servers, changes, for_s, faults),
+        Command::Affinity { folder } => affinity::run(folder),
         Command::Restart { beside, rounds } => restart(beside, rounds.max(1)),
         Command::PlainProxy { listen, servers } => proxy::serve(listen, servers),
     };
--- a/crates/spurdrum-http/src/keys.rs
+++ b/crates/spurdrum-http/src/keys.rs
@@ -62,17 +62,15 @@
     pub owner: Owner,
     /// How long the prefixes of networks are, for IPv4 and IPv6.
     pub prefixes: [u8; 2],
+    /// The names of tenants, in the order of the settings. Guards against keys of an earlier life that pass to another
+    /// tenant, as its place in that order does.
+    pub tenants: Vec<String>,
 }
 
 impl Default for Making {
     fn default() -> Self {
-        Self {
-            parts: Vec::new(),
-            classes: Vec::new(),
-            answer: None,
-            owner: Owner::Tenant,
-            prefixes: [24, 56],
-        }
+        let (parts, classes, tenants) = (Vec::new(), Vec::new(), Vec::new());
+        Self { parts, classes, answer: None, owner: Owner::Tenant, prefixes: [24, 56], tenants }
     }
 }
 
@@ -137,13 +135,15 @@
             return (None, None);
         }
         let network = self.network(peer);
+        let tenant = self.making.tenants.get(tenant).map_or(&b""[..], |name| name.as_bytes());
+        let named = |name: &[u8]| self.keyer.ask(0, &[name]).key.0[0];
         let owner = match self.making.owner {
-            Owner::Tenant => tenant as u64,
-            Owner::Address => network.map_or(0, |net| self.keyer.ask(0, &[&octets(net.network())]).key.0[0]),
+            Owner::Tenant => named(tenant),
+            Owner::Address => network.map_or(0, |net| named(&octets(net.network()))),
         };
         let value = |part: &Part| {
             let value = match part {
-                Part::Tenant => Some((tenant as u64).to_le_bytes().to_vec()),
+                Part::Tenant => Some(tenant.to_vec()),
                 Part::Address => network.map(|net| octets(net.network())),
                 Part::Header(name) => headers.get(name).map(|value| value.as_bytes().to_vec()),
                 Part::Query(name) => parameter(uri.query().unwrap_or_default(), name),
@@ -203,7 +203,8 @@
     fn keys(parts: &[&str], answer: Option<&str>) -> Keys {
         let parts = parts.iter().map(|part| part.parse().expect("a part")).collect();
         let answer = answer.map(|name| name.parse().expect("a name"));
-        Keys::new(Making { parts, answer, ..Making::default() }, Keyer::new([7; 16]))
+        let tenants = ["a", "b", "c", "d", "e"].map(str::to_owned).to_vec();
+        Keys::new(Making { parts, answer, tenants, ..Making::default() }, Keyer::new([7; 16]))
     }
 
     fn of(
@@ -236,6 +237,15 @@
         assert_eq!(key(&[("x-inn", &long)], "/api?room=7", 1), None);
     }
 
+    #[test]
+    fn a_tenant_keeps_its_keys_whatever_its_place_among_them() {
+        let before = keys(&["tenant"], None);
+        let tenants = ["new", "a", "b"].map(str::to_owned).to_vec();
+        let after = Keys::new(Making { tenants, ..before.making.clone() }, before.keyer);
+        assert_eq!(of(&before, &[], "/api", 1).0, of(&after, &[], "/api", 2).0);
+        assert_ne!(of(&before, &[], "/api", 1).0, of(&after, &[], "/api", 1).0);
+    }
+
     #[test]
     fn borders_between_parts_count() {
         let two = keys(&["header:x-a", "header:x-b"], None);
--- a/crates/spurdrum-lab/src/lib.rs
+++ b/crates/spurdrum-lab/src/lib.rs
@@ -2,7 +2,8 @@
 //! seed gives the same figures.
 //!
 //! [`lists`] has nodes that follow a list of servers from one catalog, through its faults; [`registry`]
-//! nodes that follow a registry by watches.
+//! nodes that follow a registry by watches; [`affinity`] nodes whose requests prefer servers by their keys.
 
+pub mod affinity;
 pub mod lists;
 pub mod registry;
--- a/crates/spurdrum-lab/src/main.rs
+++ b/crates/spurdrum-lab/src/main.rs
@@ -1,5 +1,6 @@
 //! Experiments, each a command:
 //!
+//!     cargo run --release -p spurdrum-lab -- affinity  what is won and lost by keys that stay with their servers
 //!     cargo run --release -p spurdrum-lab -- registry  ... that follow a registry by watches, and what it costs
 //!     cargo run --release -p spurdrum-lab -- lists     how far behind nodes are that follow a list, by fault and way
 
@@ -7,6 +8,7 @@
 
 use clap::{Parser, Subcommand};
 use rayon::prelude::*;
+use spurdrum_lab::affinity::{self, Trouble};
 use spurdrum_lab::lists::{deploys, play, Fault, Outcome, Plan, Way};
 use spurdrum_lab::registry::{self, Faults};
 use spurdrum_sources::follower::Settings;
@@ -34,6 +36,12 @@
         #[arg(long, value_delimiter = ',', default_value = "3,30,300")]
         nodes: Vec<usize>,
     },
+    /// Keys that stay with their servers: by slack, load, skew and trouble, beside none and beside keys that are pinned.
+    Affinity {
+        /// Seeds of the days; figures are over all of them.
+        #[arg(long, value_delimiter = ',', default_value = "1,2,3")]
+        seeds: Vec<u64>,
+    },
     /// From a change of the registry to a node's knowing, by fault; messages and bytes; beside polling.
     Registry {
         /// Drives all that is random.
@@ -44,6 +52,7 @@
 
 fn main() {
     match Cli::parse().command {
+        Command::Affinity { seeds } => keys(&seeds),
         Command::Registry { seed } => registry(seed),
         Command::Lists { seed, service_ms, nodes } => lists(seed, service_ms, &nodes),
     }
@@ -109,6 +118,68 @@
     }
 }
 
+fn keys(seeds: &[u64]) {
+    let kept = |slack, ring| affinity::Way::Kept { slack, ring };
+    let ways = [
+        ("none", affinity::Way::None),
+        ("slack 1", kept(1.0, false)),
+        ("slack 1.5", kept(1.5, false)),
+        ("slack 2", kept(2.0, false)),
+        ("slack 3", kept(3.0, false)),
+        ("slack 2, ring", kept(2.0, true)),
+        ("pinned", kept(1e9, false)),
+    ];
+    let base = affinity::Plan {
+        nodes: 3,
+        servers: 12,
+        keys: 3_000,
+        skew: 0.8,
+        load: 0.6,
+        cold_key: 2.0,
+        length: 40_000.0,
+        trouble: Trouble::None,
+        seed: 0,
+    };
+    let cases = [
+        ("load 0.4", affinity::Plan { load: 0.4, ..base.clone() }),
+        ("load 0.6", base.clone()),
+        ("load 0.8", affinity::Plan { load: 0.8, ..base.clone() }),
+        ("hot keys (skew 1.3), load 0.6", affinity::Plan { skew: 1.3, ..base.clone() }),
+        ("keys make no difference, load 0.8", affinity::Plan { load: 0.8, cold_key: 1.0, ..base.clone() }),
+        ("a server slow for a quarter", affinity::Plan { trouble: Trouble::Slow, ..base.clone() }),
+        ("all servers replaced", affinity::Plan { trouble: Trouble::Deploy, ..base.clone() }),
+        ("nodes restart and forget", affinity::Plan { trouble: Trouble::Restart, ..base.clone() }),
+        ("nodes restart and know", affinity::Plan { trouble: Trouble::RestartKept, ..base.clone() }),
+    ];
+    println!("40 s, 3 nodes, 12 servers of 2 cores, 3,000 keys; 10 ms of work for a key that the server has had within 30 s,");
+    println!("20 ms for another; load in parts of what the servers do where all keys are warm. Aim 200 ms, deadline 800 ms.\n");
+    println!("| site | way | in their aim | warm | p50 ms | p99 ms | turned away | late to drained |");
+    println!("| --- | --- | --- | --- | --- | --- | --- | --- |");
+    let cases: Vec<_> = cases.iter().flat_map(|case| ways.iter().map(move |way| (case, way))).collect();
+    let rows: Vec<String> = cases
+        .par_iter()
+        .map(|((name, plan), (way_name, way))| {
+            let days = seeds
+                .iter()
+                .map(|seed| affinity::play(&affinity::Plan { seed: *seed, ..plan.clone() }, *way));
+            let all = days.reduce(affinity::Played::plus).expect("a seed");
+            let part = |n: u64, of: u64| n as f64 / of.max(1) as f64;
+            format!(
+                "| {name} | {way_name} | {:.3} | {:.2} | {:.1} | {:.0} | {:.3} | {} |",
+                part(all.in_aim, all.asked),
+                part(all.warm, all.served),
+                all.latency.value_at_quantile(0.5) as f64 / 1000.0,
+                all.latency.value_at_quantile(0.99) as f64 / 1000.0,
+                part(all.turned_away, all.asked),
+                all.late_to_drained
+            )
+        })
+        .collect();
+    for row in rows {
+        println!("{row}");
+    }
+}
+
 fn registry(seed: u64) {
     let (s, ms) = (Duration::from_secs, Duration::from_millis);
     let base = registry::Plan {
--- a/crates/spurdrum-standin/src/model.rs
+++ b/crates/spurdrum-standin/src/model.rs
@@ -145,7 +145,12 @@
     /// A request's last byte has come. What is known of its fate at once; else it comes from
     /// [`advance`](Self::advance).
     pub fn arrive(&mut self, id: u64) -> Option<Fate> {
-        let work = self.draw_work();
+        self.arrive_with(id, 1.0)
+    }
+
+    /// As [`arrive`](Self::arrive), with so many times the usual work.
+    pub fn arrive_with(&mut self, id: u64, factor: f64) -> Option<Fate> {
+        let work = self.draw_work() * factor;
         if self.fallen || self.falls(work) {
             self.fallen = true;
             return Some(Fate::Reset);
--- a/crates/spurdrum/src/affinity.rs
+++ b/crates/spurdrum/src/affinity.rs
@@ -174,7 +174,7 @@
         // Without tenants all would be one owner, and nobody held back.
         let by_address = !self.owner_named && names.tenants.is_empty();
         let owner = if by_address { Owner::Address } else { self.making.owner };
-        Ok(Making { classes, owner, ..self.making.clone() })
+        Ok(Making { classes, owner, tenants: names.tenants.clone(), ..self.making.clone() })
     }
 
     /// The bindings of a node whose servers are cold for so long.
