Free the configuration of a ring: the setters that tables share have a module of their own

The file's tables took two setters from the module that reads them, and with the new table that made a ring of four files (registry's was there before). No behaviour changes; there is no ring between files now.

--- a/crates/spurdrum/src/affinity.rs
+++ b/crates/spurdrum/src/affinity.rs
@@ -15,7 +15,7 @@
 use spurdrum_store::{About, Row};
 use tokio::time::sleep;
 
-use crate::file::{set, set_time};
+use crate::set::{set, set_time};
 
 /// How often bindings are looked at, where nobody asks for any.
 const LOOK: Duration = Duration::from_secs(1);
--- a/crates/spurdrum/src/file.rs
+++ b/crates/spurdrum/src/file.rs
@@ -16,6 +16,7 @@
 use crate::list::Places;
 use crate::log::Format;
 use crate::registry::{MergeTable, Myself, RegistryTable};
+use crate::set::{set, set_time};
 
 /// The whole file. A table that is absent leaves its subsystem off.
 #[derive(Default, Deserialize)]
@@ -229,16 +230,6 @@
     Ok(file)
 }
 
-pub(crate) fn set<T: Copy>(to: &mut T, from: Option<T>) {
-    if let Some(from) = from {
-        *to = from;
-    }
-}
-
-pub(crate) fn set_time(to: &mut Duration, from: Option<u64>) {
-    set(to, from.map(Duration::from_millis));
-}
-
 impl File {
     /// The settings for connections: without the table, budgets and times only.
     pub fn connections(&self) -> Settings {
--- a/crates/spurdrum/src/main.rs
+++ b/crates/spurdrum/src/main.rs
@@ -24,6 +24,7 @@
 mod merge;
 mod platform;
 mod registry;
+mod set;
 
 use config::{Config, Source};
 use merge::Merged;
--- a/crates/spurdrum/src/registry.rs
+++ b/crates/spurdrum/src/registry.rs
@@ -12,7 +12,7 @@
 use spurdrum_sources::registry::tls::Tls;
 use spurdrum_sources::registry::{follower, registrar};
 
-use crate::file::{set, set_time};
+use crate::set::{set, set_time};
 
 /// What makes no sense: the table, the key, and why.
 type Wrong = (&'static str, &'static str, &'static str);
