--- a/crates/spurdrum-affinity/tests/affinity.rs
+++ b/crates/spurdrum-affinity/tests/affinity.rs
@@ -209,3 +209,18 @@
     next.set(0, Availability::Ready);
     assert_eq!(next.prefers(1), Some(ServerId(0)));
 }
+
+#[test]
+fn what_a_clock_that_was_ahead_wrote_ages_all_the_same() {
+    let settings = Settings { idle_ms: 1_000.0, ..Settings::default() };
+    let mut fleet = Fleet::new(settings, 1);
+    let ahead = fleet.now + 1e9;
+    fleet.affinity.restore_run(fleet.now, 1, "s0", 0.0);
+    let key = fleet.ask(1).key;
+    let stored = record::Stored { key, owner: 0, run: 1, used_at: ahead, bound_at: ahead };
+    fleet.affinity.restore_place(fleet.now, 3, &stored);
+    assert_eq!(fleet.affinity.len(), 1);
+    fleet.now += 1_001.0;
+    fleet.affinity.tick(fleet.now);
+    assert_eq!(fleet.affinity.len(), 0);
+}
