Say once what the bindings, their rows and the clock say twice; nothing on the path of others

The table marks what it changes itself, so its callers need not find the place again; whether a run is written stands at the run and not in a list beside it; a parameter that was always true, a branch that could not be taken and a figure that nobody read are gone. Rows are made of writes in one place, for the node and the bench; Unix time is read in one place for core, program and merged list; pauses are spread by fastrand instead of a generator of our own.

The decision module learned on every change of the list which servers are in the slice, for preferences that most nodes have not: that is looked up where a request prefers a server. A request's target is not copied any more.

Behaviour is unchanged; no test is changed.

--- a/crates/spurdrum-affinity/src/affinity.rs
+++ b/crates/spurdrum-affinity/src/affinity.rs
@@ -67,8 +67,7 @@
     absent: Vec<u32>,
     /// When the first of them is over.
     returns_by: f64,
-    /// Runs that were written, by place, and those of them that are over.
-    written: Vec<bool>,
+    /// Written runs that are over.
     over: VecDeque<u64>,
     counts: Counts,
 }
@@ -85,9 +84,8 @@
         // Guards against one number for two runs: an earlier life's are known only once they have been read.
         servers.used_up_to(now.max(0.0) as u64 * 1_000);
         let table = Table::new(settings.entries);
-        let (absent, written, over) = (Vec::new(), Vec::new(), VecDeque::new());
-        let returns_by = f64::INFINITY;
-        Ok(Self { settings, table, servers, absent, returns_by, written, over, counts: Counts::default() })
+        let (absent, returns_by, over) = (Vec::new(), f64::INFINITY, VecDeque::new());
+        Ok(Self { settings, table, servers, absent, returns_by, over, counts: Counts::default() })
     }
 
     // ---- Requests
@@ -122,13 +120,12 @@
         let Some(at) = self.table.place(ask.key) else {
             let (key, owner) = (ask.key, ask.owner);
             let binding = Binding { key, owner, server: to, used_at: now, bound_at: now, away: 0 };
-            let entered = self.table.enter(self.settings.idle_ms, binding, true);
+            let entered = self.table.enter(self.settings.idle_ms, binding);
             self.counts.evicted += u64::from(entered == Entered::Evicted);
             if entered == Entered::Refused {
                 self.counts.refused += 1;
             } else {
                 self.counts.entered += 1;
-                self.mark(ask);
             }
             return;
         };
@@ -145,19 +142,12 @@
         let settled = now - binding.bound_at >= self.settings.settle_ms;
         if !there || away >= self.settings.moves_after && settled {
             self.table.rebind(now, at, to);
-            self.table.mark(at);
             self.counts.moved += 1;
         } else {
             self.table.binding_mut(at).away = away;
         }
     }
 
-    fn mark(&mut self, ask: Ask) {
-        if let Some(at) = self.table.place(ask.key) {
-            self.table.mark(at);
-        }
-    }
-
     // ---- The list
 
     /// The whole list, or what changed in it.
@@ -219,13 +209,10 @@
     /// A run is over: what was bound to it is bound no more, however much that is.
     fn over(&mut self, at: u32) {
         self.counts.dropped += self.table.lose(at) as u64;
-        if let Some(run) = self.servers.run(at) {
-            if self.written.get(at as usize) == Some(&true) {
-                self.written[at as usize] = false;
-                self.over.push_back(run.number);
-                if self.over.len() > OVER_MOST {
-                    self.over.pop_front();
-                }
+        if let Some(run) = self.servers.run(at).filter(|run| run.written) {
+            self.over.push_back(run.number);
+            if self.over.len() > OVER_MOST {
+                self.over.pop_front();
             }
         }
         self.servers.remove(at);
@@ -257,16 +244,12 @@
         }
         while writes.len() < most {
             let Some((at, binding)) = self.table.take_marked() else { break };
-            let run = binding.and_then(|binding| Some((binding, self.servers.run(binding.server)?)));
+            let run = binding.and_then(|binding| Some((binding, self.servers.run_mut(binding.server)?)));
             let Some((binding, run)) = run else {
                 writes.push(Write::Place(at, None));
                 continue;
             };
-            let place = binding.server as usize;
-            if place >= self.written.len() {
-                self.written.resize(place + 1, false);
-            }
-            if !std::mem::replace(&mut self.written[place], true) {
+            if !std::mem::replace(&mut run.written, true) {
                 writes.push(Write::Run(run.number, Some((run.id.clone(), run.started_at))));
             }
             let Binding { key, owner, used_at, bound_at, .. } = binding;
@@ -288,8 +271,9 @@
                 Write::Run(number, None) if self.over.len() < OVER_MOST => self.over.push_back(number),
                 Write::Run(_, None) => {}
                 Write::Run(number, Some(_)) => {
-                    if let Some(at) = self.servers.of_number(number) {
-                        self.written[at as usize] = false;
+                    let at = self.servers.of_number(number);
+                    if let Some(run) = at.and_then(|at| self.servers.run_mut(at)) {
+                        run.written = false;
                     }
                 }
                 Write::Place(at, _) => self.table.mark(at),
@@ -300,7 +284,7 @@
     /// What was written is lost: all is to be written again.
     pub fn rewrite(&mut self) {
         self.over.clear();
-        self.written.fill(false);
+        self.servers.runs_mut().for_each(|run| run.written = false);
         self.table.mark_all();
     }
 
@@ -313,12 +297,8 @@
         let at = match self.servers.of_id(id) {
             // The list came first.
             Some(at) if self.servers.is_same(at, Some(started_at)) => {
-                let unwritten = self.written.get(at as usize) != Some(&true);
-                if unwritten && self.servers.renumber(at, number) {
-                    Some(at)
-                } else {
-                    None
-                }
+                let unwritten = self.servers.run(at).is_some_and(|run| !run.written);
+                (unwritten && self.servers.renumber(at, number)).then_some(at)
             }
             Some(_) => None,
             None => {
@@ -327,11 +307,8 @@
                 at
             }
         };
-        match at {
-            Some(at) => {
-                self.written.resize(self.written.len().max(at as usize + 1), false);
-                self.written[at as usize] = true;
-            }
+        match at.and_then(|at| self.servers.run_mut(at)) {
+            Some(run) => run.written = true,
             None => self.over.push_back(number),
         }
         at.is_some()
@@ -349,19 +326,8 @@
             self.table.restore(at, binding)
         });
         self.counts.restored += u64::from(restored.is_some());
-        match restored {
-            Some(true) => {}
-            Some(false) => {
-                self.mark(Ask { key, owner, spread: 0 });
-                self.clear_written(at);
-            }
-            None => self.clear_written(at),
-        }
-    }
-
-    /// What stands written at a place is void.
-    fn clear_written(&mut self, at: u32) {
-        if (at as usize) < self.settings.entries {
+        // What stands written there is void.
+        if restored != Some(true) && (at as usize) < self.settings.entries {
             self.table.mark(at);
         }
     }
@@ -375,7 +341,7 @@
 
     /// Bindings that hold.
     pub fn len(&self) -> usize {
-        self.table.len().0
+        self.table.bound()
     }
 
     /// Whether nothing is bound.
--- a/crates/spurdrum-affinity/src/record.rs
+++ b/crates/spurdrum-affinity/src/record.rs
@@ -31,6 +31,26 @@
     Place(u32, Option<Stored>),
 }
 
+/// The tables that rows are of.
+pub const RUNS: &str = "runs";
+/// See [`RUNS`].
+pub const PLACES: &str = "places";
+
+impl Write {
+    /// The table, the key and the value of its row; no value: nothing any more.
+    pub fn to_row(&self) -> (&'static str, u64, Option<Vec<u8>>) {
+        match self {
+            Self::Run(number, run) => {
+                let value = run.as_ref().and_then(|(id, started_at)| run_to_bytes(id, *started_at));
+                (RUNS, *number, value)
+            }
+            Self::Place(at, stored) => {
+                (PLACES, u64::from(*at), stored.map(|stored| stored.to_bytes().to_vec()))
+            }
+        }
+    }
+}
+
 impl Stored {
     /// As bytes.
     pub fn to_bytes(&self) -> [u8; 48] {
@@ -60,7 +80,7 @@
 }
 
 /// A run as bytes; `None` where its server's name is too long.
-pub fn run_to_bytes(id: &str, started_at: f64) -> Option<Vec<u8>> {
+fn run_to_bytes(id: &str, started_at: f64) -> Option<Vec<u8>> {
     let bytes = || [&started_at.to_bits().to_le_bytes(), id.as_bytes()].concat();
     (id.len() <= ID_MOST).then(bytes)
 }
--- a/crates/spurdrum-affinity/src/servers.rs
+++ b/crates/spurdrum-affinity/src/servers.rs
@@ -42,6 +42,8 @@
     until: f64,
     /// Whether it is of an earlier life: what was bound to it may still be being read.
     pub restored: bool,
+    /// Whether the store has it.
+    pub written: bool,
 }
 
 /// The runs, each at a place of its own.
@@ -69,6 +71,16 @@
         self.runs.get(at as usize).and_then(Option::as_ref)
     }
 
+    /// See [`Servers::run`].
+    pub fn run_mut(&mut self, at: u32) -> Option<&mut Run> {
+        self.runs.get_mut(at as usize).and_then(Option::as_mut)
+    }
+
+    /// All of them, without their places.
+    pub fn runs_mut(&mut self) -> impl Iterator<Item = &mut Run> {
+        self.runs.iter_mut().flatten()
+    }
+
     /// A run's server, while it takes requests.
     pub fn ready(&self, at: u32) -> Option<ServerId> {
         self.run(at)?.listed.as_ref().map(|listed| listed.server)
@@ -138,6 +150,7 @@
             listed: None,
             until,
             restored: until.is_finite(),
+            written: false,
         });
         let at = match self.free.pop() {
             Some(at) => {
--- a/crates/spurdrum-affinity/src/table.rs
+++ b/crates/spurdrum-affinity/src/table.rs
@@ -145,10 +145,9 @@
         table
     }
 
-    /// Bindings, and those of them that are waiting to be cleared.
-    pub fn len(&self) -> (usize, usize) {
-        let lost = self.index.len() + self.free.len - self.places.len();
-        (self.index.len() - lost, lost)
+    /// Bindings; those whose server is lost are found by their keys and stand among the free places, too.
+    pub fn bound(&self) -> usize {
+        self.places.len() - self.free.len
     }
 
     /// Owners that hold places.
@@ -215,9 +214,9 @@
         &mut self.places[at as usize].binding
     }
 
-    /// Binds a key that is not bound. `contested`: where its owner holds most itself, it must be asked for more often than
-    /// the key that it would replace.
-    pub fn enter(&mut self, idle_ms: f64, binding: Binding, contested: bool) -> Entered {
+    /// Binds a key that is not bound. Where its owner holds most itself, it must be asked for more often than the key that
+    /// it would replace.
+    pub fn enter(&mut self, idle_ms: f64, binding: Binding) -> Entered {
         self.expire(binding.used_at - idle_ms, CLEAR_MOST);
         // Guards against one key at two places: its server was lost, and its place not yet needed.
         if let Some(at) = self.find(binding.key) {
@@ -225,15 +224,13 @@
         }
         let mut entered = Entered::Free;
         if self.free.len == 0 {
-            let Some(at) = self.victim(&binding, contested) else { return Entered::Refused };
+            let Some(at) = self.victim(&binding) else { return Entered::Refused };
             self.clear(at);
             entered = Entered::Evicted;
         }
         let at = self.free.first;
-        if at == NIL {
-            return Entered::Refused;
-        }
         self.enter_at(at, binding);
+        self.mark(at);
         entered
     }
 
@@ -249,6 +246,8 @@
         if place == at {
             // It is on the disk already.
             self.places[at as usize].written_at = binding.used_at;
+        } else {
+            self.mark(place);
         }
         Some(place == at)
     }
@@ -281,7 +280,7 @@
     }
 
     /// The place that a new binding takes: of the owner who holds most, the one longest unused.
-    fn victim(&self, new: &Binding, contested: bool) -> Option<u32> {
+    fn victim(&self, new: &Binding) -> Option<u32> {
         let largest = self.owners.largest()?;
         let own = self.owners.find(new.owner);
         let held = own.map_or(0, |own| self.owners.places(own).len);
@@ -289,7 +288,7 @@
         let at = self.owners.places(own.unwrap_or(largest)).last;
         // Guards against keys that come once: they would push out those of the same owner that come again.
         let often = |key: Key| self.sketch.count(key.0);
-        let wins = own.is_none() || !contested || often(new.key) > often(self.binding(at).key);
+        let wins = own.is_none() || often(new.key) > often(self.binding(at).key);
         wins.then_some(at)
     }
 
@@ -300,6 +299,7 @@
         let binding = &mut self.places[at as usize].binding;
         (binding.server, binding.bound_at, binding.away) = (server, now, 0);
         self.put_on_server(at);
+        self.mark(at);
     }
 
     /// Unbinds a place.
--- a/crates/spurdrum-bench/src/affinity.rs
+++ b/crates/spurdrum-bench/src/affinity.rs
@@ -226,19 +226,12 @@
 }
 
 fn rows(writes: Vec<Write>) -> Vec<Row> {
-    let row = |write| match write {
-        Write::Run(key, run) => Row {
-            table: "runs",
-            key,
-            value: run.and_then(|(id, at): (String, f64)| record::run_to_bytes(&id, at)),
-        },
-        Write::Place(at, stored) => {
-            let value = stored.map(|stored| stored.to_bytes().to_vec());
-            Row { table: "places", key: u64::from(at), value }
-        }
+    let row = |write: Write| {
+        let (table, key, value) = write.to_row();
+        Row { table, key, value }
     };
     let mut rows: Vec<Row> = writes.into_iter().map(row).collect();
-    rows.sort_by_key(|row| row.table != "runs");
+    rows.sort_by_key(|row| row.table != record::RUNS);
     rows
 }
 
@@ -282,13 +275,13 @@
         let open = begun.elapsed();
         let mut next = affinity(settings, SERVERS);
         let begun = Instant::now();
-        for (number, value) in disk.read("runs", 0, usize::MAX).map_err(trouble)? {
+        for (number, value) in disk.read(record::RUNS, 0, usize::MAX).map_err(trouble)? {
             let (id, started_at) = record::run_from_bytes(&value).ok_or("a run that is none")?;
             next.restore_run(1_000_000.0, number, &id, started_at);
         }
         let (mut from, mut worst) = (0, Duration::ZERO);
         loop {
-            let rows = disk.read("places", from, 512).map_err(trouble)?;
+            let rows = disk.read(record::PLACES, from, 512).map_err(trouble)?;
             let Some((last, _)) = rows.last() else { break };
             from = last + 1;
             let chunk = Instant::now();
--- a/crates/spurdrum-core/src/lib.rs
+++ b/crates/spurdrum-core/src/lib.rs
@@ -10,5 +10,5 @@
 mod transport;
 
 pub use connections::{is_starved, Connections, Order, Seat, ServerSlot};
-pub use node::{Answer, Config, Listed, Node, NotTaken, Sign};
+pub use node::{unix_ms, Answer, Config, Listed, Node, NotTaken, Sign};
 pub use transport::{Asked, Reply, Transport};
--- a/crates/spurdrum-core/src/node.rs
+++ b/crates/spurdrum-core/src/node.rs
@@ -127,7 +127,7 @@
     ) -> Result<Rc<Self>, String> {
         let balancer =
             Balancer::new(config.settings.clone(), config.seed).map_err(|e| format!("`settings`: {e}"))?;
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).map_err(|e| format!("the clock: {e}"))?;
+        let started_unix_ms = unix_ms()?;
         Ok(Rc::new(Self {
             config,
             connections,
@@ -142,7 +142,7 @@
             last_server: Cell::new(0),
             starts: RefCell::default(),
             started: Instant::now(),
-            started_unix_ms: unix.as_secs_f64() * 1000.0,
+            started_unix_ms,
         }))
     }
 
@@ -387,6 +387,16 @@
     }
 }
 
+/// The time, in Unix milliseconds.
+///
+/// # Errors
+///
+/// A clock before 1970.
+pub fn unix_ms() -> Result<f64, String> {
+    let unix = SystemTime::now().duration_since(UNIX_EPOCH).map_err(|e| format!("the clock: {e}"))?;
+    Ok(unix.as_secs_f64() * 1000.0)
+}
+
 /// A server as keys are bound to it.
 fn bindable(id: String, entry: &ServerEntry, zone: usize) -> spurdrum_affinity::Listed {
     spurdrum_affinity::Listed {
--- a/crates/spurdrum-http/src/front.rs
+++ b/crates/spurdrum-http/src/front.rs
@@ -459,7 +459,12 @@
         return plain(StatusCode::BAD_REQUEST, "GET has no body\n");
     }
     // A whole URL names the host that is meant; servers get the short form.
-    let mut uri = head.uri.clone().into_parts();
+    let keyed = front
+        .keys
+        .as_ref()
+        .map(|keys| keys.of((&head.headers, &head.uri), (asked.class, asked.tenant), seat.peer));
+    let (ask, naming) = keyed.unwrap_or_default();
+    let mut uri = head.uri.into_parts();
     let authority = uri.authority.take().and_then(|host| HeaderValue::from_str(host.as_str()).ok());
     uri.scheme = None;
     let Ok(uri) = Uri::from_parts(uri) else { return plain(StatusCode::BAD_REQUEST, "a bad target\n") };
@@ -469,9 +474,7 @@
             headers.insert(name, value.clone());
         }
     }
-    let (mut ask, mut naming) = (None, None);
     if let Some(keys) = &front.keys {
-        (ask, naming) = keys.of((&head.headers, &head.uri), (asked.class, asked.tenant), seat.peer);
         for name in keys.fields() {
             if let Some(value) = head.headers.get(name) {
                 headers.insert(name, value.clone());
--- a/crates/spurdrum-policy/src/rules.rs
+++ b/crates/spurdrum-policy/src/rules.rs
@@ -106,8 +106,6 @@
 #[derive(Default)]
 struct Server {
     entry: ServerEntry,
-    /// Whether it is in the node's slice.
-    sliced: bool,
     /// The array of HSQ: the last fresh report and what this node has sent since.
     count: Option<f64>,
     /// This node's attempts that are out.
@@ -304,10 +302,6 @@
         }
         self.slice = [0..near.min(length), near..ring.len().min(near + length)];
         self.ring = ring;
-        self.servers.values_mut().for_each(|server| server.sliced = false);
-        for at in self.slice.clone().into_iter().flatten() {
-            self.servers.get_mut(&self.ring[at]).expect("listed").sliced = true;
-        }
     }
 
     /// Guards against a lost subscription: without one the node would send to servers long gone.
@@ -385,9 +379,10 @@
         // A preference holds beyond the slice, but not for a cold server: its budget is the slices' alone.
         let beyond = |s: &Server| {
             let warm = now - s.entry.started_at.unwrap_or(f64::NEG_INFINITY) >= self.settings.cold_ms;
-            home.is_none() && !s.sliced && s.entry.availability == Availability::Ready && warm
+            home.is_none() && s.entry.availability == Availability::Ready && warm
         };
-        let beyond = held.prefers.filter(|at| self.servers.get(at).is_some_and(beyond));
+        let sliced = |at: &usize| near.clone().chain(far.clone()).any(|i| self.ring[i] == *at);
+        let beyond = held.prefers.filter(|at| self.servers.get(at).is_some_and(beyond) && !sliced(at));
         for at in near.chain(far).map(|i| self.ring[i]).chain(beyond) {
             let first = held.attempts.is_empty();
             let asked = first && held.reported.contains(&at);
--- a/crates/spurdrum/src/affinity.rs
+++ b/crates/spurdrum/src/affinity.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use serde::Deserialize;
-use spurdrum_affinity::record::{self, Stored, Write};
+use spurdrum_affinity::record::{self, Stored, Write, PLACES, RUNS};
 use spurdrum_affinity::{Affinity, First, Keyer, Settings};
 use spurdrum_http::keys::{Making, Owner};
 use spurdrum_store::shell::Keeper;
@@ -21,8 +21,6 @@
 const LOOK: Duration = Duration::from_secs(1);
 /// While more of them are over than one look clears.
 const AGAIN: Duration = Duration::from_millis(1);
-const RUNS: &str = "runs";
-const PLACES: &str = "places";
 
 /// Table `[affinity]`. Times are in milliseconds.
 #[derive(Deserialize)]
@@ -139,9 +137,7 @@
             store,
         })
     }
-}
 
-impl AffinityTable {
     /// A class that is named and that there is not.
     pub fn unknown_class(&self, is_class: impl Fn(&str) -> bool) -> Option<&String> {
         self.classes.iter().find(|name| !is_class(name))
@@ -250,21 +246,14 @@
 
     fn take(&mut self, most: usize) -> Vec<Row> {
         let writes = self.affinity.borrow_mut().take_writes(most);
-        let (mut runs, mut places) = (Vec::new(), Vec::new());
-        for write in writes {
-            match write {
-                Write::Run(key, run) => {
-                    let value = run.and_then(|(id, started_at)| record::run_to_bytes(&id, started_at));
-                    runs.push(Row { table: RUNS, key, value });
-                }
-                Write::Place(at, stored) => {
-                    let value = stored.map(|stored| stored.to_bytes().to_vec());
-                    places.push(Row { table: PLACES, key: u64::from(at), value });
-                }
-            }
-        }
-        runs.append(&mut places);
-        runs
+        let row = |write: Write| {
+            let (table, key, value) = write.to_row();
+            Row { table, key, value }
+        };
+        let mut rows: Vec<Row> = writes.into_iter().map(row).collect();
+        // One table after the other, and within each as they came.
+        rows.sort_by_key(|row| row.table != RUNS);
+        rows
     }
 
     fn not_written(&mut self, rows: Vec<Row>) {
@@ -324,11 +313,8 @@
     let (path, settings) = store;
     let kept = Rc::new(RefCell::new(Kept { affinity, now: Box::new(now) }));
     // Nodes that start together must not come together: their numbers do not.
-    let mut last = u64::from(std::process::id());
-    let chance = move || {
-        last = last.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
-        (last >> 11) as f64 / (1_u64 << 53) as f64
-    };
+    let mut random = fastrand::Rng::with_seed(u64::from(std::process::id()));
+    let chance = move || random.f64();
     if let Err(error) = spurdrum_store::keep(path, about, settings, kept, status, chance, stop).await {
         tracing::warn!("the bindings' store: there is no thread for it: {error}");
     }
--- a/crates/spurdrum/src/main.rs
+++ b/crates/spurdrum/src/main.rs
@@ -8,7 +8,7 @@
 
 use clap::{Parser, Subcommand};
 use spurdrum_affinity::{Affinity, Keyer};
-use spurdrum_core::{Connections, Node};
+use spurdrum_core::{unix_ms, Connections, Node};
 use spurdrum_http::{Front, Keys, Upstream};
 use spurdrum_sources::catalog::{Catalog, News};
 use tokio::net::TcpListener;
@@ -236,12 +236,6 @@
     Ok(())
 }
 
-fn unix_ms() -> Result<f64, String> {
-    use std::time::{SystemTime, UNIX_EPOCH};
-    let unix = SystemTime::now().duration_since(UNIX_EPOCH).map_err(|e| format!("the clock: {e}"))?;
-    Ok(unix.as_secs_f64() * 1000.0)
-}
-
 type StoreStatus = Option<Rc<RefCell<spurdrum_store::Status>>>;
 
 /// Lets bindings age, and keeps them where they are to be kept, until `end`. How the store does, and what tells that it is
--- a/crates/spurdrum/src/merge.rs
+++ b/crates/spurdrum/src/merge.rs
@@ -2,9 +2,8 @@
 
 use std::cell::RefCell;
 use std::rc::Rc;
-use std::time::{SystemTime, UNIX_EPOCH};
 
-use spurdrum_core::Node;
+use spurdrum_core::{unix_ms, Node};
 use spurdrum_http::Upstream;
 use spurdrum_sources::reconciler::{Action, Event, Reconciler, Settings};
 use spurdrum_sources::registry::schema::{Compiled, Mapper};
@@ -32,8 +31,7 @@
 impl Merged {
     /// The list of a node, of which no source has told anything yet.
     pub fn new(node: Rc<Node<Upstream>>, places: Rc<Places>, settings: Settings) -> Result<Rc<Self>, String> {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).map_err(|e| format!("the clock: {e}"))?;
-        let reconciler = Reconciler::new(settings, NAMES.len(), unix.as_secs_f64() * 1000.0);
+        let reconciler = Reconciler::new(settings, NAMES.len(), unix_ms()?);
         let reconciler = reconciler.map_err(|(key, why)| format!("`sources.merge.{key}`: {why}"))?;
         Ok(Rc::new(Self { node, places, reconciler: RefCell::new(reconciler), alarm: Alarm::default() }))
     }
