Add an address for operators: readyz and telemetry; two processes may listen at once

Reason: without GW_OPS no second process was ever called ready, and figures were never read. Seen by a test with 64 silent callers in one burst: bounding by closing newcomers kept a true caller out, since those shed had no turn yet; accepting rests instead.

--- a/crates/spurdrum-core/src/lib.rs
+++ b/crates/spurdrum-core/src/lib.rs
@@ -6,9 +6,11 @@
 //! [`Connections`] owns the descriptors that fronts and transports share.
 
 mod connections;
+mod figures;
 mod node;
 mod transport;
 
 pub use connections::{is_starved, Connections, Order, Seat, ServerSlot};
+pub use figures::{ClassCounts, Fate, Figures, Open};
 pub use node::{unix_ms, Answer, Config, Listed, Node, NotTaken, Sign};
 pub use transport::{Asked, Reply, Transport};
--- a/crates/spurdrum-core/src/node.rs
+++ b/crates/spurdrum-core/src/node.rs
@@ -14,6 +14,7 @@
 use tokio::sync::oneshot;
 use tokio::time::{sleep, Instant};
 
+use crate::figures::Figures;
 use crate::transport::{Asked, Reply, Transport};
 use crate::Connections;
 
@@ -93,6 +94,8 @@
     pub config: Config,
     /// Who holds the node's descriptors.
     pub connections: Rc<Connections>,
+    /// What operators see of it.
+    pub figures: Rc<Figures>,
     transport: T,
     /// Hears what the servers show of the list.
     signs: Box<dyn Fn(Sign)>,
@@ -121,6 +124,7 @@
     pub fn new(
         config: Config,
         connections: Rc<Connections>,
+        figures: Rc<Figures>,
         transport: T,
         signs: impl Fn(Sign) + 'static,
         affinity: Option<Rc<RefCell<Affinity>>>,
@@ -131,6 +135,7 @@
         Ok(Rc::new(Self {
             config,
             connections,
+            figures,
             transport,
             signs: Box::new(signs),
             balancer: RefCell::new(balancer),
@@ -250,6 +255,11 @@
         self.requests.borrow().len()
     }
 
+    /// Servers in the list, and those of them that the decisions avoid now.
+    pub fn servers(&self) -> (usize, usize) {
+        (self.ids.borrow().len(), self.balancer.borrow().avoided(self.now()))
+    }
+
     fn answer(&self, id: RequestId, answer: Answer<T::Body>) {
         let owed = self.requests.borrow_mut().get_mut(&id).and_then(|held| held.answer.take());
         if let Some(owed) = owed {
--- a/crates/spurdrum-http/src/front.rs
+++ b/crates/spurdrum-http/src/front.rs
@@ -21,7 +21,7 @@
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
 use spurdrum_admission::{Event, Reason, State, Verdict};
-use spurdrum_core::{is_starved, Answer, NotTaken, Order, Seat};
+use spurdrum_core::{is_starved, Answer, Fate, NotTaken, Order, Seat};
 use spurdrum_policy::{Effect, RequestId};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::oneshot;
@@ -210,8 +210,10 @@
     let Ok(mut stream) = stream.into_std() else { return };
     let mut read = [0; 4096];
     let mut came = 0;
+    let mut class = None;
     // What is unread when a socket closes destroys the answer on its way.
     while let Ok(n) = stream.read(&mut read) {
+        class = class.or_else(|| class_of(&read[..n]));
         came += n;
         if n == 0 || came > DISCARD_MOST {
             break;
@@ -221,9 +223,21 @@
         // It fails where the client has left.
         let _ = stream.write(refusal_text(front.node.connections.retry_after_ms).as_bytes());
         let _ = stream.shutdown(Shutdown::Write);
+        if let Some(class) = class {
+            front.node.figures.ended(&class, Fate::Busy);
+        }
     }
 }
 
+/// The class that a request's head names, where all of the head has come.
+fn class_of(came: &[u8]) -> Option<String> {
+    let mut fields = [httparse::EMPTY_HEADER; 32];
+    let mut head = httparse::Request::new(&mut fields);
+    let whole = head.parse(came).is_ok_and(|parsed| parsed.is_complete());
+    let field = head.headers.iter().find(|field| whole && field.name.eq_ignore_ascii_case("x-class"))?;
+    std::str::from_utf8(field.value).ok().map(|class| class.trim().to_owned())
+}
+
 /// What is written where hyper has no request to answer.
 fn refusal_text(retry_after_ms: Option<f64>) -> String {
     let after = retry_after_ms.map(|ms| format!("retry-after: {:.3}\r\n", ms / 1000.0)).unwrap_or_default();
@@ -309,11 +323,15 @@
         async move {
             // Where the next head begins is known only where the length is.
             let mut ends = !matches!(framing, Framing::Length(_));
+            let class = request.headers().get("x-class").filter(|_| request.uri().path() == "/api").cloned();
             let mut response = match framing {
                 Framing::Unsound => plain(StatusCode::BAD_REQUEST, "the length is unclear\n"),
                 Framing::Length(length) => answer(front, seat, request, length, &mut ends).await,
                 Framing::Chunked => answer(front, seat, request, BODY_MOST as u64, &mut ends).await,
             };
+            if let Some(class) = class.as_ref().and_then(|class| class.to_str().ok()) {
+                front.node.figures.ended(class, fate(response.status()));
+            }
             let (id, bytes) = (seat.id, response.body().size_hint().exact().unwrap_or(0));
             let asked = |more| seat.tell(Event::Answer { id, bytes, more });
             let mut last = asked(!ends && socket.has_ahead()) == Verdict::Last;
@@ -402,6 +420,15 @@
     response
 }
 
+/// What a final answer tells its client.
+fn fate(status: StatusCode) -> Fate {
+    match status {
+        StatusCode::OK => Fate::Success,
+        StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => Fate::Busy,
+        _ => Fate::Failure,
+    }
+}
+
 /// Tells the node that the client has left, unless it has been answered: hyper drops what it waits for then.
 struct Waiting {
     node: Rc<Node>,
@@ -451,6 +478,7 @@
     // It may have had its time just as it was whole: that counts.
     seat.take_order();
     seat.tell(Event::Taken { id: seat.id });
+    let _open = node.figures.open();
     let (wait, mut asked) = match asked {
         Ok(asked) => asked,
         Err(why) => return plain(StatusCode::BAD_REQUEST, why),
--- a/crates/spurdrum-http/src/upstream.rs
+++ b/crates/spurdrum-http/src/upstream.rs
@@ -17,7 +17,7 @@
 use socket2::SockRef;
 use spurdrum_admission::Event as ConnectionEvent;
 use spurdrum_affinity::Ask;
-use spurdrum_core::{is_starved, Asked, Connections, Reply, ServerSlot, Transport};
+use spurdrum_core::{is_starved, Asked, Connections, Figures, Reply, ServerSlot, Transport};
 use spurdrum_policy::{Ending, Report, ServerId};
 use tokio::net::TcpStream;
 use tokio::sync::oneshot;
@@ -81,12 +81,21 @@
 struct Socket {
     stream: TcpStream,
     _slot: ServerSlot,
+    /// An attempt is being written, and hyper has all of it.
+    writing: Cell<bool>,
+    figures: Rc<Figures>,
 }
 
 impl socket::Socket for Socket {
     fn stream(&self) -> &TcpStream {
         &self.stream
     }
+
+    fn flushed(&self) {
+        if self.writing.take() {
+            self.figures.attempt_written();
+        }
+    }
 }
 
 struct Connection {
@@ -150,6 +159,7 @@
 pub struct Upstream {
     servers: RefCell<HashMap<ServerId, Rc<Server>>>,
     connections: Rc<Connections>,
+    figures: Rc<Figures>,
     keep: Duration,
     dial_timeout: Duration,
     /// How keys are made, where that is on.
@@ -159,9 +169,14 @@
 impl Upstream {
     /// No server is known yet. Servers close connections that stand idle for `conn_idle`; one that is not made within
     /// `dial_timeout` has failed.
-    pub fn new(connections: Rc<Connections>, conn_idle: Duration, dial_timeout: Duration) -> Self {
+    pub fn new(
+        connections: Rc<Connections>,
+        figures: Rc<Figures>,
+        conn_idle: Duration,
+        dial_timeout: Duration,
+    ) -> Self {
         let (servers, keep) = (RefCell::default(), conn_idle.mul_f64(IDLE_PART));
-        Self { servers, connections, keep, dial_timeout, keys: None }
+        Self { servers, connections, figures, keep, dial_timeout, keys: None }
     }
 
     /// Servers may give out keys in their answers.
@@ -191,7 +206,8 @@
             Ok(Err(_)) | Err(_) => return Err(Ending::Unreachable),
         };
         stream.set_nodelay(true).map_err(|_| Ending::Unreachable)?;
-        let socket = Rc::new(Socket { stream, _slot: slot });
+        let (writing, figures) = (Cell::new(false), Rc::clone(&self.figures));
+        let socket = Rc::new(Socket { stream, _slot: slot, writing, figures });
         let handshake = http1::Builder::new()
             .max_buf_size(2 * BODY_MOST)
             .max_header_size(HEAD_MOST)
@@ -234,6 +250,8 @@
             }
             let request = forward.map_or_else(|| probe_request(connection.address), forward_request);
             sent.set(true);
+            // A body that is at hand goes to hyper with its head: what is flushed next is all of it.
+            connection.socket.writing.set(forward.is_some());
             let response = match connection.sender.try_send_request(request).await {
                 Ok(response) => response,
                 Err(mut error) => {
--- /dev/null
+++ b/crates/spurdrum-ops/src/figures.rs
@@ -0,0 +1,33 @@
+//! The figures as operators' tools read them.
+
+use serde_json::{json, Map, Value};
+use spurdrum_core::Figures;
+
+/// What is shown of the servers beside the figures that are counted.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Servers {
+    /// Servers in the list.
+    pub listed: usize,
+    /// Those of them that the decisions avoid now.
+    pub down: usize,
+}
+
+/// The figures in one line, then a line `END`.
+#[must_use]
+pub fn telemetry(figures: &Figures, servers: Servers) -> String {
+    let calls: Map<String, Value> = figures
+        .classes()
+        .into_iter()
+        .map(|(class, c)| (class, json!({"success": c.success, "busy": c.busy, "failure": c.failure})))
+        .collect();
+    let shown = json!({
+        "calls": calls,
+        "inflight": figures.inflight(),
+        "backend_calls": figures.attempts(),
+        "hosts_listed": servers.listed,
+        "hosts_down": servers.down,
+        "reconfig_ok": figures.reconfig_ok(),
+        "reconfig_failed": figures.reconfig_failed(),
+    });
+    format!("{shown}\nEND\n")
+}
--- /dev/null
+++ b/crates/spurdrum-ops/tests/desk.rs
@@ -0,0 +1,104 @@
+//! Callers of all kinds at the desk, without a clock.
+
+use std::time::Duration;
+
+use proptest::prelude::*;
+use spurdrum_ops::{Action, Call, CallerId, Desk, Event, Settings};
+
+fn desk(callers: usize) -> Desk {
+    Desk::new(Settings { callers, ..Settings::default() })
+}
+
+fn tell(desk: &mut Desk, at_ms: u64, event: Event<'_>) -> Vec<Action> {
+    let mut actions = Vec::new();
+    desk.handle(Duration::from_millis(at_ms), event, &mut actions);
+    actions
+}
+
+fn say(text: &[u8]) -> Vec<Action> {
+    let (mut desk, id) = (desk(4), CallerId(1));
+    tell(&mut desk, 0, Event::Came(id));
+    tell(&mut desk, 0, Event::Said(id, text))
+}
+
+#[test]
+fn calls_are_known_by_their_line() {
+    let id = CallerId(1);
+    assert_eq!(say(b"readyz\n"), [Action::Answer(id, Call::Ready)]);
+    assert_eq!(say(b" telemetry \r\n"), [Action::Answer(id, Call::Telemetry)]);
+    for wrong in [&b"\n"[..], b"ready\n", b"readyz telemetry\n", b"\xff\xfe\n", b"READYZ\n"] {
+        assert!(matches!(say(wrong)[..], [Action::Decline(..)]), "{wrong:?}");
+    }
+}
+
+#[test]
+fn a_line_without_an_end_is_answered_when_the_caller_has_said_all() {
+    let (mut desk, id) = (desk(4), CallerId(1));
+    tell(&mut desk, 0, Event::Came(id));
+    assert_eq!(tell(&mut desk, 0, Event::Said(id, b"ready")), []);
+    assert_eq!(tell(&mut desk, 1, Event::Said(id, b"z")), []);
+    assert_eq!(tell(&mut desk, 2, Event::Ended(id)), [Action::Answer(id, Call::Ready)]);
+}
+
+#[test]
+fn a_line_too_long_is_declined_before_it_ends() {
+    let (mut desk, id) = (desk(4), CallerId(1));
+    tell(&mut desk, 0, Event::Came(id));
+    assert!(matches!(tell(&mut desk, 0, Event::Said(id, &[b'x'; 257]))[..], [Action::Decline(..)]));
+    assert_eq!(desk.callers(), 0);
+}
+
+#[test]
+fn silent_callers_make_room_oldest_first_and_are_told_when_their_time_is_up() {
+    let mut desk = desk(2);
+    for id in 1..=2 {
+        assert_eq!(tell(&mut desk, id, Event::Came(CallerId(id))), []);
+    }
+    assert_eq!(tell(&mut desk, 3, Event::Came(CallerId(3))), [Action::Shed(CallerId(1))]);
+    assert_eq!(desk.next_wake(), Some(Duration::from_millis(5002)));
+    assert!(matches!(tell(&mut desk, 5002, Event::Tick)[..], [Action::Decline(CallerId(2), _)]));
+    let answer = tell(&mut desk, 5002, Event::Said(CallerId(3), b"telemetry\n"));
+    assert_eq!(answer, [Action::Answer(CallerId(3), Call::Telemetry)]);
+    assert_eq!(desk.next_wake(), None);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 256, failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Whatever comes in whatever pieces: bounds hold, and nobody is answered twice.
+    #[test]
+    fn bounds_hold_and_each_caller_hears_once(
+        events in prop::collection::vec((0_u8..5, 1_u64..12, prop::collection::vec(any::<u8>(), 0..300)), 0..60),
+    ) {
+        let mut desk = desk(3);
+        let (mut heard, mut came) = (std::collections::HashSet::new(), 0);
+        for (at, (kind, id, bytes)) in events.iter().enumerate() {
+            let event = match kind {
+                0 => { came += 1; Event::Came(CallerId(came)) }
+                1 => Event::Ended(CallerId(*id)),
+                2 => Event::Left(CallerId(*id)),
+                3 => Event::Tick,
+                _ => Event::Said(CallerId(*id), bytes),
+            };
+            for action in tell(&mut desk, at as u64 * 500, event) {
+                let (Action::Answer(id, _) | Action::Decline(id, _) | Action::Shed(id)) = action;
+                prop_assert!(heard.insert(id), "{id:?} heard twice");
+            }
+            prop_assert!(desk.callers() <= 3);
+        }
+    }
+
+    /// A call in any pieces is the same call.
+    #[test]
+    fn pieces_do_not_matter(cuts in prop::collection::vec(1_usize..10, 0..10)) {
+        let (mut desk, id, mut rest) = (desk(1), CallerId(1), &b"telemetry\n"[..]);
+        tell(&mut desk, 0, Event::Came(id));
+        let mut got = Vec::new();
+        for cut in cuts.into_iter().chain([10]) {
+            let (piece, more) = rest.split_at(cut.min(rest.len()));
+            got.extend(tell(&mut desk, 0, Event::Said(id, piece)));
+            rest = more;
+        }
+        prop_assert_eq!(got, [Action::Answer(id, Call::Telemetry)]);
+    }
+}
--- a/crates/spurdrum-policy/src/rules.rs
+++ b/crates/spurdrum-policy/src/rules.rs
@@ -260,6 +260,12 @@
         }
     }
 
+    /// Servers of the list that are taken out now.
+    pub fn avoided(&self, now: f64) -> usize {
+        let listed = self.servers.values().filter(|s| s.entry.availability != Availability::Gone);
+        listed.filter(|s| s.ejected_until.is_some_and(|until| until > now)).count()
+    }
+
     // ---- The list of servers
 
     fn listing(&mut self, listing: Listing, actions: &mut Vec<Action>) {
--- a/crates/spurdrum/src/file.rs
+++ b/crates/spurdrum/src/file.rs
@@ -39,6 +39,7 @@
     #[serde(default = "node_name")]
     name: String,
     listen: SocketAddr,
+    ops: Option<SocketAddr>,
     seed: Option<u64>,
     #[serde(default = "sockets")]
     sockets: usize,
@@ -437,6 +438,7 @@
             name: node.name.clone(),
             listen: node.listen,
             listen_key: "node.listen",
+            ops: node.ops.map(|address| (address, "node.ops")),
             source: match (self.catalog_address(), self.fixed()) {
                 (Some(address), _) => Source::Catalog(address),
                 (None, Some(_)) => Source::Static,
--- a/crates/spurdrum/src/main.rs
+++ b/crates/spurdrum/src/main.rs
@@ -1,17 +1,18 @@
 //! One real node: starts, serves until SIGTERM, answers what it has taken, and ends. SIGHUP makes it read its
 //! configuration again.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::rc::Rc;
 
 use clap::{Parser, Subcommand};
 use spurdrum_affinity::{Affinity, Keyer};
-use spurdrum_core::{unix_ms, Connections, Node};
+use spurdrum_core::{unix_ms, Connections, Figures, Node};
 use spurdrum_http::{Front, Keys, Upstream};
 use spurdrum_sources::catalog::{Catalog, News};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::oneshot;
 use tokio::task::LocalSet;
@@ -22,6 +23,7 @@
 mod list;
 mod log;
 mod merge;
+mod operated;
 mod platform;
 mod registry;
 mod set;
@@ -105,6 +107,21 @@
     LocalSet::new().block_on(&runtime, serve(file))
 }
 
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 1024;
+
+/// Listens on an address; where it is shared, beside another process that does.
+fn listen(address: SocketAddr, key: &str, shared: bool) -> Result<TcpListener, String> {
+    let listener = || {
+        let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+        socket.set_reuseaddr(true)?;
+        socket.set_reuseport(shared)?;
+        socket.bind(address)?;
+        socket.listen(BACKLOG)
+    };
+    listener().map_err(|error: std::io::Error| format!("`{key}`: cannot listen on {address}: {error}"))
+}
+
 async fn serve(file: Option<PathBuf>) -> Result<(), String> {
     // Before all else: from here on neither signal ends the program by itself.
     let hear = |kind, name| signal(kind).map_err(|error| format!("cannot hear {name}: {error}"));
@@ -116,9 +133,9 @@
     }
     let _log = log::start(&config.name, config.log);
     raise_descriptors(&mut config);
-    let listener = TcpListener::bind(config.listen).await;
-    let listener = listener
-        .map_err(|error| format!("`{}`: cannot listen on {}: {error}", config.listen_key, config.listen))?;
+    // A process that operators can ask may be replaced by one that runs beside it.
+    let listener = listen(config.listen, config.listen_key, config.ops.is_some())?;
+    let desk = config.ops.map(|(address, key)| listen(address, key, false)).transpose()?;
 
     let connections =
         Connections::new(config.connections.clone(), config.limits, config.settings.retry_after_most_ms)
@@ -144,7 +161,10 @@
     };
     let affinity = bindings.as_ref().map(|(affinity, ..)| Rc::clone(affinity));
     let keys = bindings.as_ref().map(|(_, keys, _)| Rc::clone(keys));
-    let upstream = Upstream::new(Rc::clone(&connections), config.conn_idle, config.dial_timeout);
+    let figures = Rc::new(Figures::default());
+    figures.know(&config.names.classes);
+    let upstream =
+        Upstream::new(Rc::clone(&connections), Rc::clone(&figures), config.conn_idle, config.dial_timeout);
     let upstream = upstream.with_keys(keys.clone());
     let signs = catalog.clone();
     let core = spurdrum_core::Config {
@@ -156,6 +176,7 @@
     let node = Node::new(
         core,
         Rc::clone(&connections),
+        Rc::clone(&figures),
         upstream,
         move |sign| {
             if let Some(catalog) = &signs {
@@ -203,6 +224,11 @@
             read_again(file.clone(), &reloaded, followed.as_ref()).await;
         }
     });
+    let ending = Rc::new(Cell::new(false));
+    if let Some(desk) = desk {
+        let operated = operated::Process { node: Rc::clone(&node), ending: Rc::clone(&ending) };
+        tokio::task::spawn_local(spurdrum_ops::serve(desk, operated, spurdrum_ops::Settings::default()));
+    }
     let status = move || {
         let shown = affinity.as_ref().map(|affinity| {
             let store =
@@ -221,6 +247,7 @@
     let front = Front::new(node, config.names, status).with_keys(keys);
     spurdrum_http::run(front, listener, async move {
         stop.recv().await;
+        ending.set(true);
         // Who follows the registry hears of it first.
         if let Some((leave, gone)) = leaves {
             let _ = leave.send(());
--- a/crates/spurdrum/src/platform.rs
+++ b/crates/spurdrum/src/platform.rs
@@ -51,6 +51,7 @@
         name,
         listen,
         listen_key: "GW_LISTEN",
+        ops: ops(&json["ops"])?,
         source: Source::Catalog(discovery),
         log: file.log(),
         seed: seed.ok_or("`seed` is missing or no hexadecimal number")?,
@@ -69,6 +70,15 @@
     })
 }
 
+/// Where operators call: the variable counts over the file.
+fn ops(said: &Value) -> Result<Option<(SocketAddr, &'static str)>, String> {
+    match (std::env::var("GW_OPS"), said) {
+        (Ok(text), _) if !text.is_empty() => Ok(Some((parse_address("GW_OPS", &text)?, "GW_OPS"))),
+        (_, Value::Null) => Ok(None),
+        (_, value) => Ok(Some((parse_address("ops", value.as_str().unwrap_or_default())?, "ops"))),
+    }
+}
+
 fn variable(key: &str) -> Result<String, String> {
     std::env::var(key).map_err(|_| format!("`{key}` is missing or no text"))
 }
--- a/crates/spurdrum/tests/node.rs
+++ b/crates/spurdrum/tests/node.rs
@@ -7,6 +7,8 @@
 #[path = "node/connections.rs"]
 mod connections;
 mod net;
+#[path = "node/ops.rs"]
+mod ops;
 #[path = "node/registry.rs"]
 mod registry;
 use net::*;
--- /dev/null
+++ b/crates/spurdrum/tests/node/ops.rs
@@ -0,0 +1,131 @@
+//! Operators' calls, and two processes on one address.
+
+use super::*;
+
+/// Asks operators' address one line; all that comes back.
+pub fn call(address: SocketAddr, line: &str) -> String {
+    let mut stream = TcpStream::connect(address).expect("connected");
+    stream.set_read_timeout(Some(LONG)).expect("set");
+    stream.write_all(format!("{line}\n").as_bytes()).expect("written");
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).expect("answered");
+    answer
+}
+
+/// The figures.
+pub fn figures(address: SocketAddr) -> Value {
+    let answer = call(address, "telemetry");
+    let figures = answer.strip_suffix("\nEND\n").expect("an end");
+    serde_json::from_str(figures).expect("JSON")
+}
+
+/// A configuration with an address for operators.
+pub fn operated(servers: &[&Server]) -> (Value, SocketAddr) {
+    let (mut config, ops) = (config(&members(servers)), own_address());
+    config["ops"] = json!(ops.to_string());
+    (config, ops)
+}
+
+/// Asks until it is true: what is counted may come a moment after the answer.
+fn until(mut what: impl FnMut() -> bool) {
+    let since = Instant::now();
+    while !what() {
+        assert!(since.elapsed() < LONG, "it does not come");
+        std::thread::sleep(Duration::from_millis(2));
+    }
+}
+
+#[test]
+fn figures_match_what_clients_and_servers_saw() {
+    let servers = [Server::start(), Server::start()];
+    let (config, ops) = operated(&[&servers[0], &servers[1]]);
+    let node = Node::start(&config);
+    assert_eq!(call(ops, "readyz"), "YES ready\n");
+    let mut client = node.client();
+    for _ in 0..3 {
+        client.send(&request("read", 20.0));
+        either(&servers).1.answer(OK, "", b"x");
+        assert_eq!(client.answer().status(), 200);
+    }
+    // One that may have run fails; one that never ran anywhere is refused.
+    client.send(&request("pay", 20.0));
+    either(&servers).1.answer("500 Broken", "", b"");
+    assert_eq!(client.answer().status(), 502);
+    client.send(&request("pay", 20.0));
+    for _ in 0..2 {
+        either(&servers).1.answer("503 Busy", "x-not-run: 1\r\n", b"");
+    }
+    either(&servers).1.answer("503 Busy", "x-not-run: 1\r\n", b"");
+    assert_eq!(client.answer().status(), 503);
+    client.send(&request("unheard-of", 20.0));
+    assert_eq!(client.answer().status(), 400);
+    client.send(&request("update", 20.0));
+    let open = either(&servers).1;
+    until(|| figures(ops)["backend_calls"] == 8);
+    let shown = figures(ops);
+    let none = json!({"success": 0, "busy": 0, "failure": 0});
+    assert_eq!(shown["calls"]["read"], json!({"success": 3, "busy": 0, "failure": 0}));
+    assert_eq!(shown["calls"]["pay"], json!({"success": 0, "busy": 1, "failure": 1}));
+    assert_eq!(shown["calls"]["update"], none);
+    assert_eq!(shown["calls"].as_object().map(serde_json::Map::len), Some(3), "{shown}");
+    assert_eq!((&shown["inflight"], &shown["hosts_listed"]), (&json!(1), &json!(2)));
+    open.answer(OK, "", b"x");
+    assert_eq!(client.answer().status(), 200);
+    until(|| figures(ops)["inflight"] == 0);
+    assert_eq!(figures(ops)["calls"]["update"]["success"], 1);
+}
+
+#[test]
+fn a_server_that_fails_shows_as_down() {
+    let server = Server::start();
+    let dead = own_address();
+    let members = [member("dead", dead, "active"), member("s", server.address, "active")];
+    let ops = own_address();
+    let mut config = config(&members);
+    config["ops"] = json!(ops.to_string());
+    let node = Node::start(&config);
+    let mut client = node.client();
+    assert_eq!(figures(ops)["hosts_down"], 0);
+    until(|| {
+        client.send(&request("read", 20.0));
+        server.request().answer(OK, "", b"x");
+        assert_eq!(client.answer().status(), 200);
+        figures(ops)["hosts_down"] == 1
+    });
+    assert_eq!(figures(ops)["hosts_listed"], 2);
+}
+
+#[test]
+fn silent_and_half_spoken_callers_keep_nobody_out() {
+    let server = Server::start();
+    let (config, ops) = operated(&[&server]);
+    let _node = Node::start(&config);
+    let mut held: Vec<TcpStream> = Vec::new();
+    for i in 0..64 {
+        let mut stream = TcpStream::connect(ops).expect("connected");
+        if i % 2 == 0 {
+            stream.write_all(b"tele").expect("written");
+        }
+        held.push(stream);
+    }
+    assert_eq!(call(ops, "readyz"), "YES ready\n");
+    assert!(call(ops, "what?").starts_with("NO "));
+    assert!(figures(ops)["inflight"] == 0);
+}
+
+#[test]
+fn a_node_that_is_ending_or_knows_no_server_is_not_ready() {
+    let server = Server::start();
+    let (config, ops) = operated(&[&server]);
+    let node = Node::start(&config);
+    let mut client = node.client();
+    client.send(&request("pay", 20.0));
+    let open = server.request();
+    node.terminate();
+    until(|| call(ops, "readyz") == "NO ending\n");
+    open.answer(OK, "", b"x");
+    assert_eq!(client.answer().status(), 200);
+    let (empty, ops) = operated(&[]);
+    let _node = Node::start(&empty);
+    assert!(call(ops, "readyz").starts_with("NO "));
+}
