--- a/crates/spurdrum-admission/src/admission.rs
+++ b/crates/spurdrum-admission/src/admission.rs
@@ -116,6 +116,9 @@
     wanted_until: Duration,
     explored: u32,
     ending: bool,
+    passing: bool,
+    /// What all descriptors in use may be where another process of this node has the rest.
+    part: usize,
     now: Duration,
 }
 
@@ -145,6 +148,8 @@
             wanted_until: Duration::ZERO,
             explored: 0,
             ending: false,
+            passing: false,
+            part: usize::MAX,
             now: Duration::ZERO,
             settings,
         })
@@ -165,7 +170,7 @@
             Event::Taken { id } => self.taken(id),
             Event::Answer { id, bytes, more } => return self.answer(id, bytes, more),
             Event::Sent { id, bytes } => self.progress(id, State::Writing, bytes),
-            Event::Written { id } => self.written(id),
+            Event::Written { id } => self.written(id, actions),
             Event::HalfClosed { id } => self.half_closed(id, actions),
             Event::Closed { id } => {
                 self.closed(id);
@@ -175,6 +180,15 @@
             Event::ServerClosed => self.servers = self.servers.saturating_sub(1),
             Event::Starved => self.starved(actions),
             Event::Ending => self.ending = true,
+            Event::Passing => {
+                self.passing = true;
+                actions.extend(self.resting().into_iter().map(Action::Pass));
+            }
+            Event::NotPassing => self.passing = false,
+            Event::Part { most } => {
+                self.part = most.max(6);
+                self.total = self.whole();
+            }
             Event::NoneComes => self.none_comes(actions),
             Event::Tick => {
                 self.tick(actions);
@@ -189,7 +203,7 @@
     /// When it wants the next tick.
     pub fn next_wake(&self) -> Option<Duration> {
         let due = self.dues.first().map(|(due, _)| *due + GRAIN);
-        let look = (self.level > Level::Calm || self.total < self.shares.total).then(|| self.now + LOOK);
+        let look = (self.level > Level::Calm || self.total < self.whole()).then(|| self.now + LOOK);
         due.into_iter().chain(look).min()
     }
 
@@ -601,13 +615,16 @@
         }
     }
 
-    fn written(&mut self, id: ConnId) {
+    fn written(&mut self, id: ConnId, actions: &mut Vec<Action>) {
         let Some(conn) = self.conns.get(&id).filter(|conn| conn.state == State::Writing && !conn.gone) else {
             return;
         };
         let next = if conn.last { State::Closing } else { State::Idle };
         self.enter(id, next);
         self.charge(id, 0);
+        if self.passing && next == State::Idle {
+            actions.push(Action::Pass(id));
+        }
     }
 
     fn half_closed(&mut self, id: ConnId, actions: &mut Vec<Action>) {
@@ -768,9 +785,9 @@
     // ---- Time
 
     fn tick(&mut self, actions: &mut Vec<Action>) {
-        if self.total < self.shares.total && self.now >= self.regained + Duration::from_secs(1) {
+        if self.total < self.whole() && self.now >= self.regained + Duration::from_secs(1) {
             self.regained = self.now;
-            self.total = (self.total + (self.shares.total / 16).max(1)).min(self.shares.total);
+            self.total = (self.total + (self.shares.total / 16).max(1)).min(self.whole());
         }
         while let Some((queued, id)) = self.dues.first().copied().filter(|(queued, _)| *queued <= self.now) {
             self.dues.remove(&(queued, id));
@@ -867,7 +884,7 @@
 
     fn starved(&mut self, actions: &mut Vec<Action>) {
         let used = self.counts.open() + self.servers;
-        self.total = used.saturating_sub(1).clamp(6, self.shares.total);
+        self.total = used.saturating_sub(1).clamp(6, self.whole());
         self.regained = self.now;
         if let Some((_, oldest)) = self.lingering.first().copied() {
             self.abort(oldest, Reason::Starved, actions);
@@ -883,10 +900,22 @@
         }
     }
 
+    /// Those that owe nothing and have not begun to ask, also where they came only to be refused.
+    fn resting(&self) -> Vec<ConnId> {
+        let rests = |conn: &Conn| matches!(conn.state, State::New | State::Silent | State::Idle);
+        let resting = self.conns.iter().filter(|(_, conn)| !conn.gone && rests(conn));
+        let mut resting: Vec<ConnId> = resting.map(|(id, _)| *id).collect();
+        resting.sort_unstable();
+        resting
+    }
+
+    /// All descriptors that may be in use while the system has them.
+    fn whole(&self) -> usize {
+        self.shares.total.min(self.part)
+    }
+
     fn none_comes(&mut self, actions: &mut Vec<Action>) {
-        let owe_nothing: Vec<ConnId> =
-            self.candidates.range(..(RANK_HEAD, Duration::ZERO, ConnId(0))).map(|(_, _, id)| *id).collect();
-        for id in owe_nothing {
+        for id in self.resting() {
             self.close(id, Reason::Ending, actions);
         }
     }
--- a/crates/spurdrum-admission/src/lib.rs
+++ b/crates/spurdrum-admission/src/lib.rs
@@ -145,6 +145,15 @@
     Starved,
     /// The node is ending: each answer is its connection's last.
     Ending,
+    /// Another process takes over: what rests between two requests is passed on to it.
+    Passing,
+    /// There is none to pass to any more.
+    NotPassing,
+    /// Clients and servers together may hold so many descriptors: another process of this node holds the rest.
+    Part {
+        /// So many.
+        most: usize,
+    },
     /// The node is ending and none comes any more: what owes nothing is closed.
     NoneComes,
     /// The time that [`Admission::next_wake`] told has come.
@@ -173,6 +182,8 @@
 pub enum Action {
     /// Half-close it, unless something has come: then that is read and answered, as the last request.
     Close(ConnId),
+    /// Pass it on to the process that takes over, unless something has come.
+    Pass(ConnId),
     /// Answer what is half sent, 408 for one that is too slow and 503 for one that makes room; then close.
     Expire(ConnId, Reason),
     /// Close it at once, whatever is unsent.
--- a/crates/spurdrum-admission/tests/properties.rs
+++ b/crates/spurdrum-admission/tests/properties.rs
@@ -25,6 +25,8 @@
     conns: HashMap<ConnId, At>,
     last_id: u64,
     servers: usize,
+    /// What another process of the node leaves.
+    part: usize,
     /// Whether a request crosses the next closing.
     crosses: bool,
 }
@@ -42,7 +44,7 @@
 
     fn check(&self) {
         let (used, most) = self.admission.used();
-        assert!(used <= most, "{used} descriptors of {most}");
+        assert!(used <= most.min(self.part), "{used} descriptors of {most} and {}", self.part);
         let (memory, budget) = self.admission.memory();
         assert!(memory <= budget + 70_000 * self.conns.len() as u64, "{memory} of {budget}");
         let counts = self.admission.counts();
@@ -64,6 +66,10 @@
                     self.tell(Event::HalfClosed { id });
                 }
             }
+            Action::Pass(id) => {
+                assert_eq!(self.conns[&id], At::Resting, "chosen to be passed on");
+                self.leave(id);
+            }
             Action::Expire(id, _) => {
                 let at = self.conns[&id];
                 assert!(matches!(at, At::Head | At::Body), "{at:?} expired");
@@ -152,7 +158,7 @@
         let limits = Limits { sockets, memory: memory_kb * 1024 };
         let admission = Admission::new(settings, limits).expect("sound");
         let (now, conns) = (Duration::ZERO, HashMap::new());
-        let mut front = Front { admission, now, conns, last_id: 0, servers: 0, crosses: false };
+        let mut front = Front { admission, now, conns, last_id: 0, servers: 0, part: usize::MAX, crosses: false };
         for (step, way, which, ms) in steps {
             front.now += Duration::from_millis(u64::from(ms) / 8);
             front.crosses = way % 7 == 0;
@@ -174,6 +180,20 @@
                 (13, _) if way % 3 == 0 => {
                     front.tell(Event::Starved);
                 }
+                (13, _) if way == 2 => {
+                    front.tell(Event::Passing);
+                    let resting = front.conns.values().filter(|at| **at == At::Resting).count();
+                    let known = front.admission.counts();
+                    prop_assert_eq!(known.of(State::New) + known.of(State::Silent) + known.of(State::Idle), 0, "{}", resting);
+                }
+                (13, _) if way == 4 => {
+                    front.tell(Event::NotPassing);
+                }
+                (13, _) if (5..60).contains(&way) => {
+                    let most = front.admission.used().0.max(usize::from(way) * 2);
+                    front.tell(Event::Part { most });
+                    front.part = most.max(6);
+                }
                 (13, _) if way == 1 => {
                     front.tell(Event::Ending);
                     front.tell(Event::NoneComes);
--- a/crates/spurdrum-admission/tests/world.rs
+++ b/crates/spurdrum-admission/tests/world.rs
@@ -158,7 +158,7 @@
                 self.tell(Event::HalfClosed { id });
                 self.gone(id);
             }
-            Action::Abort(id, _) => self.gone(id),
+            Action::Abort(id, _) | Action::Pass(id) => self.gone(id),
             Action::CloseServer => {
                 self.tell(Event::ServerClosed);
             }
--- a/crates/spurdrum-core/src/connections.rs
+++ b/crates/spurdrum-core/src/connections.rs
@@ -21,6 +21,8 @@
 pub enum Order {
     /// Half-close, unless something has come.
     Close,
+    /// Pass it on to the process that takes over, unless something has come.
+    Pass,
     /// Answer what is half sent, then close.
     Expire(Reason),
     /// Close at once.
@@ -132,6 +134,7 @@
         for action in actions {
             match action {
                 Action::Close(id) => self.order(id, Order::Close),
+                Action::Pass(id) => self.order(id, Order::Pass),
                 Action::Expire(id, reason) => self.order(id, Order::Expire(reason)),
                 Action::Abort(id, reason) => self.order(id, Order::Abort(reason)),
                 Action::CloseServer => self.server_to_close.notify_one(),
@@ -145,6 +148,11 @@
         verdict
     }
 
+    /// Descriptors in use, and the most that may be.
+    pub fn used(&self) -> (usize, usize) {
+        self.admission.borrow().used()
+    }
+
     fn order(&self, id: ConnId, order: Order) {
         let Some(seat) = self.seats.borrow().get(&id).and_then(std::rc::Weak::upgrade) else { return };
         seat.order.set(Some(order));
--- a/crates/spurdrum-http/src/front.rs
+++ b/crates/spurdrum-http/src/front.rs
@@ -24,7 +24,7 @@
 use spurdrum_core::{is_starved, Answer, Fate, NotTaken, Order, Seat};
 use spurdrum_policy::{Effect, RequestId};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::oneshot;
+use tokio::sync::{mpsc, oneshot};
 use tokio::task::yield_now;
 use tokio::time::{sleep, sleep_until, timeout_at, Instant};
 
@@ -80,6 +80,25 @@
     pub tenants: Vec<String>,
 }
 
+/// The process that takes over from this one, where there is one.
+pub trait Successor {
+    /// Whether it accepts from the same queue as this process, and takes what rests.
+    fn is_there(&self) -> bool;
+
+    /// Takes a connection that rests between two requests.
+    ///
+    /// # Errors
+    ///
+    /// The connection, where it cannot.
+    fn take(&self, connection: std::net::TcpStream) -> Result<(), std::net::TcpStream>;
+
+    /// Whether it has been sent all that it was to take.
+    fn has_all(&self) -> bool;
+}
+
+/// Where the connections come from that another process passes on.
+pub type Passed = mpsc::UnboundedReceiver<std::net::TcpStream>;
+
 /// Clients' connections.
 pub struct Front {
     node: Rc<Node>,
@@ -89,6 +108,7 @@
     /// What `/_health` says beside its own.
     status: Box<dyn Fn() -> String>,
     ending: Cell<bool>,
+    successor: Option<Rc<dyn Successor>>,
     /// Held so that a connection can be answered, and not left waiting, when the system has no more descriptors.
     reserve: RefCell<Option<File>>,
     backoff: Cell<Duration>,
@@ -103,11 +123,22 @@
             keys: None,
             status: Box::new(status),
             ending: Cell::new(false),
+            successor: None,
             reserve: RefCell::new(spare_descriptor()),
             backoff: Cell::new(BACKOFF.0),
         }
     }
 
+    /// Another process may take over.
+    #[must_use]
+    pub fn with_successor(self, successor: Option<Rc<dyn Successor>>) -> Self {
+        Self { successor, ..self }
+    }
+
+    fn is_succeeded(&self) -> bool {
+        self.successor.as_ref().is_some_and(|successor| successor.is_there())
+    }
+
     /// Requests have keys.
     #[must_use]
     pub fn with_keys(self, keys: Option<Rc<Keys>>) -> Self {
@@ -115,8 +146,9 @@
     }
 }
 
-/// Serves clients until `stop` is done and all that was taken is answered.
-pub async fn run(front: Front, listener: TcpListener, stop: impl Future<Output = ()>) {
+/// Serves clients until `stop` is done and all that was taken is answered. What another process passes on is served as if
+/// it had been accepted here.
+pub async fn run(front: Front, listener: TcpListener, mut passed: Passed, stop: impl Future<Output = ()>) {
     let front = Rc::new(front);
     let node = Rc::clone(&front.node);
     let mut stop = pin!(stop);
@@ -124,13 +156,26 @@
         tokio::select! {
             biased;
             () = &mut stop => break,
+            Some(connection) = passed.recv() => admit_passed(&front, connection),
             () = accept(&front, &listener) => {}
         }
     }
     front.ending.set(true);
-    node.connections.tell(Event::Ending);
     let longest = node.config.settings.classes.iter().map(|class| class.deadline_ms).fold(0.0, f64::max);
     let asked = Instant::now();
+    if front.is_succeeded() {
+        node.connections.tell(Event::Passing);
+        let last = asked + Duration::from_secs_f64(longest / 1000.0) + END;
+        while Instant::now() < last && front.is_succeeded() {
+            if node.connections.open() == 0 && node.held() == 0 && front.successor.iter().all(|s| s.has_all())
+            {
+                return;
+            }
+            sleep_until((Instant::now() + LOOK).min(last)).await;
+        }
+        node.connections.tell(Event::NotPassing);
+    }
+    node.connections.tell(Event::Ending);
     let last = asked + Duration::from_secs_f64(longest / 1000.0) + END;
     let mut came = asked;
     while Instant::now() < last {
@@ -173,6 +218,16 @@
     }
 }
 
+fn admit_passed(front: &Rc<Front>, connection: std::net::TcpStream) {
+    let peer = connection.peer_addr().map(|peer| peer.ip());
+    // It fails where the client has left meanwhile.
+    if let (Ok(peer), Ok(())) = (peer, connection.set_nonblocking(true)) {
+        if let Ok(stream) = TcpStream::from_std(connection) {
+            admit(front, stream, peer);
+        }
+    }
+}
+
 fn admit(front: &Rc<Front>, stream: TcpStream, peer: IpAddr) {
     match front.node.connections.accept(peer) {
         Some(seat) => {
@@ -250,6 +305,7 @@
     "HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 9\r\n\r\ntoo slow\n";
 
 /// How the serving of a connection ended.
+#[derive(Clone, Copy)]
 enum End {
     /// The client or hyper has ended it.
     Over,
@@ -257,6 +313,8 @@
     Last,
     /// It is to be closed.
     Close,
+    /// It rests, and another process takes over.
+    Pass,
     /// What is half sent is to be answered first.
     Expire(Reason),
     /// Nothing more is owed.
@@ -272,6 +330,13 @@
     }
     let socket = Rc::new(Socket::new(stream, Rc::clone(&seat)));
     let end = serve(&front, &seat, &socket).await;
+    let socket = match (end, &front.successor) {
+        (End::Pass, Some(successor)) => match pass(&**successor, socket) {
+            Ok(()) => return,
+            Err(socket) => socket,
+        },
+        _ => socket,
+    };
     let text = match end {
         End::Over => return,
         End::Abort(reason) => {
@@ -281,7 +346,7 @@
             }
             return;
         }
-        End::Last | End::Close => None,
+        End::Last | End::Close | End::Pass => None,
         End::Expire(Reason::SlowHead) => Some(TOO_SLOW.to_owned()),
         End::Expire(_) => Some(refusal_text(front.node.connections.retry_after_ms)),
     };
@@ -317,6 +382,20 @@
     }
 }
 
+/// Lets another process have a connection that nothing has been read of since its last answer.
+fn pass(successor: &dyn Successor, socket: Rc<Socket>) -> Result<(), Rc<Socket>> {
+    let Socket { stream, seat, .. } = Rc::try_unwrap(socket)?;
+    // It fails where the event loop has trouble with it: then it is over.
+    let Ok(connection) = stream.into_std() else { return Ok(()) };
+    match successor.take(connection) {
+        Ok(()) => Ok(()),
+        Err(connection) => match TcpStream::from_std(connection) {
+            Ok(stream) => Err(Rc::new(Socket::new(stream, seat))),
+            Err(_) => Ok(()),
+        },
+    }
+}
+
 async fn serve(front: &Rc<Front>, seat: &Rc<Seat>, socket: &Rc<Socket>) -> End {
     let service = service_fn(|request: Request<Incoming>| {
         let framing = socket.take_head();
@@ -366,7 +445,7 @@
             return End::Abort(reason);
         }
         // Guards against the loss of a request that has come just now: hyper reads it next.
-        if socket.has_input() {
+        if order != Order::Pass && socket.has_input() {
             tokio::select! {
                 biased;
                 result = served.as_mut() => {
@@ -376,6 +455,11 @@
             }
         }
         match (order, seat.state()) {
+            (Order::Pass, Some(State::New | State::Silent | State::Idle))
+                if !socket.has_ahead() && front.is_succeeded() =>
+            {
+                return End::Pass;
+            }
             // One that came too late is answered as too late, whether or not more of it has come.
             (Order::Expire(reason), Some(State::Head | State::Closing)) => return End::Expire(reason),
             (Order::Close, Some(State::Closing)) => return End::Close,
--- a/crates/spurdrum/src/main.rs
+++ b/crates/spurdrum/src/main.rs
@@ -10,7 +10,7 @@
 use clap::{Parser, Subcommand};
 use spurdrum_affinity::{Affinity, Keyer};
 use spurdrum_core::{unix_ms, Connections, Figures, Node};
-use spurdrum_http::{Front, Keys, Upstream};
+use spurdrum_http::{Front, Keys, Successor, Upstream};
 use spurdrum_sources::catalog::{Catalog, News};
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{signal, SignalKind};
@@ -26,6 +26,7 @@
 mod operated;
 mod platform;
 mod registry;
+mod replace;
 mod set;
 
 use config::{Config, Source};
@@ -122,6 +123,15 @@
     listener().map_err(|error: std::io::Error| format!("`{key}`: cannot listen on {address}: {error}"))
 }
 
+/// The socket of the process that was here before.
+fn inherited(listener: &std::net::TcpListener) -> Result<TcpListener, String> {
+    let listener = listener.try_clone().and_then(|listener| {
+        listener.set_nonblocking(true)?;
+        TcpListener::from_std(listener)
+    });
+    listener.map_err(|error| format!("cannot use the listening socket that was handed over: {error}"))
+}
+
 async fn serve(file: Option<PathBuf>) -> Result<(), String> {
     // Before all else: from here on neither signal ends the program by itself.
     let hear = |kind, name| signal(kind).map_err(|error| format!("cannot hear {name}: {error}"));
@@ -134,12 +144,21 @@
     let _log = log::start(&config.name, config.log);
     raise_descriptors(&mut config);
     // A process that operators can ask may be replaced by one that runs beside it.
-    let listener = listen(config.listen, config.listen_key, config.ops.is_some())?;
+    let inheritance = match config.ops {
+        Some(_) => replace::inherit(&config.name, config.listen).await,
+        None => None,
+    };
+    let listener = match &inheritance {
+        Some(inheritance) => inherited(&inheritance.listener)?,
+        None => listen(config.listen, config.listen_key, config.ops.is_some())?,
+    };
     let desk = config.ops.map(|(address, key)| listen(address, key, false)).transpose()?;
 
     let connections =
         Connections::new(config.connections.clone(), config.limits, config.settings.retry_after_most_ms)
             .map_err(|(key, why)| format!("`connections.{key}`: {why}"))?;
+    let passed = replace::follow(inheritance, &connections);
+    let offer = config.ops.and_then(|_| replace::offer(&config.name, config.listen, &listener, &connections));
     let catalog = match config.source {
         Source::Static | Source::None => None,
         Source::Catalog(address) => {
@@ -245,8 +264,13 @@
         list + &shown.unwrap_or_default()
     };
     let front = Front::new(node, config.names, status).with_keys(keys);
-    spurdrum_http::run(front, listener, async move {
+    let successor = offer.clone().map(|offer| Rc::new(replace::Heir(offer)) as Rc<dyn Successor>);
+    let front = front.with_successor(successor);
+    spurdrum_http::run(front, listener, passed, async move {
         stop.recv().await;
+        if let Some(offer) = offer {
+            offer.stop();
+        }
         ending.set(true);
         // Who follows the registry hears of it first.
         if let Some((leave, gone)) = leaves {
--- /dev/null
+++ b/crates/spurdrum/src/replace.rs
@@ -0,0 +1,118 @@
+//! Replacing the process: what this one has from the one that ran, and what it hands on.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use spurdrum_admission::Event;
+use spurdrum_core::Connections;
+use spurdrum_handover::{path, Estate, Identity, Inheritance, Offer, Told, FORMAT};
+use spurdrum_http::{Passed, Successor};
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+
+/// Which node this process is.
+pub fn identity(name: &str, listen: SocketAddr) -> Identity {
+    Identity { format: FORMAT, name: name.to_owned(), listen: listen.to_string() }
+}
+
+/// Takes over from the process that serves this address, if one does and can be called.
+pub async fn inherit(name: &str, listen: SocketAddr) -> Option<Inheritance> {
+    let claimed = Inheritance::claim(&path(listen)?, identity(name, listen)).await;
+    claimed.inspect_err(|why| tracing::info!("this process takes over from none: {why}")).ok()
+}
+
+/// Hears the process that was here before, until it has gone: its connections come to the front, and its part of the
+/// descriptors to this process.
+pub fn follow(inheritance: Option<Inheritance>, connections: &Rc<Connections>) -> Passed {
+    let (pass, passed) = mpsc::unbounded_channel();
+    let Some(inheritance) = inheritance else { return passed };
+    let (all, connections) = (connections.used().1, Rc::clone(connections));
+    let mut share = inheritance.share;
+    let keep = move |share: usize| {
+        connections.tell(Event::Part { most: all.saturating_sub(share) });
+    };
+    keep(share);
+    tokio::task::spawn_local(inheritance.follow(move |told| match told {
+        Told::Share(kept) => {
+            share = kept;
+            keep(share);
+        }
+        Told::Connection(connection) => {
+            // Its place comes with it.
+            share = share.saturating_sub(1);
+            keep(share);
+            // It fails where this process is ending, too.
+            let _ = pass.send(connection);
+        }
+        Told::Alone => {
+            tracing::info!("the process that was here before has gone");
+            keep(0);
+        }
+    }));
+    passed
+}
+
+/// Can be called from now on by a process that is to take over.
+pub fn offer(
+    name: &str,
+    listen: SocketAddr,
+    listener: &TcpListener,
+    connections: &Rc<Connections>,
+) -> Option<Rc<Offer>> {
+    use std::os::fd::AsFd;
+    let path = path(listen)?;
+    let listener = listener.as_fd().try_clone_to_owned().map(Into::into);
+    let all = connections.used().1;
+    let estate = Part { connections: Rc::clone(connections), all, kept: Cell::new(all) };
+    let offer = listener.and_then(|listener| Offer::new(path, identity(name, listen), listener, estate));
+    offer.inspect_err(|error| tracing::warn!("this process cannot be replaced unnoticed: {error}")).ok()
+}
+
+/// This process's part of the descriptors that are one node's.
+struct Part {
+    connections: Rc<Connections>,
+    all: usize,
+    kept: Cell<usize>,
+}
+
+impl Part {
+    fn keep(&self, most: usize) -> usize {
+        self.kept.set(most);
+        self.connections.tell(Event::Part { most });
+        most
+    }
+}
+
+impl Estate for Part {
+    fn part(&self) -> (usize, serde_json::Value) {
+        // Half, or what is in use already.
+        let used = self.connections.used().0;
+        (self.keep(used.max(self.all / 2)), serde_json::Value::Null)
+    }
+
+    fn shrink(&self) -> usize {
+        self.keep(self.connections.used().0.min(self.kept.get()))
+    }
+
+    fn whole(&self) {
+        self.keep(self.all);
+    }
+}
+
+/// The process that takes over, as the front sees it.
+pub struct Heir(pub Rc<Offer>);
+
+impl Successor for Heir {
+    fn is_there(&self) -> bool {
+        self.0.passes()
+    }
+
+    fn take(&self, connection: std::net::TcpStream) -> Result<(), std::net::TcpStream> {
+        self.0.pass(connection)
+    }
+
+    fn has_all(&self) -> bool {
+        self.0.is_sent()
+    }
+}
--- a/crates/spurdrum/tests/net/mod.rs
+++ b/crates/spurdrum/tests/net/mod.rs
@@ -61,9 +61,17 @@
     let mut command = Command::new(env!("CARGO_BIN_EXE_spurdrum"));
     command.env("GW_NAME", "n0").env("GW_LISTEN", address.to_string());
     command.env("GW_DISCOVERY", discovery.to_string()).env("GW_CONFIG", path);
+    command.env("TMPDIR", own_directory(address));
     command
 }
 
+/// The directory that the processes of a node share. Sockets' paths must be short.
+pub fn own_directory(address: SocketAddr) -> std::path::PathBuf {
+    let path = std::env::temp_dir().join(format!("spd-{}", address.to_string().replace(':', "-")));
+    std::fs::create_dir_all(&path).expect("made");
+    path
+}
+
 impl Node {
     /// Starts with this configuration; returns when it is healthy.
     pub fn start(config: &Value) -> Self {
@@ -98,10 +106,22 @@
         std::fs::write(&new, file).and_then(|()| std::fs::rename(&new, path)).expect("replaced");
     }
 
-    fn run(mut command: Command, address: SocketAddr, discovery: Server) -> Self {
+    /// A second process of this node, beside the first, with another address for operators.
+    pub fn beside(&self, config: &Value, ops: SocketAddr) -> Self {
+        let discovery = Server::start();
+        let mut command = command(&config.to_string(), self.address, discovery.address);
+        command.env("GW_OPS", ops.to_string());
+        Self::spawn(command, self.address, discovery)
+    }
+
+    fn spawn(mut command: Command, address: SocketAddr, discovery: Server) -> Self {
         let mut child = command.stderr(Stdio::piped()).spawn().expect("started");
         let log = BufReader::new(child.stderr.take().expect("piped"));
-        let node = Self { address, discovery, child, log };
+        Self { address, discovery, child, log }
+    }
+
+    fn run(command: Command, address: SocketAddr, discovery: Server) -> Self {
+        let node = Self::spawn(command, address, discovery);
         let since = Instant::now();
         while TcpStream::connect(address).is_err() {
             assert!(since.elapsed() < LONG, "the node does not listen");
--- a/crates/spurdrum/tests/node.rs
+++ b/crates/spurdrum/tests/node.rs
@@ -11,6 +11,8 @@
 mod ops;
 #[path = "node/registry.rs"]
 mod registry;
+#[path = "node/replace.rs"]
+mod replace;
 use net::*;
 
 use std::io::{Read, Write};
--- a/crates/spurdrum/tests/node/ops.rs
+++ b/crates/spurdrum/tests/node/ops.rs
@@ -27,7 +27,7 @@
 }
 
 /// Asks until it is true: what is counted may come a moment after the answer.
-fn until(mut what: impl FnMut() -> bool) {
+pub fn until(mut what: impl FnMut() -> bool) {
     let since = Instant::now();
     while !what() {
         assert!(since.elapsed() < LONG, "it does not come");
--- /dev/null
+++ b/crates/spurdrum/tests/node/replace.rs
@@ -0,0 +1,201 @@
+//! One process takes over from another.
+
+use super::ops::{call, figures, operated, until};
+use super::*;
+
+struct Pair {
+    server: Server,
+    old: Node,
+    new: Node,
+    /// Where operators call the new one.
+    ops: SocketAddr,
+}
+
+/// A node before one server, and a second process of it that is ready.
+fn pair(before: impl FnOnce(&Node)) -> Pair {
+    let server = Server::start();
+    let (config, _) = operated(&[&server]);
+    let old = Node::start(&config);
+    before(&old);
+    let ops = own_address();
+    let new = old.beside(&config, ops);
+    ready(ops);
+    Pair { server, old, new, ops }
+}
+
+/// Waits until a process says yes.
+fn ready(ops: SocketAddr) {
+    until(|| TcpStream::connect(ops).is_ok() && call(ops, "readyz").starts_with("YES"));
+}
+
+fn serve(server: &Server, client: &mut Client) {
+    client.send(&request("update", 20.0));
+    server.request().answer(OK, "", b"served");
+    assert_eq!(client.answer().status(), 200);
+}
+
+#[test]
+fn connections_that_rest_go_on_at_the_new_process() {
+    let mut kept = Vec::new();
+    let Pair { server, mut old, new, ops } = pair(|old| {
+        kept.extend((0..8).map(|_| old.client()));
+    });
+    // Some have asked, some never have.
+    for client in &mut kept[..4] {
+        serve(&server, client);
+    }
+    old.terminate();
+    assert!(old.wait().success());
+    for client in &mut kept {
+        serve(&server, client);
+    }
+    serve(&server, &mut new.client());
+    until(|| figures(ops)["calls"]["update"]["success"].as_u64() >= Some(5));
+}
+
+#[test]
+fn what_the_old_process_has_taken_it_answers_and_then_its_connection_goes_on() {
+    let mut clients = Vec::new();
+    let Pair { server, mut old, new, ops } = pair(|old| clients.push(old.client()));
+    let client = &mut clients[0];
+    // The first request on a connection of the old process alone.
+    client.send(&request("pay", 20.0));
+    let open = server.request();
+    old.terminate();
+    // Others are served meanwhile, by the new one alone: the old one accepts no more.
+    until(|| {
+        figures(ops)["calls"]["update"]["success"].as_u64() >= Some(3) || {
+            serve(&server, &mut new.client());
+            false
+        }
+    });
+    open.answer(OK, "", b"late");
+    assert_eq!(client.answer().status(), 200);
+    assert!(old.wait().success());
+    serve(&server, client);
+}
+
+#[test]
+fn a_half_sent_request_is_served_whole() {
+    let mut clients = Vec::new();
+    let Pair { server, mut old, new: _new, .. } = pair(|old| clients.push(old.client()));
+    let client = &mut clients[0];
+    let whole = request("update", 20.0);
+    client.send(&whole[..20]);
+    std::thread::sleep(Duration::from_millis(20));
+    old.terminate();
+    client.send(&whole[20..]);
+    server.request().answer(OK, "", b"served");
+    assert_eq!(client.answer().status(), 200);
+    assert!(old.wait().success());
+    serve(&server, client);
+}
+
+#[test]
+fn where_the_new_process_dies_the_old_one_serves_on_and_can_be_replaced_again() {
+    let Pair { server, mut old, new, .. } = pair(|_| {});
+    new.signal("-KILL");
+    drop(new);
+    for _ in 0..4 {
+        serve(&server, &mut old.client());
+    }
+    let (config, ops) = (config(&members(&[&server])), own_address());
+    let next = old.beside(&config, ops);
+    ready(ops);
+    old.terminate();
+    assert!(old.wait().success());
+    serve(&server, &mut next.client());
+}
+
+#[test]
+fn where_the_old_process_dies_the_new_one_has_the_queue() {
+    let Pair { server, old, new, .. } = pair(|_| {});
+    old.signal("-KILL");
+    for _ in 0..4 {
+        serve(&server, &mut new.client());
+    }
+}
+
+#[test]
+fn a_directory_or_socket_that_is_no_use_only_costs_the_passing_on() {
+    let server = Server::start();
+    let (config, _) = operated(&[&server]);
+    let old = Node::start(&config);
+    // Somebody has taken the file away, and put something else there.
+    for entry in std::fs::read_dir(own_directory(old.address)).expect("read") {
+        let path = entry.expect("read").path();
+        std::fs::remove_file(&path).and_then(|()| std::fs::write(&path, "not a socket")).expect("replaced");
+    }
+    let ops = own_address();
+    let mut new = old.beside(&config, ops);
+    ready(ops);
+    for _ in 0..4 {
+        serve(&server, &mut new.client());
+    }
+    drop(old);
+    serve(&server, &mut new.client());
+    new.terminate();
+    assert!(new.wait().success());
+}
+
+#[test]
+fn replaced_over_and_over_under_load_no_request_is_lost_or_run_twice() {
+    let server = Server::start();
+    let (config, _) = operated(&[&server]);
+    let mut node = Node::start(&config);
+    let (address, stop) = (node.address, std::sync::Arc::new(std::sync::atomic::AtomicBool::new(false)));
+    let done = |stop: &std::sync::atomic::AtomicBool| stop.load(std::sync::atomic::Ordering::Relaxed);
+    let clients: Vec<_> = (0..6)
+        .map(|n| {
+            let stop = std::sync::Arc::clone(&stop);
+            std::thread::spawn(move || {
+                let (mut served, mut kept) = (0, Client::connect(address));
+                while !done(&stop) {
+                    // Odd ones connect anew for each request.
+                    if n % 2 == 1 {
+                        kept = Client::connect(address);
+                    }
+                    kept.send(&request(if n % 3 == 0 { "pay" } else { "update" }, 20.0));
+                    assert_eq!(kept.answer().status(), 200);
+                    served += 1;
+                }
+                served
+            })
+        })
+        .collect();
+    let (quiet, over) = (
+        std::sync::Arc::new(std::sync::atomic::AtomicBool::new(false)),
+        std::sync::Arc::new(std::sync::Mutex::new(0)),
+    );
+    let (answering, ran) = (std::sync::Arc::clone(&quiet), std::sync::Arc::clone(&over));
+    let serving = std::thread::spawn(move || {
+        let mut seen = std::collections::HashSet::new();
+        loop {
+            let over = done(&answering);
+            if let Some(got) = server.poll() {
+                assert!(seen.insert(got.request.header("x-request-id").map(str::to_owned)), "it ran twice");
+                got.answer(OK, "", b"x");
+                *ran.lock().expect("counted") += 1;
+            } else if over {
+                break;
+            } else {
+                std::thread::sleep(Duration::from_micros(200));
+            }
+        }
+    });
+    for _ in 0..4 {
+        let ops = own_address();
+        let next = node.beside(&config, ops);
+        ready(ops);
+        let before = *over.lock().expect("counted");
+        node.terminate();
+        assert!(node.wait().success());
+        node = next;
+        until(|| *over.lock().expect("counted") > before + 50);
+    }
+    stop.store(true, std::sync::atomic::Ordering::Relaxed);
+    let served: usize = clients.into_iter().map(|client| client.join().expect("each is answered 200")).sum();
+    quiet.store(true, std::sync::atomic::Ordering::Relaxed);
+    serving.join().expect("none ran twice");
+    assert_eq!(served, *over.lock().expect("counted"));
+}
