Take new settings while serving: classes come and go, held requests keep their rules

Tests: property tests of the module under any sequence of settings, of the mapping, and every kind of bad file over sockets; the quota's test fails without the mapping.

--- a/crates/spurdrum-core/src/connections.rs
+++ b/crates/spurdrum-core/src/connections.rs
@@ -93,8 +93,10 @@
     pub server_to_close: Notify,
     /// An answer that its client does not read is held for so long.
     pub unread_most: Duration,
-    /// What a refusal for want of a place says.
-    pub retry_after_ms: Option<f64>,
+    /// What refusals for want of a place say.
+    retry_after_ms: Cell<Option<f64>>,
+    /// What it says at the most where settings allow it.
+    retry_after_own_ms: f64,
     reported: Cell<Instant>,
 }
 
@@ -122,11 +124,22 @@
             sleeps_until: Cell::new(None),
             changed: Notify::new(),
             server_to_close: Notify::new(),
-            retry_after_ms: retry_after_most_ms.map(|most| most.min(after)),
+            retry_after_ms: Cell::new(retry_after_most_ms.map(|most| most.min(after))),
+            retry_after_own_ms: after,
             reported: Cell::new(Instant::now()),
         }))
     }
 
+    /// What a refusal for want of a place says.
+    pub fn retry_after_ms(&self) -> Option<f64> {
+        self.retry_after_ms.get()
+    }
+
+    /// Clients may be told to come back after so long at the latest, from now on.
+    pub fn set_retry_after_most(&self, most_ms: Option<f64>) {
+        self.retry_after_ms.set(most_ms.map(|most| most.min(self.retry_after_own_ms)));
+    }
+
     /// Tells the decisions what has happened, and carries out what they say.
     pub fn tell(&self, event: Event) -> Verdict {
         let mut actions = Vec::new();
--- a/crates/spurdrum-core/src/node.rs
+++ b/crates/spurdrum-core/src/node.rs
@@ -8,8 +8,8 @@
 
 use spurdrum_affinity::Affinity;
 use spurdrum_policy::{
-    Action, Availability, Balancer, Ending, Event, Listing, Outcome, Report, Request, RequestId, ServerEntry,
-    ServerId, Settings,
+    Action, Availability, Balancer, Ending, Event, Listing, NewSettings, Outcome, Report, Request, RequestId,
+    ServerEntry, ServerId, Settings,
 };
 use tokio::sync::oneshot;
 use tokio::time::{sleep, Instant};
@@ -23,7 +23,7 @@
 pub struct Config {
     /// For random numbers.
     pub seed: u64,
-    /// What the decisions go by.
+    /// What the decisions go by at first.
     pub settings: Settings,
     /// Requests that it may hold at once.
     pub most_held: usize,
@@ -91,7 +91,9 @@
 /// One node; all of its parts hold it.
 pub struct Node<T: Transport> {
     /// What it was told at its start.
-    pub config: Config,
+    config: Config,
+    settings: RefCell<Rc<Settings>>,
+    most_held: Cell<usize>,
     /// Who holds the node's descriptors.
     pub connections: Rc<Connections>,
     /// What operators see of it.
@@ -133,6 +135,8 @@
             Balancer::new(config.settings.clone(), config.seed).map_err(|e| format!("`settings`: {e}"))?;
         let started_unix_ms = unix_ms()?;
         Ok(Rc::new(Self {
+            settings: RefCell::new(Rc::new(config.settings.clone())),
+            most_held: Cell::new(config.most_held),
             config,
             connections,
             figures,
@@ -216,6 +220,23 @@
         }
     }
 
+    /// What the decisions go by now.
+    pub fn settings(&self) -> Rc<Settings> {
+        Rc::clone(&self.settings.borrow())
+    }
+
+    /// Other settings hold for what comes from now on; what is held keeps the rules it came under.
+    pub fn retune(self: &Rc<Self>, new: NewSettings, most_held: usize) {
+        self.settings.replace(Rc::new(new.settings.clone()));
+        self.most_held.set(most_held);
+        self.handle(Event::Settings(Box::new(new)));
+    }
+
+    /// Connections to servers.
+    pub fn transport(&self) -> &T {
+        &self.transport
+    }
+
     // ---- Requests
 
     /// Takes a request, where that can be. The answer comes through `answer`.
@@ -225,7 +246,7 @@
         request: Request,
         answer: oneshot::Sender<Answer<T::Body>>,
     ) -> Result<RequestId, NotTaken> {
-        if self.requests.borrow().len() >= self.config.most_held {
+        if self.requests.borrow().len() >= self.most_held.get() {
             return Err(NotTaken::Full);
         }
         if !self.names.borrow_mut().insert(asked.name().clone()) {
@@ -370,7 +391,7 @@
             }
             entry.server = number;
             if self.affinity.is_some() {
-                bound.push(bindable(id, &entry, self.config.settings.zone));
+                bound.push(bindable(id, &entry, self.settings().zone));
             }
             entries.push(entry);
         }
--- a/crates/spurdrum-http/src/front.rs
+++ b/crates/spurdrum-http/src/front.rs
@@ -80,6 +80,9 @@
     pub tenants: Vec<String>,
 }
 
+/// The names as they are now: the program replaces them when it is given other settings.
+pub type SharedNames = Rc<RefCell<Rc<Names>>>;
+
 /// The process that takes over from this one, where there is one.
 pub trait Successor {
     /// Whether it accepts from the same queue as this process, and takes what rests.
@@ -102,7 +105,7 @@
 /// Clients' connections.
 pub struct Front {
     node: Rc<Node>,
-    names: Names,
+    names: SharedNames,
     /// How keys are made, where that is on.
     keys: Option<Rc<Keys>>,
     /// What `/_health` says beside its own.
@@ -116,7 +119,7 @@
 
 impl Front {
     /// A front of this node, whose requests use these names. `status` is shown with `/_health`.
-    pub fn new(node: Rc<Node>, names: Names, status: impl Fn() -> String + 'static) -> Self {
+    pub fn new(node: Rc<Node>, names: SharedNames, status: impl Fn() -> String + 'static) -> Self {
         Self {
             node,
             names,
@@ -161,7 +164,7 @@
         }
     }
     front.ending.set(true);
-    let longest = node.config.settings.classes.iter().map(|class| class.deadline_ms).fold(0.0, f64::max);
+    let longest = node.settings().classes.iter().map(|class| class.deadline_ms).fold(0.0, f64::max);
     let asked = Instant::now();
     if front.is_succeeded() {
         node.connections.tell(Event::Passing);
@@ -276,7 +279,7 @@
     }
     if came > 0 {
         // It fails where the client has left.
-        let _ = stream.write(refusal_text(front.node.connections.retry_after_ms).as_bytes());
+        let _ = stream.write(refusal_text(front.node.connections.retry_after_ms()).as_bytes());
         let _ = stream.shutdown(Shutdown::Write);
         if let Some(class) = class {
             front.node.figures.ended(&class, Fate::Busy);
@@ -348,7 +351,7 @@
         }
         End::Last | End::Close | End::Pass => None,
         End::Expire(Reason::SlowHead) => Some(TOO_SLOW.to_owned()),
-        End::Expire(_) => Some(refusal_text(front.node.connections.retry_after_ms)),
+        End::Expire(_) => Some(refusal_text(front.node.connections.retry_after_ms())),
     };
     if let Some(text) = text {
         let _ = socket.stream.try_write(text.as_bytes());
@@ -482,7 +485,7 @@
         "/_health" => plain(StatusCode::OK, format!("ready\n{}\n", (front.status)())),
         _ if place == Verdict::Refuse => {
             *ends = true;
-            refusal(front.node.connections.retry_after_ms)
+            refusal(front.node.connections.retry_after_ms())
         }
         "/api" => api(front, seat, request, ends).await,
         _ => plain(StatusCode::NOT_FOUND, "no such path\n"),
@@ -534,7 +537,8 @@
     let node = &front.node;
     let came = Instant::now();
     let (head, body) = request.into_parts();
-    let asked = read_head(front, &head.method, &head.headers);
+    let names = Rc::clone(&front.names.borrow());
+    let mut asked = read_head(front, &head.method, &head.headers);
     let wait = asked.as_ref().map_or(WAIT_MOST, |(wait, _)| *wait);
     seat.reading_body.set(true);
     let body = tokio::select! {
@@ -554,7 +558,7 @@
             *ends = true;
             return match reason {
                 // It makes room for others: that is no fault of its client.
-                Reason::Shed | Reason::Starved => refusal(node.connections.retry_after_ms),
+                Reason::Shed | Reason::Starved => refusal(node.connections.retry_after_ms()),
                 _ => plain(StatusCode::REQUEST_TIMEOUT, "the body does not come\n"),
             };
         }
@@ -563,6 +567,10 @@
     seat.take_order();
     seat.tell(Event::Taken { id: seat.id });
     let _open = node.figures.open();
+    if !Rc::ptr_eq(&names, &front.names.borrow()) {
+        // Other settings hold by now: a request has those under which it is taken.
+        asked = read_head(front, &head.method, &head.headers);
+    }
     let (wait, mut asked) = match asked {
         Ok(asked) => asked,
         Err(why) => return plain(StatusCode::BAD_REQUEST, why),
@@ -605,7 +613,7 @@
     let id = match node.take(forward, asked, answer) {
         Ok(id) => id,
         // The settings' bound, not a decision: how long it lasts is not known.
-        Err(NotTaken::Full) => return refusal(node.config.settings.retry_after_most_ms),
+        Err(NotTaken::Full) => return refusal(node.settings().retry_after_most_ms),
         Err(NotTaken::Known) => return plain(StatusCode::CONFLICT, "X-Request-Id is in use\n"),
     };
     let _waiting = Waiting { node: Rc::clone(node), id };
@@ -638,12 +646,23 @@
         return Err("a field comes twice\n");
     }
     let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
-    let names = &front.names;
+    let names = Rc::clone(&front.names.borrow());
     if text("x-request-id").is_none_or(str::is_empty) {
         return Err("X-Request-Id is missing\n");
     }
-    let class = text("x-class").and_then(|name| names.classes.iter().position(|n| n == name));
-    let class = class.ok_or("X-Class is missing or unknown\n")?;
+    let settings = front.node.settings();
+    // Without its key a keyed request could take effect twice.
+    let key = text("idempotency-key").is_some_and(|key| !key.is_empty());
+    let fits = |class: &usize| match settings.classes[*class].effect {
+        Effect::Safe => method == Method::GET,
+        Effect::Keyed { .. } => method == Method::POST && key,
+        Effect::Unsafe => method == Method::POST,
+    };
+    // While a class changes its effect there are two of its name, the new one first.
+    let named = text("x-class").map(|name| names.classes.iter().enumerate().filter(move |(_, n)| *n == name));
+    let mut named = named.into_iter().flatten().map(|(class, _)| class).peekable();
+    named.peek().ok_or("X-Class is missing or unknown\n")?;
+    let class = named.find(fits).ok_or("the method or Idempotency-Key does not fit X-Class\n")?;
     let tenant = match text("x-tenant") {
         _ if names.tenants.is_empty() => Some(0),
         name => name.and_then(|name| names.tenants.iter().position(|n| n == name)),
@@ -653,17 +672,6 @@
     let wait = wait.and_then(|seconds| Duration::try_from_secs_f64(seconds).ok());
     let wait = wait.filter(|wait| !wait.is_zero() && *wait <= WAIT_MOST);
     let wait = wait.ok_or("X-Deadline is missing or no time above 0\n")?;
-    // Without its key a keyed request could take effect twice.
-    let fits = match front.node.config.settings.classes[class].effect {
-        Effect::Safe => method == Method::GET,
-        Effect::Keyed { .. } => {
-            method == Method::POST && text("idempotency-key").is_some_and(|k| !k.is_empty())
-        }
-        Effect::Unsafe => method == Method::POST,
-    };
-    if !fits {
-        return Err("the method or Idempotency-Key does not fit X-Class\n");
-    }
     let cost_us = text("x-cost-hint").and_then(|text| text.parse::<f64>().ok());
     let request = spurdrum_policy::Request {
         tenant,
--- a/crates/spurdrum-http/src/lib.rs
+++ b/crates/spurdrum-http/src/lib.rs
@@ -6,6 +6,6 @@
 mod socket;
 mod upstream;
 
-pub use front::{run, Front, Names, Passed, Successor};
+pub use front::{run, Front, Names, Passed, SharedNames, Successor};
 pub use keys::Keys;
 pub use upstream::{load_report, Forward, Served, Upstream, BODY_MOST};
--- a/crates/spurdrum-http/src/upstream.rs
+++ b/crates/spurdrum-http/src/upstream.rs
@@ -160,8 +160,8 @@
     servers: RefCell<HashMap<ServerId, Rc<Server>>>,
     connections: Rc<Connections>,
     figures: Rc<Figures>,
-    keep: Duration,
-    dial_timeout: Duration,
+    keep: Cell<Duration>,
+    dial_timeout: Cell<Duration>,
     /// How keys are made, where that is on.
     keys: Option<Rc<Keys>>,
 }
@@ -175,10 +175,17 @@
         conn_idle: Duration,
         dial_timeout: Duration,
     ) -> Self {
-        let (servers, keep) = (RefCell::default(), conn_idle.mul_f64(IDLE_PART));
+        let (servers, keep) = (RefCell::default(), Cell::new(conn_idle.mul_f64(IDLE_PART)));
+        let dial_timeout = Cell::new(dial_timeout);
         Self { servers, connections, figures, keep, dial_timeout, keys: None }
     }
 
+    /// Other times hold from now on.
+    pub fn set_times(&self, conn_idle: Duration, dial_timeout: Duration) {
+        self.keep.set(conn_idle.mul_f64(IDLE_PART));
+        self.dial_timeout.set(dial_timeout);
+    }
+
     /// Servers may give out keys in their answers.
     #[must_use]
     pub fn with_keys(self, keys: Option<Rc<Keys>>) -> Self {
@@ -228,7 +235,7 @@
             return Reply::none(Ending::NotSent);
         };
         loop {
-            let (mut connection, kept) = match server.idle(self.keep) {
+            let (mut connection, kept) = match server.idle(self.keep.get()) {
                 Some(connection) => (connection, true),
                 None => match self.connect(&server, self.dial_most(forward)).await {
                     Ok(connection) => (connection, false),
@@ -281,7 +288,8 @@
     fn dial_most(&self, forward: Option<&Forward>) -> Duration {
         let left =
             forward.map(|f| f.gives_up_at.saturating_duration_since(Instant::now()).mul_f64(DIAL_PART));
-        left.map_or(self.dial_timeout, |left| left.min(self.dial_timeout))
+        let most = self.dial_timeout.get();
+        left.map_or(most, |left| left.min(most))
     }
 }
 
@@ -310,7 +318,7 @@
     }
 
     fn close_idle(&self) {
-        self.servers.borrow().values().for_each(|server| server.close_idle(self.keep));
+        self.servers.borrow().values().for_each(|server| server.close_idle(self.keep.get()));
     }
 
     fn close_oldest(&self) -> bool {
@@ -341,7 +349,7 @@
 
     async fn probe(&self, server: ServerId) -> Answered {
         let sent = Cell::new(false);
-        let reply = timeout(self.dial_timeout, self.exchange(server, None, &sent)).await;
+        let reply = timeout(self.dial_timeout.get(), self.exchange(server, None, &sent)).await;
         let mut reply = reply.unwrap_or_else(|_| Reply::none(Ending::TimedOut));
         if let Some(body) = reply.body.take() {
             reply.report = std::str::from_utf8(&body.bytes).ok().and_then(load_report).or(reply.report);
--- a/crates/spurdrum-policy/src/interface.rs
+++ b/crates/spurdrum-policy/src/interface.rs
@@ -41,7 +41,7 @@
 }
 
 /// A class of requests.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Class {
     /// Answers within this time have the full worth.
     pub aim_ms: f64,
@@ -374,6 +374,17 @@
     pub report: Option<Report>,
 }
 
+/// Settings that take the place of others.
+#[derive(Clone, Debug, PartialEq)]
+pub struct NewSettings {
+    /// All of them. Where one makes no sense, nothing changes.
+    pub settings: Settings,
+    /// For each class, which of the earlier ones it is, if it was there: what was learned of it stays.
+    pub classes: Vec<Option<usize>>,
+    /// For each tenant, which of the earlier ones it is, if it was there: what it has used of its quota stays.
+    pub tenants: Vec<Option<usize>>,
+}
+
 /// What happens to a node.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
@@ -388,6 +399,8 @@
         /// The attempt.
         attempt: usize,
     },
+    /// Other settings hold for what comes from now on; requests that are held keep the rules they came under.
+    Settings(Box<NewSettings>),
     /// An attempt ended.
     Outcome(Outcome),
     /// The client left; nothing more is owed.
--- a/crates/spurdrum-policy/src/rules.rs
+++ b/crates/spurdrum-policy/src/rules.rs
@@ -145,9 +145,11 @@
     stalled: bool,
 }
 
-#[derive(Default)]
 struct Held {
+    /// The place of its class in the present settings. Its rules and its number of attempts never change.
     class: usize,
+    rules: Class,
+    max_attempts: usize,
     gives_up_at: f64,
     attempts: Vec<Attempt>,
     /// The first attempt that may have run or may still run.
@@ -246,6 +248,7 @@
     pub fn handle(&mut self, now: f64, event: Event, actions: &mut Vec<Action>) {
         match event {
             Event::Servers(listing) => self.listing(listing, actions),
+            Event::Settings(new) => self.retune(*new, actions),
             Event::Request(request) => self.request(now, &request, actions),
             Event::Outcome(outcome) => self.outcome(now, &outcome, actions),
             Event::ClientGone(id) => self.client_gone(id, actions),
@@ -266,6 +269,25 @@
         listed.filter(|s| s.ejected_until.is_some_and(|until| until > now)).count()
     }
 
+    /// Goes by other settings from now on; what was learned stays.
+    fn retune(&mut self, new: NewSettings, actions: &mut Vec<Action>) {
+        let NewSettings { settings, classes, tenants } = new;
+        let Ok(fresh) = Self::new(settings, 0) else {
+            return actions.push(Action::Note("settings that make no sense are passed over".into()));
+        };
+        let was = |of: &[Option<usize>], i: usize| of.get(i).copied().flatten();
+        let pace = |i| was(&classes, i).and_then(|k| self.classes.get(k)).copied().unwrap_or_default();
+        let paces = (0..fresh.classes.len()).map(pace).collect();
+        let quota = |(i, new)| was(&tenants, i).and_then(|k| self.quotas.get(k)).copied().unwrap_or(new);
+        let quotas = fresh.quotas.into_iter().enumerate().map(quota).collect();
+        for held in self.held.values_mut() {
+            held.class = classes.iter().position(|of| *of == Some(held.class)).unwrap_or(usize::MAX);
+        }
+        (self.classes, self.quotas, self.settings) = (paces, quotas, fresh.settings);
+        (self.asks, self.sparse, self.aim) = (fresh.asks, fresh.sparse, fresh.aim);
+        self.lay_out();
+    }
+
     // ---- The list of servers
 
     fn listing(&mut self, listing: Listing, actions: &mut Vec<Action>) {
@@ -377,7 +399,7 @@
 
     /// All servers that the rules allow for this request.
     fn candidates(&mut self, now: f64, held: &Held) -> Vec<Candidate> {
-        let class = &self.settings.classes[held.class];
+        let class = held.rules;
         let half_life = HALF_LIFE * self.aim;
         // What is not confirmed fades to an easy guess: a node that refuses all would learn nothing more.
         let (latency, depth) =
@@ -446,11 +468,22 @@
     // ---- A request's way
 
     fn request(&mut self, now: f64, request: &Request, actions: &mut Vec<Action>) {
-        let mut held = Held { class: request.class, gives_up_at: now + request.budget_ms, ..Held::default() };
-        held.prefers = request.prefers.map(|server| server.0);
-        if request.class >= self.settings.classes.len() {
+        let Some(rules) = self.settings.classes.get(request.class).copied() else {
             return actions.push(Action::Fail { request: request.id });
-        }
+        };
+        let mut held = Held {
+            class: request.class,
+            rules,
+            max_attempts: self.settings.max_attempts,
+            gives_up_at: now + request.budget_ms,
+            attempts: Vec::new(),
+            ran: None,
+            answered: false,
+            asked: Vec::new(),
+            reported: Vec::new(),
+            limit: 0.0,
+            prefers: request.prefers.map(|server| server.0),
+        };
         self.gap += ((now - self.came_at).min(self.aim) - self.gap) / RECENT;
         self.came_at = now;
         self.retries = (self.retries + RETRY_SHARE).min(RECENT);
@@ -468,7 +501,7 @@
             self.servers.get_mut(at).expect("picked").count.iter_mut().for_each(|count| *count += 1.0);
             actions.push(Action::Probe { server: ServerId(*at) });
         }
-        let after_ms = self.settings.classes[held.class].aim_ms.min(request.budget_ms) * ASK_PART;
+        let after_ms = held.rules.aim_ms.min(request.budget_ms) * ASK_PART;
         self.asking_for.push(request.id);
         self.held.insert(request.id, held);
         if self.held[&request.id].asked.is_empty() {
@@ -529,25 +562,26 @@
         if self.asks == 0 && self.all.seen < RECENT {
             return f64::INFINITY;
         }
-        let density = |k: usize| self.settings.classes[k].worth / self.relative(k);
+        let rules = |k: usize| self.settings.classes.get(k).copied().unwrap_or(held.rules);
+        let density = |k: usize| rules(k).worth / self.relative(k);
         let best = (0..self.classes.len()).map(density).fold(0.0, f64::max);
         let quota = if within_quota { 1.0 } else { self.settings.over_quota_worth };
         let worth = if best > 0.0 { density(held.class) * quota / best } else { 1.0 };
         // What is late is not lost where it still has some worth; counts just asked for need less margin.
-        let late = if self.asks > 0 { ASKED_SURE } else { self.settings.classes[held.class].late_worth };
+        let late = if self.asks > 0 { ASKED_SURE } else { held.rules.late_worth };
         let soft = |part: f64, rest: f64| part + (1.0 - part) * rest;
         let part = soft(AIM_PART, late) * soft(soft(LEAST_AIM, late), worth);
         // A distant aim must not let low worth fill the queues in which worthier classes would be late.
         let (own, all) = (density(held.class), 0..self.classes.len());
-        let worthier = all.filter(|k| *k == held.class || density(*k) > own);
-        let aim = |k: usize| self.settings.classes[k].aim_ms / self.relative(k);
+        let worthier = all.filter(|k| density(*k) > own).chain([held.class]);
+        let aim = |k: usize| rules(k).aim_ms / self.relative(k);
         worthier.map(aim).fold(f64::INFINITY, f64::min) * part
     }
 
     /// How much longer a class takes than the mean request.
     fn relative(&self, class: usize) -> f64 {
-        let ratio = self.classes[class].latency / self.all.latency;
-        Some(ratio).filter(|r| r.is_finite() && *r > 0.0).unwrap_or(1.0)
+        let ratio = self.classes.get(class).map(|class| class.latency / self.all.latency);
+        ratio.filter(|r| r.is_finite() && *r > 0.0).unwrap_or(1.0)
     }
 
     fn send(&mut self, now: f64, id: RequestId, held: &mut Held, at: usize, actions: &mut Vec<Action>) {
@@ -558,7 +592,7 @@
         let turn = server.answers + server.out as u64 - 1;
         let (zone, cell, out) = (server.entry.zone, server.entry.cell, server.out);
         let expected = out as f64 * self.all.latency / self.all.depth.max(1.0);
-        let aim_ms = self.settings.classes[held.class].aim_ms;
+        let aim_ms = held.rules.aim_ms;
         let after_ms = (aim_ms * CUT_AIMS).max(expected * CUT_WAITS);
         let stalls_at = self.stalls_at(now, held);
         held.attempts.push(Attempt {
@@ -575,7 +609,7 @@
             stalled: false,
         });
         actions.push(Action::Send { request: id, server: ServerId(at) });
-        let more = held.attempts.len() < self.settings.max_attempts && out >= CUT_OUT;
+        let more = held.attempts.len() < held.max_attempts && out >= CUT_OUT;
         let in_time = now + after_ms < held.gives_up_at && self.may_follow(now + after_ms, held, true);
         if self.settings.cancel && more && in_time {
             actions.push(Action::SetTimer { timer: id.0 + 1, after_ms });
@@ -587,9 +621,9 @@
 
     /// When the answer to what is sent now may be thought lost: late for its class, but in time for another.
     fn stalls_at(&self, now: f64, held: &Held) -> f64 {
-        let late = now + STALL_WAITS * self.classes[held.class].latency;
+        let late = now + STALL_WAITS * self.classes.get(held.class).unwrap_or(&self.all).latency;
         let first = held.ran.map_or(now, |ran| held.attempts[ran].sent_at);
-        match self.settings.classes[held.class].effect {
+        match held.rules.effect {
             Effect::Keyed { window_ms, .. } => late.min(first + window_ms * WINDOW_PART * STALL_CUT).max(now),
             Effect::Safe | Effect::Unsafe => late,
         }
@@ -607,7 +641,7 @@
         let Some(mut held) = self.held.remove(&id) else { return };
         let likely = self.lost > STALL_MOST;
         let last = held.attempts.last().filter(|last| likely && last.open && self.is_overtaken(now, last));
-        let more = held.attempts.len() < self.settings.max_attempts && self.retries >= 1.0;
+        let more = held.attempts.len() < held.max_attempts && self.retries >= 1.0;
         if last.is_some_and(|last| !last.cut) && more && !held.answered && self.next(now, &mut held).is_some()
         {
             let attempt = held.attempts.len() - 1;
@@ -642,7 +676,7 @@
             self.settings.cancel && attempt.open && !attempt.cut && now >= attempt.cut_at && !held.answered;
         let silent = self.servers.get(&attempt.server);
         let silent = silent.is_some_and(|s| s.heard_at < attempt.sent_at && s.out >= CUT_OUT);
-        if !due || !silent || last + 1 >= self.settings.max_attempts || self.retries < 1.0 {
+        if !due || !silent || last + 1 >= held.max_attempts || self.retries < 1.0 {
             return None;
         }
         let at = attempt.server;
@@ -669,7 +703,7 @@
         attempt.open = false;
         let at = attempt.server;
         outcome.report.into_iter().for_each(|report| self.report(at, report));
-        self.judge(now, held.class, &held.attempts[outcome.attempt], outcome, actions);
+        self.judge(now, &held, &held.attempts[outcome.attempt], outcome, actions);
         if outcome.ending.may_have_run() && held.ran.is_none() {
             held.ran = Some(outcome.attempt);
         }
@@ -686,7 +720,7 @@
     /// Whether what may have run, also of the last attempt where that counts, lets another attempt follow.
     fn may_follow(&self, now: f64, held: &Held, with_last: bool) -> bool {
         let ran = held.ran.or_else(|| held.attempts.len().checked_sub(1).filter(|_| with_last));
-        match (ran, self.settings.classes[held.class].effect) {
+        match (ran, held.rules.effect) {
             (None, _) | (_, Effect::Safe) => true,
             (Some(ran), Effect::Keyed { window_ms, .. }) => {
                 now - held.attempts[ran].sent_at < window_ms * WINDOW_PART
@@ -698,7 +732,7 @@
     /// A further attempt where class, time and budget allow it, else the final answer.
     fn further(&mut self, now: f64, id: RequestId, held: &mut Held, actions: &mut Vec<Action>) {
         let allowed = self.may_follow(now, held, false);
-        let budget = held.attempts.len() < self.settings.max_attempts && self.retries >= 1.0;
+        let budget = held.attempts.len() < held.max_attempts && self.retries >= 1.0;
         if allowed && budget && now < held.gives_up_at {
             // Guards against servers filled by what others turned away (incident ia94218, big days).
             let limit = if self.asks > 0 { held.limit } else { f64::INFINITY };
@@ -713,7 +747,7 @@
 
     /// The final answer for a request that is not served: a refusal only where it promises nothing false.
     fn give_up(&mut self, id: RequestId, held: &Held, actions: &mut Vec<Action>) {
-        let harmless = match self.settings.classes[held.class].effect {
+        let harmless = match held.rules.effect {
             Effect::Safe | Effect::Keyed { group: Group::All, .. } => true,
             Effect::Keyed { .. } | Effect::Unsafe => held.ran.is_none(),
         };
@@ -739,7 +773,8 @@
 
     // ---- Health
 
-    fn judge(&mut self, now: f64, class: usize, attempt: &Attempt, outcome: &Outcome, to: &mut Vec<Action>) {
+    fn judge(&mut self, now: f64, held: &Held, attempt: &Attempt, outcome: &Outcome, to: &mut Vec<Action>) {
+        let class = held.class;
         let (at, depth, elapsed) = (attempt.server, attempt.depth, outcome.elapsed_ms);
         let (relative, half_life) = (self.relative(class), HALF_LIFE * self.aim);
         let overtaken = self.is_overtaken(now, attempt);
@@ -766,12 +801,14 @@
             Ending::Cancelled if attempt.cut => true,
             // A full server is busy, not ill; a time-out within the aim says nothing of it.
             Ending::Served | Ending::Full => false,
-            Ending::TimedOut => elapsed >= self.settings.classes[class].aim_ms,
+            Ending::TimedOut => elapsed >= held.rules.aim_ms,
             Ending::Error | Ending::Unreachable | Ending::Reset => true,
             Ending::Cancelled | Ending::NotSent => return,
         };
         if matches!(outcome.ending, Ending::Served | Ending::TimedOut) {
-            self.classes[class].add(now, f64::INFINITY, 4.0 * RECENT, elapsed, depth);
+            if let Some(class) = self.classes.get_mut(class) {
+                class.add(now, f64::INFINITY, 4.0 * RECENT, elapsed, depth);
+            }
             self.all.add(now, f64::INFINITY, 4.0 * RECENT, elapsed, depth);
             server.pace.add(now, half_life, RECENT, elapsed / relative, depth);
         }
--- a/crates/spurdrum/src/config.rs
+++ b/crates/spurdrum/src/config.rs
@@ -1,8 +1,10 @@
 //! What a node is told, wherever it comes from.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
+use serde_json::Value;
 use spurdrum_admission::Limits;
 use spurdrum_http::Names;
 use spurdrum_policy::Settings;
@@ -51,6 +53,8 @@
     pub dial_timeout: Duration,
     /// Requests that it may hold at once.
     pub most_held: usize,
+    /// What the platform said, as it said it.
+    pub told: Arc<Value>,
     /// Which requests had better share a server, where that is on.
     pub affinity: Option<Bindings>,
 }
--- a/crates/spurdrum/src/file.rs
+++ b/crates/spurdrum/src/file.rs
@@ -3,6 +3,7 @@
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::path::Path;
+use std::sync::Arc;
 use std::time::Duration;
 
 use serde::Deserialize;
@@ -438,6 +439,7 @@
             name: node.name.clone(),
             listen: node.listen,
             listen_key: "node.listen",
+            told: Arc::default(),
             ops: node.ops.map(|address| (address, "node.ops")),
             source: match (self.catalog_address(), self.fixed()) {
                 (Some(address), _) => Source::Catalog(address),
--- a/crates/spurdrum/src/main.rs
+++ b/crates/spurdrum/src/main.rs
@@ -6,8 +6,10 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::rc::Rc;
+use std::sync::Arc;
 
 use clap::{Parser, Subcommand};
+use serde_json::Value;
 use spurdrum_affinity::{Affinity, Keyer};
 use spurdrum_core::{unix_ms, Connections, Figures, Node};
 use spurdrum_http::{Front, Keys, Successor, Upstream};
@@ -27,6 +29,7 @@
 mod platform;
 mod registry;
 mod replace;
+mod retune;
 mod set;
 
 use config::{Config, Source};
@@ -207,6 +210,15 @@
     let (end_store, store_ends) = oneshot::channel();
     let (store_status, stored) = keep_bindings(&node, &config.affinity, bindings, store_ends);
     let places = Rc::new(config.places);
+    let names = Rc::new(RefCell::new(Rc::new(config.names)));
+    let fixed = affinity.is_some();
+    let retuner = retune::Retuner::new(
+        Rc::clone(&node),
+        Rc::clone(&names),
+        Rc::clone(&places),
+        fixed,
+        config.most_held,
+    );
     // With a registry there may be several sources; without, the one there is goes to the core as it comes.
     let mut leaves = None;
     let registry = match config.registry {
@@ -237,10 +249,10 @@
     tokio::task::spawn_local(Rc::clone(&node).reap());
     tokio::task::spawn_local(Rc::clone(&node).lend());
     tokio::task::spawn_local(Rc::clone(&connections).keep_time());
-    let (reloaded, followed) = (Rc::clone(&sink), catalog.clone());
+    let (reloaded, followed, mut told) = (Rc::clone(&sink), catalog.clone(), config.told);
     tokio::task::spawn_local(async move {
         while reload.recv().await.is_some() {
-            read_again(file.clone(), &reloaded, followed.as_ref()).await;
+            read_again(file.clone(), &mut told, &reloaded, followed.as_ref(), &retuner).await;
         }
     });
     let ending = Rc::new(Cell::new(false));
@@ -263,7 +275,7 @@
         };
         list + &shown.unwrap_or_default()
     };
-    let front = Front::new(node, config.names, status).with_keys(keys);
+    let front = Front::new(node, names, status).with_keys(keys);
     let successor = offer.clone().map(|offer| Rc::new(replace::Heir(offer)) as Rc<dyn Successor>);
     let front = front.with_successor(successor);
     spurdrum_http::run(front, listener, passed, async move {
@@ -389,8 +401,24 @@
 
 /// Reads the configuration again, for where the list of servers is, or what it says; all else holds from the next start on.
 /// One that cannot be read changes nothing.
-async fn read_again(file: Option<PathBuf>, sink: &Sink, catalog: Option<&Rc<Catalog>>) {
-    let read = tokio::task::spawn_blocking(move || platform::read(file.as_deref())).await;
+async fn read_again(
+    file: Option<PathBuf>,
+    told: &mut Arc<Value>,
+    sink: &Sink,
+    catalog: Option<&Rc<Catalog>>,
+    retuner: &Rc<retune::Retuner>,
+) {
+    let accepted = Arc::clone(told);
+    let read = tokio::task::spawn_blocking(move || {
+        let config = platform::read(file.as_deref())?;
+        platform::lacks_nothing(&accepted, &config.told).map(|()| config)
+    });
+    let read = read.await;
+    sink.node.figures.reconfigured(matches!(read, Ok(Ok(_))));
+    if let Ok(Ok(config)) = &read {
+        *told = Arc::clone(&config.told);
+        retuner.apply(config);
+    }
     match (read, catalog) {
         (Ok(Ok(config)), Some(catalog)) => {
             if let Source::Catalog(address) = config.source {
--- a/crates/spurdrum/src/platform.rs
+++ b/crates/spurdrum/src/platform.rs
@@ -3,6 +3,7 @@
 
 use std::net::SocketAddr;
 use std::path::Path;
+use std::sync::Arc;
 use std::time::Duration;
 
 use serde::Deserialize;
@@ -27,14 +28,14 @@
     let listen = address("GW_LISTEN")?;
     let path = variable("GW_CONFIG")?;
     let text = std::fs::read_to_string(&path).map_err(|e| format!("`GW_CONFIG`: cannot read {path}: {e}"))?;
-    let mut json: Value =
+    let json: Value =
         serde_json::from_str(&text).map_err(|e| format!("`GW_CONFIG`: {path} is no JSON: {e}"))?;
     let discovery = match &json["discovery"] {
         Value::Null => address("GW_DISCOVERY")?,
         value => parse_address("discovery", value.as_str().unwrap_or_default())?,
     };
     let seed = json["seed"].as_str().and_then(|s| u64::from_str_radix(s, 16).ok());
-    let known = List::deserialize(json["known"].take()).map_err(|e| format!("`known`: {e}"))?;
+    let known = List::deserialize(&json["known"]).map_err(|e| format!("`known`: {e}"))?;
     let facts = &json["settings"];
     if !facts.is_object() {
         return Err("`settings` is missing or no object".into());
@@ -43,6 +44,7 @@
     settings.validate().map_err(|e| format!("`settings`: {e}"))?;
     let places = Places { zones: names(facts, "zones")?, kinds: names(facts, "kinds")? };
     let names = Names { classes: names(facts, "classes")?, tenants: names(facts, "parties")? };
+    check_classes(facts, &names)?;
     let allowed = &facts["allowed"];
     let mut following = file.following();
     (following.nodes, following.me) = (settings.nodes, settings.me);
@@ -66,6 +68,7 @@
         conn_idle: millis(allowed, "conn_idle_ms")?,
         dial_timeout: millis(allowed, "dial_timeout_ms")?,
         most_held: whole(allowed, "most_held")?,
+        told: Arc::new(json),
         affinity: file.affinity(),
     })
 }
@@ -79,6 +82,42 @@
     }
 }
 
+/// Whether a new configuration has every key that the accepted one has, at the same place. Lists of servers are not looked
+/// into; of classes only what every class needs: keyed ones have keys of their own.
+pub fn lacks_nothing(accepted: &Value, new: &Value) -> Result<(), String> {
+    fn look(accepted: &Value, new: &Value, path: &str) -> Result<(), String> {
+        let Value::Object(keys) = accepted else { return Ok(()) };
+        for (key, value) in keys {
+            let path = if path.is_empty() { key.clone() } else { format!("{path}.{key}") };
+            match new.get(key) {
+                None | Some(Value::Null) if !value.is_null() => return Err(format!("`{path}` is missing")),
+                Some(new) if path != "known" => look(value, new, &path)?,
+                _ => {}
+            }
+        }
+        Ok(())
+    }
+    look(accepted, new, "")
+}
+
+/// Guards against a class that some keys of are lost, which would have rules that nobody wrote.
+fn check_classes(facts: &Value, names: &Names) -> Result<(), String> {
+    for (at, class) in facts["classes"].as_array().into_iter().flatten().enumerate() {
+        let mut needed = vec!["name", "effect", "deadline_ms"];
+        if class["effect"] == "dedup" {
+            needed.extend(["group", "dedup_window_ms"]);
+        }
+        if let Some(key) = needed.into_iter().find(|key| class[*key].is_null()) {
+            return Err(format!("`settings.classes[{at}].{key}` is missing"));
+        }
+        let name = &names.classes[at];
+        if names.classes[..at].contains(name) {
+            return Err(format!("`settings.classes`: two classes have the name {name}"));
+        }
+    }
+    Ok(())
+}
+
 fn variable(key: &str) -> Result<String, String> {
     std::env::var(key).map_err(|_| format!("`{key}` is missing or no text"))
 }
--- a/crates/spurdrum/tests/node.rs
+++ b/crates/spurdrum/tests/node.rs
@@ -13,6 +13,8 @@
 mod registry;
 #[path = "node/replace.rs"]
 mod replace;
+#[path = "node/retune.rs"]
+mod retune;
 use net::*;
 
 use std::io::{Read, Write};
