Let bodies and answers of any size pass through; give slow clients their pace

Ruled out: slow clients as the cause of the last 190 cut off: 153 of them were refused for memory, as each long request counted 1 MiB. Tests: both framings both ways, 32 MB under a bound on memory, breaks at each stage, one byte at a time.

--- a/crates/spurdrum-admission/src/admission.rs
+++ b/crates/spurdrum-admission/src/admission.rs
@@ -5,7 +5,7 @@
 
 use crate::counts::{Counts, Reason};
 use crate::peers::{PeerKey, Peers};
-use crate::settings::{Settings, Shares};
+use crate::settings::{Pace, Settings, Shares};
 use crate::worth::{kind, Worth};
 use crate::{Action, Candidate, ConnId, Event, Level, Limits, State, Verdict};
 
@@ -46,6 +46,11 @@
     queued: Option<Duration>,
     /// It has a place only to be refused from.
     lobby: bool,
+    /// What comes or goes in this state is longer than is held.
+    long: bool,
+    /// Time in this state that was not its client's, and since when it is not.
+    waited: Duration,
+    waits: Option<Duration>,
     /// The next answer is its last.
     last: bool,
     /// Whether it comes back is known already.
@@ -167,6 +172,8 @@
             }
             Event::Received { id, bytes } => self.received(id, bytes),
             Event::Head { id, body } => return self.head(id, body),
+            Event::Long { id } => self.long(id),
+            Event::Waits { id, waits } => self.waits(id, waits),
             Event::Taken { id } => self.taken(id),
             Event::Answer { id, bytes, more } => return self.answer(id, bytes, more),
             Event::Sent { id, bytes } => self.progress(id, State::Writing, bytes),
@@ -316,6 +323,9 @@
             due: None,
             queued: None,
             lobby: !room,
+            long: false,
+            waited: Duration::ZERO,
+            waits: None,
             last: false,
             observed: true,
             pooled: false,
@@ -361,7 +371,7 @@
     fn has_place(&self) -> bool {
         self.serving() < self.most()
             && self.counts.open() < self.client_limit()
-            && self.memory + BASE <= self.shares.memory
+            && self.memory + BASE <= self.memory_most()
     }
 
     fn fair_share(&self) -> usize {
@@ -524,7 +534,7 @@
             conn.lobby = false;
             self.lobby -= 1;
         }
-        let fits = self.memory + body <= self.shares.memory;
+        let fits = self.memory + body <= self.memory_most();
         let conn = self.conns.get_mut(&id).expect("known");
         if conn.lobby || !fits {
             conn.last = true;
@@ -694,6 +704,7 @@
         self.counts.states[was as usize] -= 1;
         self.counts.states[state as usize] += 1;
         (conn.state, conn.since, conn.bytes) = (state, now, 0);
+        (conn.long, conn.waited, conn.waits) = (false, Duration::ZERO, None);
         conn.observed = state != State::Idle;
         if state == State::Idle {
             let worth = &mut self.peers.get_mut(peer).worth;
@@ -732,12 +743,14 @@
             State::Head => {
                 Some((conn.since + s.head.allowed(conn.bytes)).min(conn.start + s.head.most).max(conn.since))
             }
+            State::Body if conn.long => self.long_due(conn, &s.body),
             State::Body => {
                 let due = (conn.since + s.body.allowed(conn.bytes)).min(conn.start + s.body.most);
                 // A head that came late leaves its body a moment.
                 Some(due.max(conn.since + s.linger))
             }
             State::Waiting => None,
+            State::Writing if conn.long => self.long_due(conn, &s.read),
             State::Writing => Some(conn.since + s.read.allowed(conn.bytes)),
             State::Idle if !conn.observed => Some(conn.since + s.return_within.min(s.idle)),
             State::Idle => Some(conn.since + s.idle),
@@ -745,6 +758,31 @@
         }
     }
 
+    /// No time that its client is given grows without bound where nothing moves, and none ends where all is in pace.
+    fn long_due(&self, conn: &Conn, pace: &Pace) -> Option<Duration> {
+        conn.waits.is_none().then(|| conn.since + conn.waited + pace.allowed_long(conn.bytes))
+    }
+
+    fn long(&mut self, id: ConnId) {
+        let Some(conn) = self.conns.get_mut(&id).filter(|conn| !conn.gone) else { return };
+        conn.long = matches!(conn.state, State::Body | State::Writing);
+        self.progress(id, self.conns[&id].state, 0);
+    }
+
+    fn waits(&mut self, id: ConnId, waits: bool) {
+        let now = self.now;
+        let Some(conn) = self.conns.get_mut(&id).filter(|conn| conn.long && !conn.gone) else { return };
+        match (waits, conn.waits) {
+            (true, None) => conn.waits = Some(now),
+            (false, Some(since)) => {
+                conn.waited += now - since;
+                conn.waits = None;
+            }
+            _ => return,
+        }
+        self.progress(id, self.conns[&id].state, 0);
+    }
+
     fn progress(&mut self, id: ConnId, state: State, bytes: u64) {
         let Some(conn) = self.conns.get_mut(&id).filter(|conn| conn.state == state && !conn.gone) else {
             return;
@@ -909,6 +947,11 @@
         resting
     }
 
+    /// Bytes that may be promised: another process of this node has its part of them, too.
+    fn memory_most(&self) -> u64 {
+        self.shares.memory / self.shares.total as u64 * self.whole() as u64
+    }
+
     /// All descriptors that may be in use while the system has them.
     fn whole(&self) -> usize {
         self.shares.total.min(self.part)
--- a/crates/spurdrum-admission/src/lib.rs
+++ b/crates/spurdrum-admission/src/lib.rs
@@ -101,6 +101,19 @@
         /// The body's length, or the most that it may have.
         body: u64,
     },
+    /// The body that is coming, or the answer that is going, is longer than is held: its pace alone bounds its time.
+    Long {
+        /// The connection.
+        id: ConnId,
+    },
+    /// Nothing is read of a long body, as there is no room, or a long answer's source has nothing: that time is not the
+    /// client's; or it goes on.
+    Waits {
+        /// The connection.
+        id: ConnId,
+        /// Whether it waits.
+        waits: bool,
+    },
     /// The request is whole: it is owed its answer from now on.
     Taken {
         /// The connection.
--- a/crates/spurdrum-admission/src/settings.rs
+++ b/crates/spurdrum-admission/src/settings.rs
@@ -75,6 +75,11 @@
 }
 
 impl Pace {
+    /// For what is long: `most` is only for its beginning.
+    pub(crate) fn allowed_long(&self, bytes: u64) -> Duration {
+        self.first + Duration::from_secs_f64((bytes as f64 / self.rate).min(1e9))
+    }
+
     pub(crate) fn allowed(&self, bytes: u64) -> Duration {
         let more = bytes as f64 / self.rate;
         (self.first + Duration::from_secs_f64(more.min(self.most.as_secs_f64()))).min(self.most)
@@ -89,7 +94,7 @@
             clients_hold: 1.0 / 3.0,
             client_share: 5.0 / 9.0,
             floor: 0.5,
-            memory_share: 0.25,
+            memory_share: 0.4,
             silent_share: 0.25,
             sending_share: 0.75,
             pressed_at: 0.75,
@@ -104,8 +109,8 @@
             silent: ms(2500),
             silent_pressed: ms(500),
             idle: ms(5000),
-            head: Pace { first: ms(1500), rate: 4096.0, most: ms(2500) },
-            body: Pace { first: ms(1500), rate: 32_768.0, most: ms(2500) },
+            head: Pace { first: ms(2500), rate: 4096.0, most: ms(3000) },
+            body: Pace { first: ms(1500), rate: 32_768.0, most: ms(5500) },
             read: Pace { first: ms(1000), rate: 16_384.0, most: ms(6000) },
             linger: ms(500),
             peers: 4096,
--- a/crates/spurdrum-core/src/node.rs
+++ b/crates/spurdrum-core/src/node.rs
@@ -179,8 +179,17 @@
                 let (node, asked) = (Rc::clone(self), Rc::clone(&held.request));
                 tokio::task::spawn_local(async move {
                     let begun = Instant::now();
-                    let reply = node.transport.attempt(server, &asked, given_up).await;
-                    node.ended(request, server, attempt, begun.elapsed(), reply);
+                    let mut reply = node.transport.attempt(server, &asked, given_up).await;
+                    let took = reply.took.unwrap_or_else(|| begun.elapsed());
+                    if let Some(rest) = reply.rest.take() {
+                        node.handle(Event::StreamStarted { request, attempt });
+                        if let Some(body) = reply.body.take() {
+                            node.answer(request, Answer::Served(body));
+                        }
+                        // Dropped unheard, it was given up with its client.
+                        reply.ending = rest.await.unwrap_or(Ending::Cancelled);
+                    }
+                    node.ended(request, server, attempt, took, reply);
                 });
             }
             Action::Probe { server } => {
@@ -271,6 +280,11 @@
         }
     }
 
+    /// Part of its body is gone for good: it cannot be sent again.
+    pub fn spent(self: &Rc<Self>, id: RequestId) {
+        self.handle(Event::Spent(id));
+    }
+
     /// Requests that still wait for something.
     pub fn held(&self) -> usize {
         self.requests.borrow().len()
--- a/crates/spurdrum-core/src/transport.rs
+++ b/crates/spurdrum-core/src/transport.rs
@@ -3,6 +3,7 @@
 use std::future::Future;
 use std::hash::Hash;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use spurdrum_affinity::Ask;
 use spurdrum_policy::{Ending, Report, ServerId};
@@ -32,14 +33,18 @@
     pub started_at: Option<f64>,
     /// The key that the server gives to requests that are to come back to it.
     pub names: Option<Ask>,
-    /// The whole body, where it was served.
+    /// The body, where it was served: all of it, or its beginning.
     pub body: Option<B>,
+    /// How long the server took, where that is not the attempt's whole time.
+    pub took: Option<Duration>,
+    /// Where the body goes on: how it ends. The attempt is out until then.
+    pub rest: Option<oneshot::Receiver<Ending>>,
 }
 
 impl<B> Reply<B> {
     /// An end without an answer.
     pub fn none(ending: Ending) -> Self {
-        Self { ending, report: None, started_at: None, names: None, body: None }
+        Self { ending, report: None, started_at: None, names: None, body: None, took: None, rest: None }
     }
 }
 
--- a/crates/spurdrum-http/src/client.rs
+++ b/crates/spurdrum-http/src/client.rs
@@ -6,13 +6,13 @@
 use std::task::{Context, Poll};
 
 use bytes::Bytes;
-use http_body_util::Full;
 use hyper::body::{Body, Frame, SizeHint};
 use spurdrum_admission::Event;
-use spurdrum_core::Seat;
+use spurdrum_core::{Fate, Figures, Open, Seat};
 use tokio::net::TcpStream;
 
 use crate::socket;
+use crate::stream::Answered;
 
 /// Fields of a head, as hyper limits them.
 const FIELDS_MOST: usize = 100;
@@ -104,11 +104,11 @@
         self.ahead.borrow_mut().extend_from_slice(&bytes[body as usize..]);
     }
 
-    /// An answer is with hyper now.
-    pub fn begin_answer(self: &Rc<Self>, body: Full<Bytes>) -> Answering {
+    /// An answer is with hyper now. A long one's end is told to `tally`.
+    pub fn begin_answer(self: &Rc<Self>, body: Answered, tally: Option<Tally>) -> Answering {
         self.answering.set(true);
         self.given.set(body.is_end_stream());
-        Answering { body, socket: Rc::clone(self) }
+        Answering { body, socket: Rc::clone(self), tally, waits: false }
     }
 }
 
@@ -140,21 +140,62 @@
     }
 }
 
+/// A long answer that is on its way, as it is counted.
+pub struct Tally {
+    /// Where it is counted.
+    pub figures: Rc<Figures>,
+    /// Under this class.
+    pub class: Option<String>,
+    /// It counts as open until then.
+    pub open: Option<Open>,
+}
+
+impl Tally {
+    fn end(self, fate: Fate) {
+        if let Some(class) = &self.class {
+            self.figures.ended(class, fate);
+        }
+        drop(self.open);
+    }
+}
+
 /// An answer's body, which tells when hyper has taken all of it.
 pub struct Answering {
-    body: Full<Bytes>,
+    body: Answered,
     socket: Rc<Socket>,
+    tally: Option<Tally>,
+    /// Whether its source has nothing.
+    waits: bool,
+}
+
+impl Answering {
+    fn wait(&mut self, waits: bool) {
+        if self.tally.is_some() && self.waits != waits {
+            self.waits = waits;
+            self.socket.seat.tell(Event::Waits { id: self.socket.seat.id, waits });
+        }
+    }
 }
 
 impl Body for Answering {
     type Data = Bytes;
-    type Error = std::convert::Infallible;
+    type Error = Box<dyn std::error::Error + Send + Sync>;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
         let frame = Pin::new(&mut self.body).poll_frame(cx);
+        self.wait(frame.is_pending());
+        let fate = match &frame {
+            Poll::Ready(None) => Some(Fate::Success),
+            Poll::Ready(Some(Ok(_))) if self.body.is_end_stream() => Some(Fate::Success),
+            Poll::Ready(Some(Err(_))) => Some(Fate::Failure),
+            _ => None,
+        };
+        if let (Some(fate), Some(tally)) = (fate, self.tally.take_if(|_| fate.is_some())) {
+            tally.end(fate);
+        }
         self.socket.given.set(self.body.is_end_stream());
         frame
     }
@@ -167,3 +208,12 @@
         self.body.size_hint()
     }
 }
+
+impl Drop for Answering {
+    fn drop(&mut self) {
+        // Its client has left.
+        if let Some(tally) = self.tally.take() {
+            tally.end(Fate::Failure);
+        }
+    }
+}
--- a/crates/spurdrum-http/src/front.rs
+++ b/crates/spurdrum-http/src/front.rs
@@ -11,7 +11,7 @@
 use std::task::Poll;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderMap, HeaderValue, CONNECTION, HOST, RETRY_AFTER};
@@ -21,17 +21,18 @@
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
 use spurdrum_admission::{Event, Reason, State, Verdict};
-use spurdrum_core::{is_starved, Answer, Fate, NotTaken, Order, Seat};
+use spurdrum_core::{is_starved, Answer, Fate, NotTaken, Open, Order, Seat};
 use spurdrum_policy::{Effect, RequestId};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::yield_now;
-use tokio::time::{sleep, sleep_until, timeout_at, Instant};
+use tokio::time::{sleep, sleep_until, Instant};
 
-use crate::client::{Framing, Socket};
+use crate::client::{Framing, Socket, Tally};
 use crate::keys::Keys;
 use crate::socket::Io;
-use crate::upstream::{Forward, Upstream, BODY_MOST};
+use crate::stream::{Answered, Deadline, Listener, Source};
+use crate::upstream::{Carried, Forward, Upstream, BODY_MOST};
 
 /// Taken off a client's time: its request and the answer are under way for a part of that.
 const MARGIN: Duration = Duration::from_millis(10);
@@ -49,12 +50,12 @@
 const BACKOFF: (Duration, Duration) = (Duration::from_millis(10), Duration::from_millis(160));
 /// And so many that wait are answered each time.
 const TURN_AWAY_MOST: usize = 64;
-/// So much is thrown away of what comes on a connection that has been half-closed.
-const DISCARD_MOST: usize = 1 << 20;
+/// So much is thrown away of what comes on a connection that has been half-closed: the rest of a long body, for a while.
+const DISCARD_MOST: usize = 64 << 20;
 /// What has come on a socket is with hyper after this time.
 const MOMENT: Duration = Duration::from_millis(5);
-/// A body over the limit is read on so far, so that its client gets to see the answer.
-const READ_MOST: usize = 1 << 20;
+/// What a request or an answer that passes through is counted with: the buffers of both sides.
+const LONG_HOLDS: u64 = 2 * BODY_MOST as u64;
 /// A head may be this long; many may be half sent at once.
 const HEAD_MOST: usize = 16 * 1024;
 /// Fields that a request has once at most.
@@ -406,15 +407,30 @@
             // Where the next head begins is known only where the length is.
             let mut ends = !matches!(framing, Framing::Length(_));
             let class = request.headers().get("x-class").filter(|_| request.uri().path() == "/api").cloned();
+            let mut open = None;
             let mut response = match framing {
                 Framing::Unsound => plain(StatusCode::BAD_REQUEST, "the length is unclear\n"),
-                Framing::Length(length) => answer(front, seat, request, length, &mut ends).await,
-                Framing::Chunked => answer(front, seat, request, BODY_MOST as u64, &mut ends).await,
+                Framing::Length(length) => {
+                    answer(front, seat, request, Some(length), (&mut ends, &mut open)).await
+                }
+                Framing::Chunked => answer(front, seat, request, None, (&mut ends, &mut open)).await,
+            };
+            let class = class.as_ref().and_then(|class| class.to_str().ok());
+            let (id, mut bytes) = (seat.id, response.body().size_hint().exact().unwrap_or(0));
+            let tally = match response.body() {
+                // Its end counts.
+                Answered::Through(_) => {
+                    bytes = LONG_HOLDS;
+                    let (figures, class) = (Rc::clone(&front.node.figures), class.map(str::to_owned));
+                    Some(Tally { figures, class, open: open.take() })
+                }
+                Answered::Whole(_) => {
+                    class
+                        .into_iter()
+                        .for_each(|class| front.node.figures.ended(class, fate(response.status())));
+                    None
+                }
             };
-            if let Some(class) = class.as_ref().and_then(|class| class.to_str().ok()) {
-                front.node.figures.ended(class, fate(response.status()));
-            }
-            let (id, bytes) = (seat.id, response.body().size_hint().exact().unwrap_or(0));
             let asked = |more| seat.tell(Event::Answer { id, bytes, more });
             let mut last = asked(!ends && socket.has_ahead()) == Verdict::Last;
             // Guards against the loss of a request that has come behind this one: it is answered first.
@@ -425,7 +441,10 @@
                 response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
                 socket.last.set(true);
             }
-            Ok::<_, Infallible>(response.map(|body| socket.begin_answer(body)))
+            if tally.is_some() {
+                seat.tell(Event::Long { id });
+            }
+            Ok::<_, Infallible>(response.map(|body| socket.begin_answer(body, tally)))
         }
     });
     let served = http1::Builder::new()
@@ -474,12 +493,13 @@
 
 async fn answer(
     front: &Front,
-    seat: &Seat,
+    seat: &Rc<Seat>,
     request: Request<Incoming>,
-    length: u64,
-    ends: &mut bool,
-) -> Response<Full<Bytes>> {
-    let place = seat.tell(Event::Head { id: seat.id, body: length.min(READ_MOST as u64) });
+    length: Option<u64>,
+    (ends, open): (&mut bool, &mut Option<Open>),
+) -> Response<Answered> {
+    let body = length.map_or(BODY_MOST as u64, |length| length.min(LONG_HOLDS));
+    let place = seat.tell(Event::Head { id: seat.id, body });
     match request.uri().path() {
         "/_health" if front.ending.get() => plain(StatusCode::SERVICE_UNAVAILABLE, "ending\n"),
         "/_health" => plain(StatusCode::OK, format!("ready\n{}\n", (front.status)())),
@@ -487,18 +507,18 @@
             *ends = true;
             refusal(front.node.connections.retry_after_ms())
         }
-        "/api" => api(front, seat, request, ends).await,
+        "/api" => api(front, seat, request, length, (ends, open)).await,
         _ => plain(StatusCode::NOT_FOUND, "no such path\n"),
     }
 }
 
-fn plain(status: StatusCode, text: impl Into<Bytes>) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(text.into()));
+fn plain(status: StatusCode, text: impl Into<Bytes>) -> Response<Answered> {
+    let mut response = Response::new(Full::new(text.into()).into());
     *response.status_mut() = status;
     response
 }
 
-fn refusal(retry_after_ms: Option<f64>) -> Response<Full<Bytes>> {
+fn refusal(retry_after_ms: Option<f64>) -> Response<Answered> {
     let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, "refused\n");
     if let Some(ms) = retry_after_ms {
         let seconds = format!("{:.3}", ms / 1000.0).parse().expect("digits");
@@ -528,56 +548,89 @@
     }
 }
 
+/// Hears of a long body that is passing through.
+struct Coming {
+    seat: Rc<Seat>,
+    node: Rc<Node>,
+    id: RequestId,
+    deadline: Rc<Deadline>,
+    whole: Cell<bool>,
+}
+
+impl Listener for Rc<Coming> {
+    fn waits(&self, waits: bool) {
+        self.seat.tell(Event::Waits { id: self.seat.id, waits });
+    }
+
+    fn spent(&self) {
+        self.node.spent(self.id);
+    }
+
+    fn whole(&self) {
+        self.deadline.begin();
+        self.whole.set(true);
+        self.seat.reading_body.set(false);
+        self.seat.tell(Event::Taken { id: self.seat.id });
+    }
+}
+
 async fn api(
     front: &Front,
-    seat: &Seat,
+    seat: &Rc<Seat>,
     request: Request<Incoming>,
-    ends: &mut bool,
-) -> Response<Full<Bytes>> {
+    length: Option<u64>,
+    (ends, open): (&mut bool, &mut Option<Open>),
+) -> Response<Answered> {
     let node = &front.node;
-    let came = Instant::now();
     let (head, body) = request.into_parts();
     let names = Rc::clone(&front.names.borrow());
     let mut asked = read_head(front, &head.method, &head.headers);
-    let wait = asked.as_ref().map_or(WAIT_MOST, |(wait, _)| *wait);
     seat.reading_body.set(true);
     let body = tokio::select! {
         biased;
-        body = read_body(body) => Ok(body),
+        body = read_body(body, length) => Ok(body),
         reason = seat.body_expired() => Err(reason),
-        () = sleep_until(came + wait) => Err(Reason::SlowBody),
     };
-    seat.reading_body.set(false);
     let body = match body {
         Ok(Ok(body)) => body,
         Ok(Err(status)) => {
+            seat.reading_body.set(false);
             *ends = true;
-            return plain(status, "the body is broken or too long\n");
+            return plain(status, "the body is broken\n");
         }
         Err(reason) => {
+            seat.reading_body.set(false);
             *ends = true;
-            return match reason {
-                // It makes room for others: that is no fault of its client.
-                Reason::Shed | Reason::Starved => refusal(node.connections.retry_after_ms()),
-                _ => plain(StatusCode::REQUEST_TIMEOUT, "the body does not come\n"),
-            };
+            return expired(node, reason);
         }
     };
-    // It may have had its time just as it was whole: that counts.
-    seat.take_order();
-    seat.tell(Event::Taken { id: seat.id });
-    let _open = node.figures.open();
+    *open = Some(node.figures.open());
+    let long = matches!(body, Came::Long(..));
+    if long {
+        seat.tell(Event::Long { id: seat.id });
+    } else {
+        seat.reading_body.set(false);
+        // It may have had its time just as it was whole: that counts.
+        seat.take_order();
+        seat.tell(Event::Taken { id: seat.id });
+    }
     if !Rc::ptr_eq(&names, &front.names.borrow()) {
         // Other settings hold by now: a request has those under which it is taken.
         asked = read_head(front, &head.method, &head.headers);
     }
+    let bodied = long || matches!(&body, Came::Whole(bytes) if !bytes.is_empty());
+    let asked = asked.and_then(|asked| match head.method == Method::GET && bodied {
+        true => Err("GET has no body\n"),
+        false => Ok(asked),
+    });
     let (wait, mut asked) = match asked {
         Ok(asked) => asked,
-        Err(why) => return plain(StatusCode::BAD_REQUEST, why),
+        Err(why) => {
+            *ends |= long;
+            return plain(StatusCode::BAD_REQUEST, why);
+        }
     };
-    if head.method == Method::GET && !body.is_empty() {
-        return plain(StatusCode::BAD_REQUEST, "GET has no body\n");
-    }
+    let wait = wait.saturating_sub(MARGIN).max(wait / 2);
     // A whole URL names the host that is meant; servers get the short form.
     let keyed = front
         .keys
@@ -605,10 +658,18 @@
         headers.insert(HOST, host);
     }
     headers.entry(HOST).or_insert(HeaderValue::from_static("origin"));
-    let gives_up_at = came + wait.saturating_sub(MARGIN).max(wait / 2);
-    let budget = gives_up_at.saturating_duration_since(Instant::now());
-    asked.budget_ms = budget.as_secs_f64() * 1000.0;
-    let forward = Forward { method: head.method, uri, headers, body, gives_up_at, ask, naming };
+    let (body, source, deadline) = match body {
+        Came::Whole(bytes) => (Carried::Whole(bytes), None, Deadline::at(Instant::now() + wait)),
+        Came::Long(came, rest) => {
+            let source = Rc::new(Source::new(rest, length, came, BODY_MOST));
+            (Carried::Through(Rc::clone(&source)), Some(source), Deadline::after(wait))
+        }
+    };
+    let deadline = Rc::new(deadline);
+    // How long a long body takes to come is not known, and not the servers' affair.
+    asked.budget_ms = if long { WAIT_MOST } else { wait }.as_secs_f64() * 1000.0;
+    let forward =
+        Forward { method: head.method, uri, headers, body, deadline: Rc::clone(&deadline), ask, naming };
     let (answer, answered) = oneshot::channel();
     let id = match node.take(forward, asked, answer) {
         Ok(id) => id,
@@ -617,19 +678,47 @@
         Err(NotTaken::Known) => return plain(StatusCode::CONFLICT, "X-Request-Id is in use\n"),
     };
     let _waiting = Waiting { node: Rc::clone(node), id };
-    // Guards against decisions that leave a request without an answer.
-    match timeout_at(gives_up_at + MARGIN / 2, answered).await {
-        Ok(Ok(Answer::Served(body))) => {
-            let mut response = Response::new(Full::new(body.bytes));
+    let coming = source.map(|source| {
+        let (seat, node, whole) = (Rc::clone(seat), Rc::clone(node), Cell::new(false));
+        let coming = Rc::new(Coming { seat, node, id, deadline: Rc::clone(&deadline), whole });
+        source.listen(Rc::clone(&coming));
+        coming
+    });
+    let comes = || coming.as_ref().is_some_and(|coming| !coming.whole.get());
+    let answer = tokio::select! {
+        biased;
+        answer = answered => answer.unwrap_or(Answer::Failed),
+        reason = seat.body_expired(), if comes() => {
+            seat.reading_body.set(false);
+            *ends = true;
+            return expired(node, reason);
+        }
+        // Guards against decisions that leave a request without an answer.
+        () = deadline.passed(MARGIN / 2) => return plain(StatusCode::GATEWAY_TIMEOUT, "no answer in time\n"),
+    };
+    seat.reading_body.set(false);
+    // What is still to come of the request would be taken for another.
+    *ends |= comes();
+    match answer {
+        Answer::Served(served) => {
+            let mut response = Response::new(served.body);
             let name = front.keys.as_ref().and_then(|keys| keys.answer());
-            if let Some((name, value)) = name.zip(body.given) {
+            if let Some((name, value)) = name.zip(served.given) {
                 response.headers_mut().insert(name, value);
             }
             response
         }
-        Ok(Ok(Answer::Refused(retry_after_ms))) => refusal(retry_after_ms),
-        Ok(Ok(Answer::Failed) | Err(_)) => plain(StatusCode::BAD_GATEWAY, "failed\n"),
-        Err(_) => plain(StatusCode::GATEWAY_TIMEOUT, "no answer in time\n"),
+        Answer::Refused(retry_after_ms) => refusal(retry_after_ms),
+        Answer::Failed => plain(StatusCode::BAD_GATEWAY, "failed\n"),
+    }
+}
+
+/// The answer where a body had its time.
+fn expired(node: &Node, reason: Reason) -> Response<Answered> {
+    match reason {
+        // It makes room for others: that is no fault of its client.
+        Reason::Shed | Reason::Starved => refusal(node.connections.retry_after_ms()),
+        _ => plain(StatusCode::REQUEST_TIMEOUT, "the body does not come\n"),
     }
 }
 
@@ -682,19 +771,25 @@
     Ok((wait, request))
 }
 
-async fn read_body(mut body: Incoming) -> Result<Bytes, StatusCode> {
-    let (mut whole, mut length) = (BytesMut::new(), 0);
-    while let Some(frame) = body.frame().await {
-        let Ok(data) = frame.map_err(|_| StatusCode::BAD_REQUEST)?.into_data() else { continue };
-        length += data.len();
-        if length <= BODY_MOST {
-            whole.extend_from_slice(&data);
-        } else if length > READ_MOST {
-            break;
+/// A body, or the beginning of a long one.
+enum Came {
+    Whole(Bytes),
+    Long(Vec<Bytes>, Incoming),
+}
+
+/// Reads a body that is short enough to be held.
+async fn read_body(mut body: Incoming, length: Option<u64>) -> Result<Came, StatusCode> {
+    let mut came: Vec<Bytes> = Vec::new();
+    let mut bytes = 0;
+    while length.is_none_or(|length| length <= BODY_MOST as u64) && bytes <= BODY_MOST {
+        let Some(frame) = body.frame().await else {
+            let whole = if came.len() == 1 { came.swap_remove(0) } else { came.concat().into() };
+            return Ok(Came::Whole(whole));
+        };
+        if let Ok(data) = frame.map_err(|_| StatusCode::BAD_REQUEST)?.into_data() {
+            bytes += data.len();
+            came.push(data);
         }
     }
-    if length > BODY_MOST {
-        return Err(StatusCode::PAYLOAD_TOO_LARGE);
-    }
-    Ok(whole.freeze())
+    Ok(Came::Long(came, body))
 }
--- a/crates/spurdrum-http/src/lib.rs
+++ b/crates/spurdrum-http/src/lib.rs
@@ -4,8 +4,10 @@
 pub mod front;
 pub mod keys;
 mod socket;
+mod stream;
 mod upstream;
 
 pub use front::{run, Front, Names, Passed, SharedNames, Successor};
 pub use keys::Keys;
-pub use upstream::{load_report, Forward, Served, Upstream, BODY_MOST};
+pub use stream::Answered;
+pub use upstream::{load_report, Carried, Forward, Served, Upstream, BODY_MOST};
--- a/crates/spurdrum-policy/src/interface.rs
+++ b/crates/spurdrum-policy/src/interface.rs
@@ -392,6 +392,8 @@
     Servers(Listing),
     /// A client's request, which is now owed one final answer.
     Request(Request),
+    /// Part of its body is gone for good: it cannot be sent again.
+    Spent(RequestId),
     /// A streamed answer has begun; the attempt belongs to the client from now on.
     StreamStarted {
         /// The request.
--- a/crates/spurdrum-policy/src/rules.rs
+++ b/crates/spurdrum-policy/src/rules.rs
@@ -259,7 +259,14 @@
                 self.cut(now, RequestId(timer - 1), actions);
             }
             Event::Probed { server, ending, report } => self.probed(now, server.0, ending, report, actions),
-            Event::Timer(_) | Event::StreamStarted { .. } => {}
+            Event::Spent(id) => {
+                self.held.entry(id).and_modify(|held| held.max_attempts = held.attempts.len());
+            }
+            // What its client has begun to get is its final answer.
+            Event::StreamStarted { request, .. } => {
+                self.held.entry(request).and_modify(|held| held.answered = true);
+            }
+            Event::Timer(_) => {}
         }
     }
 
