Count only requests that came whole: who never finished one has asked for nothing

A test has one such client; it fails without the change. The test of an early answer waits until more has come than is held: it failed once where the attempt could still be repeated.

--- a/crates/spurdrum-http/src/front.rs
+++ b/crates/spurdrum-http/src/front.rs
@@ -425,9 +425,10 @@
                     Some(Tally { figures, class, open: open.take() })
                 }
                 Answered::Whole(_) => {
-                    class
-                        .into_iter()
-                        .for_each(|class| front.node.figures.ended(class, fate(response.status())));
+                    // Who never finished its request has not asked.
+                    if let Some(class) = class.filter(|_| open.is_some()) {
+                        front.node.figures.ended(class, fate(response.status()));
+                    }
                     None
                 }
             };
@@ -505,6 +506,7 @@
         "/_health" => plain(StatusCode::OK, format!("ready\n{}\n", (front.status)())),
         _ if place == Verdict::Refuse => {
             *ends = true;
+            *open = Some(front.node.figures.open());
             refusal(front.node.connections.retry_after_ms())
         }
         "/api" => api(front, seat, request, length, (ends, open)).await,
@@ -691,6 +693,7 @@
         reason = seat.body_expired(), if comes() => {
             seat.reading_body.set(false);
             *ends = true;
+            *open = None;
             return expired(node, reason);
         }
         // Guards against decisions that leave a request without an answer.
--- a/crates/spurdrum/tests/node/streams.rs
+++ b/crates/spurdrum/tests/node/streams.rs
@@ -268,6 +268,8 @@
     client.stream.get_mut().write_all(&pattern(100_000)).expect("sent");
     let mut server = raw.accept();
     head(&mut server);
+    // More has come than is held: there is no other attempt.
+    server.read_exact(&mut vec![0; 90_000]).expect("read");
     let answer = b"HTTP/1.1 503 Busy\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n";
     server.get_mut().write_all(answer).expect("answered");
     assert_eq!(client.answer().status(), 503);
@@ -303,6 +305,26 @@
     assert_eq!((answer.status(), &answer.body[..]), (200, &b"done in pieces"[..]));
 }
 
+/// Who never finishes a request has asked for nothing that is counted.
+#[test]
+fn a_request_that_never_came_whole_is_not_counted() {
+    let server = Server::start();
+    let (config, ops) = ops::operated(&[&server]);
+    let node = Node::start(&config);
+    let whole = request("update", 20.0);
+    let mut client = node.client();
+    client.send(&whole[..whole.len() - 1]);
+    assert_eq!(client.answer().status(), 408);
+    drop(client);
+    let mut client = node.client();
+    client.send(&request("update", 20.0));
+    server.request().answer(OK, "", b"");
+    assert_eq!(client.answer().status(), 200);
+    ops::until(|| ops::figures(ops)["calls"]["update"]["success"] == 1);
+    let shown = ops::figures(ops);
+    assert_eq!((&shown["calls"]["update"]["failure"], &shown["inflight"]), (&json!(0), &json!(0)));
+}
+
 /// Attempts and answers of long requests are counted as those of short ones.
 #[test]
 fn long_requests_are_counted_once() {
