Hold 195 kB of a long request, and count it so; measure replacements and streams

Reason: spurdrum-bench streams showed 350 kB for each long request where admission counted 128 KiB: 150 of them would have been killed for memory at 48 MB. Change: buffers of 32 KiB (350 -> 195 kB each at 100 at once), a long request counts as 192 KiB, memory_share 0.5.

--- a/crates/spurdrum-admission/src/settings.rs
+++ b/crates/spurdrum-admission/src/settings.rs
@@ -94,7 +94,7 @@
             clients_hold: 1.0 / 3.0,
             client_share: 5.0 / 9.0,
             floor: 0.5,
-            memory_share: 0.4,
+            memory_share: 0.5,
             silent_share: 0.25,
             sending_share: 0.75,
             pressed_at: 0.75,
--- a/crates/spurdrum-bench/src/main.rs
+++ b/crates/spurdrum-bench/src/main.rs
@@ -6,6 +6,8 @@
 //!     cargo run --release --bin spurdrum-bench -- affinity   what bindings of keys to servers cost, and their file
 //!     cargo run --release --bin spurdrum-bench -- registry   how late a node knows what a registry has, and what that costs
 //!     cargo run --release --bin spurdrum-bench -- restart    a node that starts with an old list while discovery fails
+//!     cargo run --release --bin spurdrum-bench -- replace    requests turned back while the process is replaced under load
+//!     cargo run --release --bin spurdrum-bench -- streams    memory while long bodies and answers pass through
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -22,6 +24,7 @@
 use spurdrum_standin::Fleet;
 
 mod affinity;
+mod days;
 mod proxy;
 mod registry;
 
@@ -86,6 +89,24 @@
         #[arg(long, default_value_t = 3)]
         rounds: usize,
     },
+    /// The process is replaced under load, with the listening socket handed over and with SO_REUSEPORT alone.
+    Replace {
+        /// Replacements of each kind.
+        #[arg(long, default_value_t = 10)]
+        times: usize,
+        /// Clients.
+        #[arg(long, default_value_t = 40)]
+        clients: usize,
+    },
+    /// Long bodies and answers, many at once.
+    Streams {
+        /// How many at once.
+        #[arg(long, value_delimiter = ',', default_value = "1,10,100")]
+        at_once: Vec<usize>,
+        /// Length of each, both ways, in MB.
+        #[arg(long, default_value_t = 32)]
+        megabytes: u64,
+    },
     /// The plain proxy, for `versus`.
     PlainProxy {
         /// Where it listens.
@@ -103,6 +124,8 @@
         Command::Registry { servers, changes, for_s, faults } => follow(&servers, changes, for_s, faults),
         Command::Affinity { folder } => affinity::run(folder),
         Command::Restart { beside, rounds } => restart(beside, rounds.max(1)),
+        Command::Replace { times, clients } => days::replace(times.max(1), clients.max(2)),
+        Command::Streams { at_once, megabytes } => days::streams(&at_once, megabytes.max(1)),
         Command::PlainProxy { listen, servers } => proxy::serve(listen, servers),
     };
     match done {
--- a/crates/spurdrum-http/src/front.rs
+++ b/crates/spurdrum-http/src/front.rs
@@ -32,7 +32,7 @@
 use crate::keys::Keys;
 use crate::socket::Io;
 use crate::stream::{Answered, Deadline, Listener, Source};
-use crate::upstream::{Carried, Forward, Upstream, BODY_MOST};
+use crate::upstream::{Carried, Forward, Upstream, BODY_MOST, BUFFER};
 
 /// Taken off a client's time: its request and the answer are under way for a part of that.
 const MARGIN: Duration = Duration::from_millis(10);
@@ -54,8 +54,8 @@
 const DISCARD_MOST: usize = 64 << 20;
 /// What has come on a socket is with hyper after this time.
 const MOMENT: Duration = Duration::from_millis(5);
-/// What a request or an answer that passes through is counted with: the buffers of both sides.
-const LONG_HOLDS: u64 = 2 * BODY_MOST as u64;
+/// What a request or an answer that passes through is counted with: the buffers of both sides, by `spurdrum-bench streams`.
+const LONG_HOLDS: u64 = 3 * BODY_MOST as u64;
 /// A head may be this long; many may be half sent at once.
 const HEAD_MOST: usize = 16 * 1024;
 /// Fields that a request has once at most.
@@ -449,7 +449,7 @@
         }
     });
     let served = http1::Builder::new()
-        .max_buf_size(BODY_MOST)
+        .max_buf_size(BUFFER)
         .max_header_size(HEAD_MOST)
         .serve_connection(TokioIo::new(Io(Rc::clone(socket))), service);
     let mut served = pin!(served);
--- a/crates/spurdrum-http/src/upstream.rs
+++ b/crates/spurdrum-http/src/upstream.rs
@@ -33,6 +33,8 @@
 const HOLD_MOST: Duration = Duration::from_millis(25);
 /// Bodies are held up to this length; longer ones pass through.
 pub const BODY_MOST: usize = 64 * 1024;
+/// What hyper reads ahead, or has not written, of one side of a connection.
+pub(crate) const BUFFER: usize = 32 * 1024;
 /// Part of the idle limit for which a connection is kept: a server that closes it meanwhile resets a request.
 const IDLE_PART: f64 = 0.9;
 /// A connection is used again this long after an answer at the earliest. What a server sends right behind an
@@ -239,7 +241,7 @@
         let (written_at, moved) = (Cell::new(None), Cell::new(Instant::now()));
         let socket = Rc::new(Socket { stream, _slot: slot, writing, written_at, moved, figures });
         let handshake = http1::Builder::new()
-            .max_buf_size(BODY_MOST)
+            .max_buf_size(BUFFER)
             .max_header_size(HEAD_MOST)
             .handshake(TokioIo::new(Io(Rc::clone(&socket))))
             .await;
