Pass the list and what the decisions have learned on to the next process

Reason: a new process began with the list of its file, which may be old, and with no counts, latencies or servers taken out. Change: the offer carries the list with its version and what the decision module has learned; the new one's module takes it as an event. Connections that come from the old process while the new one is ending itself are taken, too.

--- a/crates/spurdrum-core/src/node.rs
+++ b/crates/spurdrum-core/src/node.rs
@@ -8,8 +8,8 @@
 
 use spurdrum_affinity::Affinity;
 use spurdrum_policy::{
-    Action, Availability, Balancer, Ending, Event, Listing, NewSettings, Outcome, Report, Request, RequestId,
-    ServerEntry, ServerId, Settings,
+    Action, Availability, Balancer, Ending, Event, Learned, LearnedServer, Listing, NewSettings, Outcome,
+    Report, Request, RequestId, ServerEntry, ServerId, Settings,
 };
 use tokio::sync::oneshot;
 use tokio::time::{sleep, Instant};
@@ -241,6 +241,26 @@
         self.handle(Event::Settings(Box::new(new)));
     }
 
+    /// What the decisions have learned, with the servers' ids.
+    pub fn learned(&self) -> (Vec<String>, Learned) {
+        let mut learned = self.balancer.borrow().learned();
+        let ids = self.ids.borrow();
+        let names: HashMap<ServerId, &String> = ids.iter().map(|(id, server)| (*server, id)).collect();
+        learned.servers.retain(|known| names.contains_key(&known.server));
+        (learned.servers.iter().map(|known| names[&known.server].clone()).collect(), learned)
+    }
+
+    /// Goes on from what another process of this node has learned, whose servers have these ids. For before the first request.
+    pub fn learn(self: &Rc<Self>, ids: &[String], mut learned: Learned) {
+        let own = self.ids.borrow();
+        let known = std::mem::take(&mut learned.servers).into_iter().zip(ids);
+        learned.servers = known
+            .filter_map(|(known, id)| own.get(id).map(|server| LearnedServer { server: *server, ..known }))
+            .collect();
+        drop(own);
+        self.handle(Event::Learned(Box::new(learned)));
+    }
+
     /// Connections to servers.
     pub fn transport(&self) -> &T {
         &self.transport
--- a/crates/spurdrum-http/src/front.rs
+++ b/crates/spurdrum-http/src/front.rs
@@ -175,7 +175,11 @@
             {
                 return;
             }
-            sleep_until((Instant::now() + LOOK).min(last)).await;
+            tokio::select! {
+                biased;
+                Some(connection) = passed.recv() => admit_passed(&front, connection),
+                () = sleep_until((Instant::now() + LOOK).min(last)) => {}
+            }
         }
         node.connections.tell(Event::NotPassing);
     }
@@ -184,6 +188,7 @@
     let mut came = asked;
     while Instant::now() < last {
         tokio::select! {
+            Some(connection) = passed.recv() => admit_passed(&front, connection),
             () = accept(&front, &listener) => came = Instant::now(),
             () = sleep_until((Instant::now() + LOOK).min(last)) => {}
         }
--- a/crates/spurdrum-policy/src/interface.rs
+++ b/crates/spurdrum-policy/src/interface.rs
@@ -5,8 +5,10 @@
 
 use std::fmt;
 
+use serde::{Deserialize, Serialize};
+
 /// A server, numbered by the embedding node and never reused for another one.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct ServerId(pub usize);
 
 /// A client's request, numbered by the embedding node and never reused.
@@ -374,6 +376,49 @@
     pub report: Option<Report>,
 }
 
+/// Running means of the latency, and of how many requests the server held meanwhile.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Pace {
+    /// In milliseconds.
+    pub latency: f64,
+    /// Requests at the server.
+    pub depth: f64,
+    /// Outcomes that it was learned from.
+    pub seen: f64,
+    /// When it was seen last.
+    pub at: f64,
+}
+
+/// What a balancer has learned, for one that takes its place under the same settings.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Learned {
+    /// Of the servers.
+    pub servers: Vec<LearnedServer>,
+    /// Of all answers.
+    pub all: Pace,
+    /// Of each class.
+    pub classes: Vec<Pace>,
+    /// What each tenant has left of its quota, and when that was counted.
+    pub quotas: Vec<(f64, f64)>,
+    /// Part of the attempts that are served.
+    pub served: f64,
+}
+
+/// What a balancer has learned of a server.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LearnedServer {
+    /// The server, as the balancer that is to learn calls it.
+    pub server: ServerId,
+    /// Its count.
+    pub count: Option<f64>,
+    /// Its answers.
+    pub pace: Pace,
+    /// Failures that count against it.
+    pub strikes: u32,
+    /// Until when it is taken out, if it is or is on trial.
+    pub out_until: Option<f64>,
+}
+
 /// Settings that take the place of others.
 #[derive(Clone, Debug, PartialEq)]
 pub struct NewSettings {
@@ -401,6 +446,8 @@
         /// The attempt.
         attempt: usize,
     },
+    /// What another balancer has learned, whose place this one takes: before its first request.
+    Learned(Box<Learned>),
     /// Other settings hold for what comes from now on; requests that are held keep the rules they came under.
     Settings(Box<NewSettings>),
     /// An attempt ended.
--- a/crates/spurdrum-policy/src/rules.rs
+++ b/crates/spurdrum-policy/src/rules.rs
@@ -75,15 +75,6 @@
 /// have been asked or whose attempt has been out for long.
 const RESUBSCRIBE: u64 = 0;
 
-/// Running means of the latency, and of how many requests the server held meanwhile.
-#[derive(Clone, Copy, Default)]
-struct Pace {
-    latency: f64,
-    depth: f64,
-    seen: f64,
-    at: f64,
-}
-
 impl Pace {
     /// What was seen still weighs this. Guards against judging by a trouble long past: little corrects it.
     fn weight(&self, now: f64, half_life: f64) -> f64 {
@@ -249,6 +240,7 @@
         match event {
             Event::Servers(listing) => self.listing(listing, actions),
             Event::Settings(new) => self.retune(*new, actions),
+            Event::Learned(learned) => self.learn(&learned),
             Event::Request(request) => self.request(now, &request, actions),
             Event::Outcome(outcome) => self.outcome(now, &outcome, actions),
             Event::ClientGone(id) => self.client_gone(id, actions),
@@ -276,6 +268,32 @@
         listed.filter(|s| s.ejected_until.is_some_and(|until| until > now)).count()
     }
 
+    /// What a balancer that takes its place had better know.
+    pub fn learned(&self) -> Learned {
+        let listed = self.servers.iter().filter(|(_, s)| s.entry.availability != Availability::Gone);
+        let server = |(at, s): (&usize, &Server)| {
+            let (count, pace, strikes, out_until) = (s.count, s.pace, s.strikes, s.ejected_until);
+            LearnedServer { server: ServerId(*at), count, pace, strikes, out_until }
+        };
+        // Some formats know no infinity.
+        let quotas = self.quotas.iter().map(|(left, at)| (left.min(f64::MAX), *at)).collect();
+        let classes = self.classes.clone();
+        Learned { servers: listed.map(server).collect(), all: self.all, classes, quotas, served: self.served }
+    }
+
+    /// Goes on from what another has learned, under the same settings; nothing has been seen here yet.
+    fn learn(&mut self, learned: &Learned) {
+        for s in &learned.servers {
+            if let Some(server) = self.servers.get_mut(&s.server.0) {
+                (server.count, server.pace, server.strikes) = (s.count, s.pace, s.strikes);
+                server.ejected_until = s.out_until;
+            }
+        }
+        (self.all, self.served) = (learned.all, learned.served);
+        self.classes.iter_mut().zip(&learned.classes).for_each(|(own, learned)| *own = *learned);
+        self.quotas.iter_mut().zip(&learned.quotas).for_each(|(own, learned)| *own = *learned);
+    }
+
     /// Goes by other settings from now on; what was learned stays.
     fn retune(&mut self, new: NewSettings, actions: &mut Vec<Action>) {
         let NewSettings { settings, classes, tenants } = new;
--- a/crates/spurdrum-policy/tests/settings.rs
+++ b/crates/spurdrum-policy/tests/settings.rs
@@ -133,6 +133,60 @@
     }
 }
 
+/// A balancer that takes another's place goes on where that was: who is out stays out, counts order the servers, and a
+/// quota is not had twice.
+#[test]
+fn what_was_learned_passes_to_the_next_balancer() {
+    let settings = || {
+        let mut settings = Settings { over_quota_worth: 0.01, ..one_class(Effect::Safe) };
+        settings.quotas_per_s = vec![5.0, 5.0];
+        settings
+    };
+    let mut old = Node::new(settings(), 1);
+    old.servers(ready(0..3));
+    let mut id = 0;
+    while old.balancer.avoided(old.now) == 0 {
+        id += 1;
+        old.now += 1_000.0;
+        let (mut to, mut attempt) = (old.sent_to(id), 0);
+        while to == 0 {
+            let after = old.report(id, attempt, 5.0, Ending::Error, Some(0.0));
+            attempt += 1;
+            match send_of(&after) {
+                Some(next) => to = next,
+                None => break,
+            }
+        }
+        if to != 0 {
+            // The second one has the higher count by far.
+            old.report(id, attempt, 100.0, Ending::Served, Some(if to == 1 { 50.0 } else { 1.0 }));
+        }
+        assert!(id < 200);
+    }
+    while old.balancer.learned().servers.iter().any(|s| s.server.0 != 0 && s.count.is_none_or(|c| c < 1.0)) {
+        id += 1;
+        let to = old.sent_to(id);
+        old.report(id, 0, 100.0, Ending::Served, Some(if to == 1 { 50.0 } else { 1.0 }));
+        assert!(id < 400);
+    }
+    let learned = old.balancer.learned();
+    assert_eq!(learned.servers.iter().filter(|s| s.out_until.is_some()).count(), 1);
+    let mut new = Node::new(settings(), 2);
+    new.now = old.now;
+    new.servers(ready(0..3));
+    new.feed(Event::Learned(Box::new(learned.clone())));
+    assert_eq!(new.balancer.learned(), learned, "nothing is lost on the way");
+    assert_eq!(new.balancer.avoided(new.now), 1);
+    for id in 1..3 {
+        let actions = new.request(id, 0, 800.0);
+        assert!(send_of(&actions).is_none_or(|to| to == 2), "the lowest count gets it: {actions:?}");
+    }
+    // One that knows nothing spreads them.
+    let mut ignorant = Node::new(settings(), 2);
+    ignorant.servers(ready(0..3));
+    assert!((1..3).any(|id| ignorant.sent_to(id) != 2));
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 256, failure_persistence: None, ..ProptestConfig::default() })]
 
--- a/crates/spurdrum-sources/src/list.rs
+++ b/crates/spurdrum-sources/src/list.rs
@@ -2,10 +2,10 @@
 
 use std::net::SocketAddr;
 
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 
 /// A list of servers, or of changes to one, as discovery sends it.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct List {
     /// Its version.
     pub revision: u64,
@@ -15,8 +15,25 @@
     pub members: Vec<Member>,
 }
 
+impl List {
+    /// This list with the changes of another; what has left is in it no more.
+    pub fn merge(&mut self, news: &Self) {
+        if news.complete {
+            *self = news.clone();
+            return;
+        }
+        self.revision = news.revision;
+        for member in &news.members {
+            self.members.retain(|known| known.id != member.id);
+            if member.phase != Phase::Left {
+                self.members.push(member.clone());
+            }
+        }
+    }
+}
+
 /// A server as discovery describes it.
-#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Member {
     /// The same at every node.
     pub id: String,
@@ -37,7 +54,7 @@
 }
 
 /// What a server is ready for.
-#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Serialize, Deserialize, PartialEq, Eq)]
 #[serde(rename_all = "lowercase")]
 pub enum Phase {
     /// It takes requests.
--- a/crates/spurdrum/src/main.rs
+++ b/crates/spurdrum/src/main.rs
@@ -160,8 +160,13 @@
     let connections =
         Connections::new(config.connections.clone(), config.limits, config.settings.retry_after_most_ms)
             .map_err(|(key, why)| format!("`connections.{key}`: {why}"))?;
+    let mut knowledge = inheritance.as_ref().and_then(replace::Knowledge::of);
     let passed = replace::follow(inheritance, &connections);
-    let offer = config.ops.and_then(|_| replace::offer(&config.name, config.listen, &listener, &connections));
+    // What the process that was here has been told counts as told to this one, too: drains among it.
+    if let (Some(knowledge), Source::Catalog(_)) = (&mut knowledge, config.source) {
+        std::mem::swap(&mut config.known, &mut knowledge.list);
+    }
+    let told_list = Rc::new(RefCell::new(config.known.clone()));
     let catalog = match config.source {
         Source::Static | Source::None => None,
         Source::Catalog(address) => {
@@ -242,7 +247,15 @@
         Some(_) => {}
         None => node.known(places.listed(&config.known)),
     }
-    let sink = Rc::new(Sink { node: Rc::clone(&node), places, merged });
+    if let Some(knowledge) = knowledge {
+        knowledge.teach(&node, &names.borrow());
+    }
+    let offer = config.ops.and_then(|_| {
+        let (node, list, names) = (Rc::clone(&node), Rc::clone(&told_list), Rc::clone(&names));
+        let known = replace::Known { node, list, names };
+        replace::offer(&config.name, config.listen, &listener, &connections, known)
+    });
+    let sink = Rc::new(Sink { node: Rc::clone(&node), places, merged, told: told_list });
     if let Some(catalog) = &catalog {
         tokio::task::spawn_local(follow(Rc::clone(catalog), Rc::clone(&sink)));
     }
@@ -370,10 +383,13 @@
     node: Rc<Node<Upstream>>,
     places: Rc<list::Places>,
     merged: Option<Rc<Merged>>,
+    /// The list as the last catalog or file told it, for a process that takes over.
+    told: Rc<RefCell<spurdrum_sources::List>>,
 }
 
 impl Sink {
     fn listed(&self, source: usize, list: spurdrum_sources::List) {
+        self.told.borrow_mut().merge(&list);
         match &self.merged {
             Some(merged) => merged.listed(source, list),
             None => self.node.listed(list.complete, self.places.listed(&list)),
--- a/crates/spurdrum/src/replace.rs
+++ b/crates/spurdrum/src/replace.rs
@@ -1,16 +1,71 @@
 //! Replacing the process: what this one has from the one that ran, and what it hands on.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use serde::{Deserialize, Serialize};
 use spurdrum_admission::Event;
-use spurdrum_core::Connections;
+use spurdrum_core::{Connections, Node};
 use spurdrum_handover::{path, Estate, Identity, Inheritance, Offer, Told, FORMAT};
-use spurdrum_http::{Passed, Successor};
+use spurdrum_http::{Names, Passed, SharedNames, Successor, Upstream};
+use spurdrum_policy::Learned;
+use spurdrum_sources::List;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 
+/// What a process knows that the next one had better know.
+#[derive(Serialize, Deserialize)]
+pub struct Knowledge {
+    /// The list of servers, as it was told.
+    pub list: List,
+    /// The ids of the servers that something was learned of.
+    ids: Vec<String>,
+    learned: Learned,
+    /// Whether the classes and tenants, by whose places it was learned, are the same.
+    classes: Vec<String>,
+    tenants: Vec<String>,
+}
+
+impl Knowledge {
+    /// What the process knows that this one takes over from.
+    pub fn of(inheritance: &Inheritance) -> Option<Self> {
+        // One of another version may know other things.
+        Self::deserialize(&inheritance.state).ok()
+    }
+
+    /// Lets the decisions go on from it.
+    pub fn teach(mut self, node: &Rc<Node<Upstream>>, names: &Names) {
+        if self.classes != names.classes {
+            self.learned.classes.clear();
+        }
+        if self.tenants != names.tenants {
+            self.learned.quotas.clear();
+        }
+        node.learn(&self.ids, self.learned);
+    }
+}
+
+/// What this process knows, for the next one.
+pub struct Known {
+    /// Its decisions.
+    pub node: Rc<Node<Upstream>>,
+    /// The list, as it was told.
+    pub list: Rc<RefCell<List>>,
+    /// The classes and tenants that hold.
+    pub names: SharedNames,
+}
+
+impl Known {
+    fn state(&self) -> serde_json::Value {
+        let (ids, learned) = self.node.learned();
+        let names = self.names.borrow();
+        let (classes, tenants) = (names.classes.clone(), names.tenants.clone());
+        let list = self.list.borrow().clone();
+        serde_json::to_value(Knowledge { list, ids, learned, classes, tenants }).unwrap_or_default()
+    }
+}
+
 /// Which node this process is.
 pub fn identity(name: &str, listen: SocketAddr) -> Identity {
     Identity { format: FORMAT, name: name.to_owned(), listen: listen.to_string() }
@@ -59,12 +114,13 @@
     listen: SocketAddr,
     listener: &TcpListener,
     connections: &Rc<Connections>,
+    known: Known,
 ) -> Option<Rc<Offer>> {
     use std::os::fd::AsFd;
     let path = path(listen)?;
     let listener = listener.as_fd().try_clone_to_owned().map(Into::into);
     let all = connections.used().1;
-    let estate = Part { connections: Rc::clone(connections), all, kept: Cell::new(all) };
+    let estate = Part { connections: Rc::clone(connections), all, kept: Cell::new(all), known };
     let offer = listener.and_then(|listener| Offer::new(path, identity(name, listen), listener, estate));
     offer.inspect_err(|error| tracing::warn!("this process cannot be replaced unnoticed: {error}")).ok()
 }
@@ -74,6 +130,7 @@
     connections: Rc<Connections>,
     all: usize,
     kept: Cell<usize>,
+    known: Known,
 }
 
 impl Part {
@@ -88,7 +145,7 @@
     fn part(&self) -> (usize, serde_json::Value) {
         // Half, or what is in use already.
         let used = self.connections.used().0;
-        (self.keep(used.max(self.all / 2)), serde_json::Value::Null)
+        (self.keep(used.max(self.all / 2)), self.known.state())
     }
 
     fn shrink(&self) -> usize {
--- a/crates/spurdrum/tests/node/replace.rs
+++ b/crates/spurdrum/tests/node/replace.rs
@@ -116,6 +116,41 @@
     }
 }
 
+/// The file of the new process may be old: what the old one was told, by its discovery and by its servers, counts.
+#[test]
+fn the_new_process_knows_what_the_old_one_was_told_and_has_learned() {
+    let servers = [Server::start(), Server::start()];
+    let (mut config, ops) = operated(&[&servers[0], &servers[1]]);
+    let dead = own_address();
+    config["known"]["members"].as_array_mut().expect("a list").push(member("dead", dead, "active"));
+    let old = Node::start(&config);
+    let mut client = old.client();
+    until(|| {
+        client.send(&request("read", 20.0));
+        either(&servers).1.answer(OK, "", b"x");
+        assert_eq!(client.answer().status(), 200);
+        figures(ops)["hosts_down"] == 1
+    });
+    // The first server leaves.
+    let told = list(9, false, &[member("s0", servers[0].address, "left")]);
+    old.discovery.request().answer(OK, "", told.to_string().as_bytes());
+    until(|| figures(ops)["hosts_listed"] == 2);
+    let next = own_address();
+    let new = old.beside(&config, next);
+    ready(next);
+    let shown = figures(next);
+    assert_eq!((&shown["hosts_listed"], &shown["hosts_down"]), (&json!(2), &json!(1)), "{shown}");
+    assert!(new.discovery.request().request.first.contains("since=9&"), "it goes on from that version");
+    drop(old);
+    for _ in 0..4 {
+        let mut client = new.client();
+        client.send(&request("pay", 20.0));
+        servers[1].request().answer(OK, "", b"x");
+        assert_eq!(client.answer().status(), 200);
+    }
+    assert!(!servers[0].has_request(), "it has left");
+}
+
 #[test]
 fn a_directory_or_socket_that_is_no_use_only_costs_the_passing_on() {
     let server = Server::start();
