--- a/crates/spurdrum-bench/src/main.rs
+++ b/crates/spurdrum-bench/src/main.rs
@@ -7,6 +7,7 @@
 //!     cargo run --release --bin spurdrum-bench -- registry   how late a node knows what a registry has, and what that costs
 //!     cargo run --release --bin spurdrum-bench -- restart    a node that starts with an old list while discovery fails
 //!     cargo run --release --bin spurdrum-bench -- replace    requests turned back while the process is replaced under load
+//!     cargo run --release --bin spurdrum-bench -- calls      how long operators wait for answers at saturation
 //!     cargo run --release --bin spurdrum-bench -- streams    memory while long bodies and answers pass through
 
 use std::net::SocketAddr;
@@ -98,6 +99,15 @@
         #[arg(long, default_value_t = 40)]
         clients: usize,
     },
+    /// How long operators wait for their answers at saturation.
+    Calls {
+        /// Clients that ask as fast as they can.
+        #[arg(long, value_delimiter = ',', default_value = "1,50,300")]
+        clients: Vec<usize>,
+        /// Calls at each load.
+        #[arg(long, default_value_t = 300)]
+        times: usize,
+    },
     /// Long bodies and answers, many at once.
     Streams {
         /// How many at once.
@@ -125,6 +135,7 @@
         Command::Affinity { folder } => affinity::run(folder),
         Command::Restart { beside, rounds } => restart(beside, rounds.max(1)),
         Command::Replace { times, clients } => days::replace(times.max(1), clients.max(2)),
+        Command::Calls { clients, times } => days::calls(&clients, times.max(1)),
         Command::Streams { at_once, megabytes } => days::streams(&at_once, megabytes.max(1)),
         Command::PlainProxy { listen, servers } => proxy::serve(listen, servers),
     };
