Keep a connection behind a chunked body: follow where it ends

Reason: hyper knows where a chunked body ends but does not say, so each such request was the last on its connection. Change: a pure follower of chunks (RFC 9112, 7.1), strict about what others might read otherwise: then the connection ends as before.

--- a/crates/spurdrum-http/src/client.rs
+++ b/crates/spurdrum-http/src/client.rs
@@ -11,6 +11,7 @@
 use spurdrum_core::{Fate, Figures, Open, Seat};
 use tokio::net::TcpStream;
 
+use crate::chunks::Chunks;
 use crate::socket;
 use crate::stream::Answered;
 
@@ -24,8 +25,8 @@
     pub stream: TcpStream,
     /// Its place among the connections.
     pub seat: Rc<Seat>,
-    /// Of the last body this much is still to come.
-    body: Cell<u64>,
+    /// What of the last body is still to come.
+    body: Cell<Left>,
     ahead: RefCell<Vec<u8>>,
     /// Whether an answer has been begun and not all written.
     answering: Cell<bool>,
@@ -35,11 +36,18 @@
     pub last: Cell<bool>,
 }
 
+/// What of a body is still to come.
+#[derive(Clone, Copy)]
+enum Left {
+    Length(u64),
+    Chunks(Chunks),
+}
+
 /// What a head says of its body.
 pub enum Framing {
     /// So many bytes.
     Length(u64),
-    /// Chunks: where they end is known to hyper alone.
+    /// Chunks.
     Chunked,
     /// It contradicts itself.
     Unsound,
@@ -51,7 +59,7 @@
         Self {
             stream,
             seat,
-            body: Cell::new(0),
+            body: Cell::new(Left::Length(0)),
             ahead: RefCell::default(),
             answering: Cell::new(false),
             given: Cell::new(false),
@@ -89,19 +97,38 @@
             (0, 1) => Framing::Chunked,
             _ => Framing::Unsound,
         };
-        if let Framing::Length(length) = framing {
-            ahead.drain(..end);
-            self.body.set(length);
-            self.split(&ahead);
-        }
+        let left = match framing {
+            Framing::Length(length) => Left::Length(length),
+            Framing::Chunked => Left::Chunks(Chunks::default()),
+            Framing::Unsound => return framing,
+        };
+        ahead.drain(..end);
+        self.body.set(left);
+        self.split(&ahead);
         framing
     }
 
     /// Puts what has come where it belongs: to the present body, or ahead of the next request.
     fn split(&self, bytes: &[u8]) {
-        let body = (bytes.len() as u64).min(self.body.get());
-        self.body.set(self.body.get() - body);
-        self.ahead.borrow_mut().extend_from_slice(&bytes[body as usize..]);
+        let mut left = self.body.get();
+        let body = match &mut left {
+            Left::Length(left) => {
+                let body = (bytes.len() as u64).min(*left);
+                *left -= body;
+                body as usize
+            }
+            Left::Chunks(chunks) => chunks.take(bytes),
+        };
+        self.body.set(left);
+        self.ahead.borrow_mut().extend_from_slice(&bytes[body..]);
+    }
+
+    /// Whether all of the present request has come: what comes next is another's head.
+    pub fn is_whole(&self) -> bool {
+        match self.body.get() {
+            Left::Length(left) => left == 0,
+            Left::Chunks(chunks) => chunks.is_done(),
+        }
     }
 
     /// An answer is with hyper now. A long one's end is told to `tally`.
--- a/crates/spurdrum-http/src/front.rs
+++ b/crates/spurdrum-http/src/front.rs
@@ -409,8 +409,8 @@
     let service = service_fn(|request: Request<Incoming>| {
         let framing = socket.take_head();
         async move {
-            // Where the next head begins is known only where the length is.
-            let mut ends = !matches!(framing, Framing::Length(_));
+            // Where the next head begins is known only where the body's end is.
+            let mut ends = matches!(framing, Framing::Unsound);
             let class = request.headers().get("x-class").filter(|_| request.uri().path() == "/api").cloned();
             let mut open = None;
             let mut response = match framing {
@@ -420,6 +420,7 @@
                 }
                 Framing::Chunked => answer(front, seat, request, None, (&mut ends, &mut open)).await,
             };
+            ends |= !socket.is_whole();
             let class = class.as_ref().and_then(|class| class.to_str().ok());
             let (id, mut bytes) = (seat.id, response.body().size_hint().exact().unwrap_or(0));
             let tally = match response.body() {
--- a/crates/spurdrum-http/src/lib.rs
+++ b/crates/spurdrum-http/src/lib.rs
@@ -1,5 +1,6 @@
 //! HTTP/1.1 towards clients ([`front`]) and towards servers ([`Upstream`]), in the platform's dialect.
 
+mod chunks;
 mod client;
 pub mod front;
 pub mod keys;
--- a/crates/spurdrum/tests/node/streams.rs
+++ b/crates/spurdrum/tests/node/streams.rs
@@ -305,6 +305,34 @@
     assert_eq!((answer.status(), &answer.body[..]), (200, &b"done in pieces"[..]));
 }
 
+/// Where a chunked body ends the next request begins, also where all has come at once.
+#[test]
+fn a_connection_goes_on_behind_a_chunked_body() {
+    let server = Server::start();
+    let node = Node::before(&[&server]);
+    let mut client = node.client();
+    let first =
+        [upload("update", "transfer-encoding: chunked\r\n").as_bytes(), &chunked(b"work", 3)].concat();
+    let all = [&first[..], request("update", 20.0).as_bytes(), request("read", 20.0).as_bytes()].concat();
+    client.stream.get_mut().write_all(&all).expect("sent");
+    for body in ["work", "work", ""] {
+        let got = server.request();
+        assert_eq!(got.request.body, body.as_bytes());
+        got.answer(OK, "", b"x");
+        let answer = client.answer();
+        assert_eq!((answer.status(), answer.header("connection")), (200, None));
+    }
+    // One whose end others might see elsewhere is answered, if at all, as the last.
+    client.send(&upload("update", "transfer-encoding: chunked\r\n"));
+    client.send("4\nwork\r\n0\r\n\r\n");
+    client.send(&request("update", 20.0));
+    if server.poll().is_some() {
+        panic!("an unsound body went on");
+    }
+    let said = client.rest();
+    assert!(said.matches("HTTP/1.1").count() <= 1, "{said}");
+}
+
 /// Who never finishes a request has asked for nothing that is counted.
 #[test]
 fn a_request_that_never_came_whole_is_not_counted() {
