--- a/crates/spurdrum/tests/node/replace.rs
+++ b/crates/spurdrum/tests/node/replace.rs
@@ -234,3 +234,91 @@
     serving.join().expect("none ran twice");
     assert_eq!(served, *over.lock().expect("counted"));
 }
+
+/// A node that is nearly full hands all of it on: the new process has room for what comes as the old one gives it up.
+#[test]
+fn a_full_node_passes_on_all_its_connections() {
+    let mut kept = Vec::new();
+    let Pair { server, mut old, new: _new, .. } = pair(|old| {
+        kept.extend((0..100).map(|_| old.client()));
+    });
+    for client in kept.iter_mut().take(10) {
+        serve(&server, client);
+    }
+    old.terminate();
+    assert!(old.wait().success());
+    for client in &mut kept {
+        serve(&server, client);
+    }
+}
+
+/// Told to end before anybody has called, the old process hands nothing over: both listen side by side for a while.
+#[test]
+fn a_process_that_starts_when_the_old_one_is_ending_starts_alone() {
+    let server = Server::start();
+    let (config, old_ops) = operated(&[&server]);
+    let mut old = Node::start(&config);
+    let mut client = old.client();
+    client.send(&request("pay", 20.0));
+    let open = server.request();
+    old.terminate();
+    until(|| call(old_ops, "readyz") == "NO ending\n");
+    let ops = own_address();
+    let new = old.beside(&config, ops);
+    ready(ops);
+    open.answer(OK, "", b"late");
+    assert_eq!(client.answer().status(), 200);
+    assert!(old.wait().success());
+    serve(&server, &mut new.client());
+}
+
+#[test]
+fn of_several_that_start_at_once_each_serves() {
+    let server = Server::start();
+    let (config, _) = operated(&[&server]);
+    let mut old = Node::start(&config);
+    let starts: Vec<(Node, SocketAddr)> = (0..3)
+        .map(|_| {
+            let ops = own_address();
+            (old.beside(&config, ops), ops)
+        })
+        .collect();
+    starts.iter().for_each(|(_, ops)| ready(*ops));
+    old.terminate();
+    assert!(old.wait().success());
+    for _ in 0..12 {
+        serve(&server, &mut starts[0].0.client());
+    }
+}
+
+/// Between the start of the new process and the end of the old one, each hears its own signals and its own discovery.
+#[test]
+fn new_settings_and_a_drain_in_the_middle_hold_for_both() {
+    let servers = [Server::start(), Server::start()];
+    let (mut config, old_ops) = operated(&[&servers[0], &servers[1]]);
+    let mut old = Node::start(&config);
+    let ops = own_address();
+    let new = old.beside(&config, ops);
+    ready(ops);
+    let mut fresh = config["settings"]["classes"][0].clone();
+    fresh["name"] = json!("look");
+    config["settings"]["classes"].as_array_mut().expect("a list").push(fresh);
+    old.reload(&config.to_string());
+    new.hang_up();
+    until(|| figures(old_ops)["reconfig_ok"] == 1 && figures(ops)["reconfig_ok"] == 1);
+    let told = list(9, false, &[member("s0", servers[0].address, "left")]).to_string();
+    for process in [&old, &new] {
+        process.discovery.request().answer(OK, "", told.as_bytes());
+    }
+    until(|| figures(old_ops)["hosts_listed"] == 1 && figures(ops)["hosts_listed"] == 1);
+    for _ in 0..8 {
+        let mut client = new.client();
+        client.send(&request("read", 20.0).replace("x-class: read", "x-class: look"));
+        servers[1].request().answer(OK, "", b"x");
+        assert_eq!(client.answer().status(), 200);
+    }
+    old.terminate();
+    assert!(old.wait().success());
+    serve(&servers[1], &mut new.client());
+    assert!(!servers[0].has_request(), "it has left");
+}
