--- a/crates/spurdrum/tests/node/ops.rs
+++ b/crates/spurdrum/tests/node/ops.rs
@@ -129,3 +129,70 @@
     let _node = Node::start(&empty);
     assert!(call(ops, "readyz").starts_with("NO "));
 }
+
+/// A seeded run of mixed endings: what clients and servers counted themselves is what the figures say, never ahead of it on
+/// the way, and exactly that at the end.
+#[test]
+fn a_long_run_of_mixed_endings_is_counted_exactly() {
+    let server = Server::start();
+    let (mut config, ops) = operated(&[&server]);
+    // One attempt each, and no judgement: which ending a request gets is the test's alone.
+    config["settings"]["allowed"]["max_attempts"] = json!(1);
+    let node = Node::start(&config);
+    let mut random = fastrand::Rng::with_seed(32);
+    let classes = ["read", "update", "pay"];
+    let (mut tally, mut attempts) = ([[0_u64; 3]; 3], 0_u64);
+    for round in 0..120 {
+        let which = random.usize(0..3);
+        let mut client = node.client();
+        client.send(&request(classes[which], 20.0));
+        // Where its only server is out the node refuses at once; a request that does come there is answered somehow.
+        let got = loop {
+            if let Some(got) = server.poll() {
+                break Some(got);
+            }
+            client.stream.get_ref().set_read_timeout(Some(Duration::from_millis(2))).expect("set");
+            if client.stream.get_ref().peek(&mut [0]).is_ok_and(|n| n > 0) {
+                break server.poll();
+            }
+        };
+        client.stream.get_ref().set_read_timeout(Some(LONG)).expect("set");
+        if let Some(mut got) = got {
+            attempts += 1;
+            match random.usize(0..6) {
+                0 => got.answer("500 Broken", "", b""),
+                1 => got.answer("503 Busy", "x-not-run: 1\r\n", b""),
+                2 => got.write(b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nhalf"),
+                3 => got.answer(OK, "", &[b'x'; 100_000]),
+                _ => got.answer(OK, "", b"x"),
+            }
+        }
+        let fate = match client.answer().status() {
+            200 => 0,
+            429 | 503 => 1,
+            _ => 2,
+        };
+        tally[which][fate] += 1;
+        if round % 10 == 0 {
+            let shown = figures(ops);
+            let sum = |key: &str| {
+                classes.iter().map(|c| shown["calls"][c][key].as_u64().expect("a count")).sum::<u64>()
+            };
+            assert!(sum("success") + sum("busy") + sum("failure") <= round + 1);
+            assert!(shown["backend_calls"].as_u64() <= Some(attempts));
+        }
+    }
+    let matches = || {
+        let shown = figures(ops);
+        let class = |(which, class): (usize, &&str)| {
+            let [success, busy, failure] = tally[which];
+            shown["calls"][class] == json!({"success": success, "busy": busy, "failure": failure})
+        };
+        classes.iter().enumerate().all(class) && shown["backend_calls"] == attempts && shown["inflight"] == 0
+    };
+    until(matches);
+    assert!(
+        tally.iter().all(|class| class.iter().sum::<u64>() > 20) && attempts > 60,
+        "{tally:?} {attempts}"
+    );
+}
