Say once what a body that passes through is, and how pieces are joined

Outgoing and Answered were two copies of one enum with one Body impl each: one generic type serves both. Pieces of a body were joined in two places. The core kept the whole start configuration for one of its times. The door counted classes with another bound on fields than heads have; it is the same now.

--- a/crates/spurdrum-core/src/node.rs
+++ b/crates/spurdrum-core/src/node.rs
@@ -90,8 +90,7 @@
 
 /// One node; all of its parts hold it.
 pub struct Node<T: Transport> {
-    /// What it was told at its start.
-    config: Config,
+    tidy_every: Duration,
     settings: RefCell<Rc<Settings>>,
     most_held: Cell<usize>,
     /// Who holds the node's descriptors.
@@ -135,9 +134,9 @@
             Balancer::new(config.settings.clone(), config.seed).map_err(|e| format!("`settings`: {e}"))?;
         let started_unix_ms = unix_ms()?;
         Ok(Rc::new(Self {
-            settings: RefCell::new(Rc::new(config.settings.clone())),
+            tidy_every: config.tidy_every,
+            settings: RefCell::new(Rc::new(config.settings)),
             most_held: Cell::new(config.most_held),
-            config,
             connections,
             figures,
             transport,
@@ -446,7 +445,7 @@
     /// Closes connections to servers before the servers do, for as long as the node runs.
     pub async fn reap(self: Rc<Self>) {
         loop {
-            sleep(self.config.tidy_every).await;
+            sleep(self.tidy_every).await;
             self.transport.close_idle();
         }
     }
--- a/crates/spurdrum-http/src/client.rs
+++ b/crates/spurdrum-http/src/client.rs
@@ -13,10 +13,10 @@
 
 use crate::chunks::Chunks;
 use crate::socket;
-use crate::stream::Answered;
+use crate::stream::{self, Answered};
 
 /// Fields of a head, as hyper limits them.
-const FIELDS_MOST: usize = 100;
+pub const FIELDS_MOST: usize = 100;
 
 /// A client's socket, with what hyper has read of the head that is coming. hyper drops fields that contradict
 /// others before a request is seen, so the head is looked at as it came.
@@ -206,7 +206,7 @@
 
 impl Body for Answering {
     type Data = Bytes;
-    type Error = Box<dyn std::error::Error + Send + Sync>;
+    type Error = stream::Error;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
--- a/crates/spurdrum-http/src/front.rs
+++ b/crates/spurdrum-http/src/front.rs
@@ -28,10 +28,10 @@
 use tokio::task::yield_now;
 use tokio::time::{sleep, sleep_until, Instant};
 
-use crate::client::{Framing, Socket, Tally};
+use crate::client::{Framing, Socket, Tally, FIELDS_MOST};
 use crate::keys::Keys;
 use crate::socket::Io;
-use crate::stream::{Answered, Deadline, Listener, Source};
+use crate::stream::{joined, Answered, Deadline, Listener, Source};
 use crate::upstream::{Carried, Forward, Upstream, BODY_MOST, BUFFER};
 
 /// Taken off a client's time: its request and the answer are under way for a part of that.
@@ -295,7 +295,7 @@
 
 /// The class that a request's head names, where all of the head has come.
 fn class_of(came: &[u8]) -> Option<String> {
-    let mut fields = [httparse::EMPTY_HEADER; 32];
+    let mut fields = [httparse::EMPTY_HEADER; FIELDS_MOST];
     let mut head = httparse::Request::new(&mut fields);
     let whole = head.parse(came).is_ok_and(|parsed| parsed.is_complete());
     let field = head.headers.iter().find(|field| whole && field.name.eq_ignore_ascii_case("x-class"))?;
@@ -792,8 +792,7 @@
     let mut bytes = 0;
     while length.is_none_or(|length| length <= BODY_MOST as u64) && bytes <= BODY_MOST {
         let Some(frame) = body.frame().await else {
-            let whole = if came.len() == 1 { came.swap_remove(0) } else { came.concat().into() };
-            return Ok(Came::Whole(whole));
+            return Ok(Came::Whole(joined(came)));
         };
         if let Ok(data) = frame.map_err(|_| StatusCode::BAD_REQUEST)?.into_data() {
             bytes += data.len();
--- a/crates/spurdrum-http/src/stream.rs
+++ b/crates/spurdrum-http/src/stream.rs
@@ -19,7 +19,8 @@
 /// A server that gives or takes nothing for so long has broken off.
 pub const STALLED: Duration = Duration::from_secs(5);
 
-type Error = Box<dyn std::error::Error + Send + Sync>;
+/// Why a body breaks off.
+pub type Error = Box<dyn std::error::Error + Send + Sync>;
 
 /// When a node stops waiting: known only once the last byte of the request has come.
 pub struct Deadline {
@@ -183,12 +184,73 @@
     }
 }
 
-/// The body of one attempt.
-pub enum Outgoing {
+/// What has come of a body, in one piece.
+pub fn joined(mut came: Vec<Bytes>) -> Bytes {
+    match came.len() {
+        1 => came.swap_remove(0),
+        _ => came.concat().into(),
+    }
+}
+
+/// A body that passes through.
+pub trait Through: Unpin {
+    /// Its next frame.
+    fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, Error>>>;
+
+    /// Whether there is no more of it.
+    fn has_ended(&self) -> bool;
+
+    /// Its length, where that is known.
+    fn length(&self) -> Option<u64>;
+}
+
+/// A body that is at hand, or passes through.
+pub enum Carrying<T> {
     /// All of it is at hand.
     Whole(Full<Bytes>),
     /// It passes through.
-    Through(Upload),
+    Through(T),
+}
+
+/// The body of one attempt.
+pub type Outgoing = Carrying<Upload>;
+
+/// The body of an answer.
+pub type Answered = Carrying<Download>;
+
+impl<T> From<Full<Bytes>> for Carrying<T> {
+    fn from(body: Full<Bytes>) -> Self {
+        Self::Whole(body)
+    }
+}
+
+impl<T: Through> Body for Carrying<T> {
+    type Data = Bytes;
+    type Error = Error;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
+        match self.get_mut() {
+            Self::Whole(body) => Pin::new(body).poll_frame(cx).map_err(|never| match never {}),
+            Self::Through(body) => body.poll(cx),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            Self::Whole(body) => body.is_end_stream(),
+            Self::Through(body) => body.has_ended(),
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Whole(body) => body.size_hint(),
+            Self::Through(body) => body.length().map_or_else(SizeHint::default, SizeHint::with_exact),
+        }
+    }
 }
 
 /// A client's body on its way to a server.
@@ -223,7 +285,9 @@
             self.source.tell(|listener| listener.waits(waits));
         }
     }
+}
 
+impl Through for Upload {
     fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
         let held = self.source.held.borrow().get(self.next).cloned();
         if let Some(data) = held {
@@ -257,36 +321,13 @@
             }
         }
     }
-}
-
-impl Body for Outgoing {
-    type Data = Bytes;
-    type Error = Error;
-
-    fn poll_frame(
-        self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
-        match self.get_mut() {
-            Self::Whole(body) => Pin::new(body).poll_frame(cx).map_err(|never| match never {}),
-            Self::Through(upload) => upload.poll(cx),
-        }
-    }
 
-    fn is_end_stream(&self) -> bool {
-        match self {
-            Self::Whole(body) => body.is_end_stream(),
-            Self::Through(upload) => upload.ended,
-        }
+    fn has_ended(&self) -> bool {
+        self.ended
     }
 
-    fn size_hint(&self) -> SizeHint {
-        match self {
-            Self::Whole(body) => body.size_hint(),
-            Self::Through(upload) => {
-                upload.source.length.map_or_else(SizeHint::default, SizeHint::with_exact)
-            }
-        }
+    fn length(&self) -> Option<u64> {
+        self.source.length
     }
 }
 
@@ -325,7 +366,9 @@
             let _ = end.send(ending);
         }
     }
+}
 
+impl Through for Download {
     fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
         if let Some(data) = self.came.next() {
             if self.came.len() == 0 && self.body.is_end_stream() {
@@ -360,53 +403,18 @@
             }
         }
     }
-}
 
-impl Drop for Download {
-    fn drop(&mut self) {
-        self.end(Ending::Cancelled);
+    fn has_ended(&self) -> bool {
+        self.end.is_none()
     }
-}
 
-/// The body of an answer.
-pub enum Answered {
-    /// All of it is at hand.
-    Whole(Full<Bytes>),
-    /// It passes through.
-    Through(Download),
-}
-
-impl From<Full<Bytes>> for Answered {
-    fn from(body: Full<Bytes>) -> Self {
-        Self::Whole(body)
+    fn length(&self) -> Option<u64> {
+        self.length
     }
 }
 
-impl Body for Answered {
-    type Data = Bytes;
-    type Error = Error;
-
-    fn poll_frame(
-        self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
-        match self.get_mut() {
-            Self::Whole(body) => Pin::new(body).poll_frame(cx).map_err(|never| match never {}),
-            Self::Through(download) => download.poll(cx),
-        }
-    }
-
-    fn is_end_stream(&self) -> bool {
-        match self {
-            Self::Whole(body) => body.is_end_stream(),
-            Self::Through(download) => download.end.is_none(),
-        }
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        match self {
-            Self::Whole(body) => body.size_hint(),
-            Self::Through(download) => download.length.map_or_else(SizeHint::default, SizeHint::with_exact),
-        }
+impl Drop for Download {
+    fn drop(&mut self) {
+        self.end(Ending::Cancelled);
     }
 }
--- a/crates/spurdrum-http/src/upstream.rs
+++ b/crates/spurdrum-http/src/upstream.rs
@@ -26,7 +26,7 @@
 
 use crate::keys::{Keys, Naming};
 use crate::socket::{self, has_input, Io};
-use crate::stream::{Answered, Deadline, Download, Outgoing, Source, Upload, STALLED};
+use crate::stream::{joined, Answered, Deadline, Download, Outgoing, Source, Upload, STALLED};
 
 /// An answer of unknown length is held back for so long at most, so that a break may still be mended: most that are short
 /// have come by then, and what is long is timed by its first byte.
@@ -504,11 +504,7 @@
     };
     if whole {
         server.keep(connection);
-        let body = match came.len() {
-            1 => came.swap_remove(0),
-            _ => came.concat().into(),
-        };
-        let body = served.then(|| Served { body: Full::new(body).into(), given: None });
+        let body = served.then(|| Served { body: Full::new(joined(came)).into(), given: None });
         return Reply { body, ..reply(ending) };
     }
     if !served || forward.is_none() {
--- a/crates/spurdrum/src/replace.rs
+++ b/crates/spurdrum/src/replace.rs
@@ -22,7 +22,7 @@
     /// The ids of the servers that something was learned of.
     ids: Vec<String>,
     learned: Learned,
-    /// Whether the classes and tenants, by whose places it was learned, are the same.
+    /// The classes and tenants by whose places it was learned.
     classes: Vec<String>,
     tenants: Vec<String>,
 }
