--- a/crates/spurdrum-bench/src/main.rs
+++ b/crates/spurdrum-bench/src/main.rs
@@ -1,14 +1,14 @@
 //! Measurements, each a command:
 //!
-//!     cargo run --release --bin spurdrum-bench -- stall      the generator's latencies against the stand-in's own clock
-//!     cargo run --release --bin spurdrum-bench -- rate       how late requests are sent at a high rate
-//!     cargo run --release --bin spurdrum-bench -- versus     the node beside a plain proxy, alternating
-//!     cargo run --release --bin spurdrum-bench -- affinity   what bindings of keys to servers cost, and their file
-//!     cargo run --release --bin spurdrum-bench -- registry   how late a node knows what a registry has, and what that costs
-//!     cargo run --release --bin spurdrum-bench -- restart    a node that starts with an old list while discovery fails
-//!     cargo run --release --bin spurdrum-bench -- replace    requests turned back while the process is replaced under load
-//!     cargo run --release --bin spurdrum-bench -- calls      how long operators wait for answers at saturation
-//!     cargo run --release --bin spurdrum-bench -- streams    memory while long bodies and answers pass through
+//!     cargo run --release -p spurdrum-bench -- stall      the generator's latencies against the stand-in's own clock
+//!     cargo run --release -p spurdrum-bench -- rate       how late requests are sent at a high rate
+//!     cargo run --release -p spurdrum-bench -- versus     the node beside a plain proxy, alternating
+//!     cargo run --release -p spurdrum-bench -- affinity   what bindings of keys to servers cost, and their file
+//!     cargo run --release -p spurdrum-bench -- registry   how late a node knows what a registry has, and what that costs
+//!     cargo run --release -p spurdrum-bench -- restart    a node that starts with an old list while discovery fails
+//!     cargo run --release -p spurdrum-bench -- replace    requests turned back while the process is replaced under load
+//!     cargo run --release -p spurdrum-bench -- calls      how long operators wait for answers at saturation
+//!     cargo run --release -p spurdrum-bench -- streams    memory while long bodies and answers pass through
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
