--- /dev/null
+++ b/crates/spurdrum-fleet/src/clients.rs
@@ -0,0 +1,138 @@
+//! Clients in an open loop: each request goes to a node by that node's part of the load, at its time.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Method, Request};
+use spurdrum_load::client::Outcome;
+use spurdrum_load::plan::{Class, Effect};
+use spurdrum_load::transport::Pool;
+use spurdrum_load::Arrival;
+use tokio::time::{sleep_until, timeout};
+
+use crate::history::{Asked, End};
+use crate::verdict::SLACK;
+
+/// Connections that clients keep to one node at most.
+const CONNECTIONS: usize = 200;
+/// A client that reaches no node tries so many others.
+const OTHERS: usize = 3;
+
+/// Deals requests out to nodes by their parts.
+pub struct Deal {
+    parts: Vec<f64>,
+    rng: fastrand::Rng,
+}
+
+impl Deal {
+    /// Parts are drawn lognormal with this sigma.
+    #[must_use]
+    pub fn new(nodes: usize, sigma: f64, seed: u64) -> Self {
+        let mut rng = fastrand::Rng::with_seed(seed ^ 0x5eed);
+        let mut sum = 0.0;
+        let parts = (0..nodes).map(|_| {
+            let (a, b) = (1.0 - rng.f64(), rng.f64());
+            sum += (sigma * (-2.0 * a.ln()).sqrt() * (std::f64::consts::TAU * b).cos()).exp();
+            sum
+        });
+        Self { parts: parts.collect(), rng }
+    }
+
+    /// The node of the next request.
+    pub fn deal(&mut self) -> usize {
+        let draw = self.rng.f64() * self.parts.last().copied().unwrap_or_default();
+        self.parts.partition_point(|sum| *sum <= draw).min(self.parts.len().saturating_sub(1))
+    }
+}
+
+/// Plays a share of the arrivals, on one event loop: sends each at its time, and returns what became of it.
+pub async fn play(
+    arrivals: Vec<(Arrival, usize)>,
+    nodes: &[SocketAddr],
+    classes: &[Class],
+    start: Instant,
+    seed: u64,
+) -> Vec<Asked> {
+    let pools: Vec<Pool> = nodes.iter().map(|node| Pool::new(*node, CONNECTIONS)).collect();
+    let clients = Rc::new((pools, classes.to_vec(), RefCell::new(fastrand::Rng::with_seed(seed))));
+    let mut tasks = Vec::with_capacity(arrivals.len());
+    for (arrival, node) in arrivals {
+        let due = start + Duration::from_micros(arrival.due_us);
+        if due > Instant::now() {
+            sleep_until(due.into()).await;
+        }
+        let clients = Rc::clone(&clients);
+        tasks.push(tokio::task::spawn_local(async move {
+            let (pools, classes, rng) = &*clients;
+            one(arrival, node, pools, &classes[usize::from(arrival.class)], rng, start).await
+        }));
+    }
+    let mut asked = Vec::with_capacity(tasks.len());
+    for task in tasks {
+        asked.extend(task.await);
+    }
+    asked
+}
+
+async fn one(
+    arrival: Arrival,
+    mut node: usize,
+    pools: &[Pool],
+    class: &Class,
+    rng: &RefCell<fastrand::Rng>,
+    start: Instant,
+) -> Asked {
+    let now = || start.elapsed().as_secs_f64();
+    let due = arrival.due_us as f64 / 1e6;
+    let lag = now() - due;
+    let ends = start + Duration::from_secs_f64(due + class.deadline_s + SLACK);
+    let mut end = End::Unreached;
+    for _ in 0..=OTHERS {
+        let left = (due + class.deadline_s - now()).max(0.001);
+        let request = request(&arrival, class, left);
+        let outcome =
+            timeout(ends.saturating_duration_since(Instant::now()), pools[node].ask(request, true)).await;
+        end = match outcome {
+            Ok(Outcome::Served) => End::Served,
+            Ok(Outcome::Refused { .. }) => End::Refused,
+            Ok(Outcome::Unreached) => End::Unreached,
+            Ok(_) => End::Failed,
+            Err(_) => End::Nothing,
+        };
+        if end != End::Unreached {
+            break;
+        }
+        // What stands before nodes notices that one is dead, and asks another.
+        node = rng.borrow_mut().usize(..pools.len());
+    }
+    Asked {
+        id: arrival.id,
+        node,
+        effect: class.effect,
+        due,
+        lag,
+        ended: now(),
+        end,
+        deadline: class.deadline_s,
+    }
+}
+
+fn request(arrival: &Arrival, class: &Class, left: f64) -> Request<Full<Bytes>> {
+    let safe = class.effect == Effect::Safe;
+    let body = if safe { Bytes::new() } else { Bytes::from(vec![b'x'; arrival.bytes as usize]) };
+    let mut request = Request::builder()
+        .method(if safe { Method::GET } else { Method::POST })
+        .uri(format!("/api?k={:x}", arrival.key))
+        .header("host", "origin.svc")
+        .header("x-request-id", format!("{:x}", arrival.id))
+        .header("x-class", &class.name)
+        .header("x-deadline", format!("{left:.3}"));
+    if class.effect == Effect::Keyed {
+        request = request.header("idempotency-key", format!("{:032x}", arrival.id));
+    }
+    request.body(Full::new(body)).expect("names are checked as header values")
+}
--- /dev/null
+++ b/crates/spurdrum-fleet/src/figures.rs
@@ -0,0 +1,311 @@
+//! What a run shows of the spread. Each figure's definition stands in `docs/design/spread.md`.
+
+use std::fmt;
+
+use hdrhistogram::Histogram;
+
+use crate::history::{End, History};
+
+/// Latencies are counted up to this many microseconds.
+const MOST: u64 = 600_000_000;
+
+/// The figures of a run, or of a stretch of one.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Figures {
+    /// Requests that were due.
+    pub offered: usize,
+    /// Parts of them that were refused, that failed, and that nobody answered.
+    pub refused: f64,
+    /// See `refused`.
+    pub failed: f64,
+    /// See `refused`.
+    pub nothing: f64,
+    /// Attempts for a request.
+    pub attempts: f64,
+    /// Sends to a server by its capacity, over the mean: least, most, standard deviation, and that of independent draws.
+    pub least: f64,
+    /// See `least`.
+    pub most: f64,
+    /// See `least`.
+    pub variation: f64,
+    /// See `least`.
+    pub poisson: f64,
+    /// Mean over windows of a second of the standard deviation of sends by capacity, over that of independent draws.
+    pub by_second: f64,
+    /// Part of the server-seconds with a free worker while some server has two or more waiting.
+    pub idle: f64,
+    /// Most begun at one server within one service time, over the p99.9 of independent draws at the same rate.
+    pub herd: f64,
+    /// Latencies of what was served, in milliseconds from when it was due.
+    pub p50: f64,
+    /// See `p50`.
+    pub p99: f64,
+    /// How late requests were sent, by the rig's own fault: p99 in milliseconds.
+    pub lag: f64,
+}
+
+impl Figures {
+    /// Names and values, in the order in which tables have them.
+    #[must_use]
+    pub fn columns(&self) -> [(&'static str, f64); 14] {
+        [
+            ("least", self.least),
+            ("most", self.most),
+            ("variation", self.variation),
+            ("poisson", self.poisson),
+            ("by second", self.by_second),
+            ("idle %", 100.0 * self.idle),
+            ("herd", self.herd),
+            ("p50 ms", self.p50),
+            ("p99 ms", self.p99),
+            ("refused %", 100.0 * self.refused),
+            ("failed %", 100.0 * self.failed),
+            ("nothing %", 100.0 * self.nothing),
+            ("attempts", self.attempts),
+            ("lag ms", self.lag),
+        ]
+    }
+}
+
+impl fmt::Display for Figures {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(f, "{:<12}{:>10}", "requests", self.offered)?;
+        self.columns().iter().try_for_each(|(name, value)| writeln!(f, "{name:<12}{value:>10.3}"))
+    }
+}
+
+/// The part of a run that counts: all but its first fifth.
+#[must_use]
+pub fn of(history: &History) -> Figures {
+    between(history, history.length / 5.0, history.length)
+}
+
+/// The figures of a stretch, in seconds.
+#[must_use]
+pub fn between(history: &History, from: f64, to: f64) -> Figures {
+    let within = |at: f64| (from..to).contains(&at);
+    let asked: Vec<_> = history.asked.iter().filter(|asked| within(asked.due)).collect();
+    let part =
+        |end: End| asked.iter().filter(|asked| asked.end == end).count() as f64 / asked.len().max(1) as f64;
+    let hist = |values: &mut dyn Iterator<Item = f64>| {
+        let mut hist = Histogram::<u64>::new_with_max(MOST, 3).expect("bounds are sound");
+        values.for_each(|s| hist.saturating_record((s * 1e6).max(0.0) as u64));
+        hist
+    };
+    let took =
+        hist(&mut asked.iter().filter(|asked| asked.end == End::Served).map(|asked| asked.ended - asked.due));
+    let lag = hist(&mut asked.iter().map(|asked| asked.lag));
+    let ms = |hist: &Histogram<u64>, part: f64| hist.value_at_quantile(part) as f64 / 1000.0;
+    let mut begun: Vec<Vec<f64>> = vec![Vec::new(); history.servers.len()];
+    history
+        .worked
+        .iter()
+        .filter(|worked| within(worked.begun))
+        .for_each(|worked| begun[worked.server].push(worked.begun));
+    let sent: usize = begun.iter().map(Vec::len).sum();
+    let (least, most, variation, poisson) = spread(history, &begun);
+    let seconds = (to - from).floor().max(1.0) as usize;
+    let by_second = (0..seconds).map(|n| {
+        let span = from + n as f64..from + n as f64 + 1.0;
+        let of = |times: &Vec<f64>| times.iter().copied().filter(|at| span.contains(at)).collect();
+        let (.., variation, poisson) = spread(history, &begun.iter().map(of).collect::<Vec<_>>());
+        if poisson > 0.0 {
+            variation / poisson
+        } else {
+            1.0
+        }
+    });
+    Figures {
+        offered: asked.len(),
+        refused: part(End::Refused),
+        failed: part(End::Failed) + part(End::Unreached),
+        nothing: part(End::Nothing),
+        attempts: sent as f64 / asked.len().max(1) as f64,
+        least,
+        most,
+        variation,
+        poisson,
+        by_second: by_second.sum::<f64>() / seconds as f64,
+        idle: idle(history, from, to),
+        herd: herd(history, &begun, to - from),
+        p50: ms(&took, 0.5),
+        p99: ms(&took, 0.99),
+        lag: ms(&lag, 0.99),
+    }
+}
+
+/// Least, most and deviation of sends by capacity, over their mean, and the deviation that independent draws would have.
+fn spread(history: &History, begun: &[Vec<f64>]) -> (f64, f64, f64, f64) {
+    let sizes = history.servers.iter().map(|server| server.workers as f64 / server.work.max(1e-9));
+    let sizes: Vec<f64> = sizes.collect();
+    let sent: f64 = begun.iter().map(|times| times.len() as f64).sum();
+    let each = sent / sizes.iter().sum::<f64>().max(1e-9);
+    if each <= 0.0 {
+        return (0.0, 0.0, 0.0, 0.0);
+    }
+    let parts: Vec<f64> =
+        begun.iter().zip(&sizes).map(|(times, size)| times.len() as f64 / size / each).collect();
+    let count = parts.len() as f64;
+    let variance = parts.iter().map(|part| (part - 1.0).powi(2)).sum::<f64>() / count;
+    let draws = sizes.iter().map(|size| 1.0 / (each * size)).sum::<f64>() / count;
+    let least = parts.iter().copied().fold(f64::INFINITY, f64::min);
+    (least, parts.iter().copied().fold(0.0, f64::max), variance.sqrt(), draws.sqrt())
+}
+
+/// Part of the server-seconds with a free worker while some server has two or more waiting.
+fn idle(history: &History, from: f64, to: f64) -> f64 {
+    let mut steps: Vec<(f64, usize, i64)> = Vec::new();
+    for worked in &history.worked {
+        steps.push((worked.begun, worked.server, 1));
+        steps.extend(worked.ended.map(|at| (at, worked.server, -1)));
+    }
+    steps.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.2.cmp(&b.2)));
+    let mut held = vec![0_i64; history.servers.len()];
+    let workers: Vec<i64> = history.servers.iter().map(|server| server.workers as i64).collect();
+    let (mut before, mut idle) = (from, 0.0);
+    for (at, server, change) in steps {
+        let now = at.clamp(from, to);
+        if now > before {
+            if held.iter().zip(&workers).any(|(held, workers)| held - workers >= 2) {
+                let still = |n: usize| {
+                    history.servers[n].still.iter().any(|(from, to)| (*from..*to).contains(&before))
+                };
+                let free = (0..held.len()).filter(|n| held[*n] < workers[*n] && !still(*n)).count();
+                idle += (now - before) * free as f64;
+            }
+            before = now;
+        }
+        held[server] += change;
+    }
+    idle / ((to - from) * history.servers.len() as f64).max(1e-9)
+}
+
+fn herd(history: &History, begun: &[Vec<f64>], span: f64) -> f64 {
+    let of = |(server, times): (&crate::history::Server, &Vec<f64>)| {
+        let mut first = 0;
+        let most = times.iter().enumerate().map(|(n, at)| {
+            while at - times[first] > server.work {
+                first += 1;
+            }
+            n + 1 - first
+        });
+        let usual = poisson(times.len() as f64 / span.max(1e-9) * server.work, 0.999);
+        most.max().unwrap_or(0) as f64 / usual as f64
+    };
+    history.servers.iter().zip(begun).map(of).fold(0.0, f64::max)
+}
+
+/// The count that so large a part of Poisson draws of this mean do not pass, at least one.
+#[must_use]
+pub fn poisson(mean: f64, part: f64) -> usize {
+    let (mut term, mut sum, mut count) = ((-mean).exp(), (-mean).exp(), 0);
+    while sum < part && count < 10_000 {
+        count += 1;
+        term *= mean / count as f64;
+        sum += term;
+    }
+    count.max(1)
+}
+
+/// Seconds from the end of the last fault until sends in a second stay within this many times the spread before the first
+/// fault; none where that does not come within the run, or there was no fault.
+#[must_use]
+pub fn even_again(history: &History, times: f64) -> Option<f64> {
+    let first = history.faults.iter().map(|(from, _)| *from).reduce(f64::min)?;
+    let last = history.faults.iter().map(|(_, to)| to.min(history.length)).reduce(f64::max)?;
+    let before = between(history, (history.length / 5.0).min(first / 2.0), first).by_second;
+    let step = 0.5;
+    let mut at = last;
+    while at + 2.0 <= history.length {
+        if between(history, at, at + 2.0).by_second <= times * before.max(1.0) {
+            return Some(at - last);
+        }
+        at += step;
+    }
+    None
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::history::{Asked, Server, Worked};
+    use spurdrum_load::plan::Effect;
+
+    fn server(name: &str, workers: usize) -> Server {
+        Server { name: name.into(), workers, work: 0.04, drains_at: None, still: Vec::new() }
+    }
+
+    fn history(worked: &[(usize, f64, f64)]) -> History {
+        let worked = worked.iter().enumerate().map(|(id, (server, begun, ended))| Worked {
+            id: id as u64,
+            server: *server,
+            begun: *begun,
+            ended: Some(*ended),
+        });
+        History {
+            length: 10.0,
+            worked: worked.collect(),
+            servers: vec![server("a", 1), server("b", 1)],
+            ..History::default()
+        }
+    }
+
+    #[test]
+    fn a_server_is_idle_only_while_others_wait() {
+        // Server a holds one from 4 to 10 s, three from 5 to 8 s: two wait, and b is free.
+        let history = history(&[(0, 4.0, 10.0), (0, 5.0, 8.0), (0, 5.0, 8.0)]);
+        let idle = between(&history, 2.0, 10.0).idle;
+        assert!((idle - 3.0 / 16.0).abs() < 1e-9, "{idle}");
+        let mut still = history.clone();
+        still.servers[1].still.push((0.0, 20.0));
+        assert_eq!(between(&still, 2.0, 10.0).idle, 0.0);
+    }
+
+    #[test]
+    fn spread_counts_by_capacity() {
+        let mut history = history(&[]);
+        history.servers = vec![server("a", 1), server("b", 3)];
+        let at = |n: usize| 2.0 + n as f64 * 0.01;
+        history.worked = (0..400)
+            .map(|n| Worked {
+                id: n as u64,
+                server: usize::from(n % 4 > 0),
+                begun: at(n),
+                ended: Some(at(n) + 0.01),
+            })
+            .collect();
+        let even = between(&history, 2.0, 10.0);
+        assert!(even.variation < 1e-9 && (even.least - 1.0).abs() < 1e-9);
+        history.worked.iter_mut().for_each(|worked| worked.server = usize::from(worked.id % 2 > 0));
+        let uneven = between(&history, 2.0, 10.0);
+        assert!((uneven.most - 2.0).abs() < 1e-9 && (uneven.least - 2.0 / 3.0).abs() < 1e-9, "{uneven}");
+    }
+
+    #[test]
+    fn a_herd_is_many_within_one_service_time() {
+        let spaced: Vec<_> = (0..80).map(|n| (n % 2, 2.0 + f64::from(n as u32) * 0.1, 9.9)).collect();
+        let alone = between(&history(&spaced), 2.0, 10.0).herd;
+        let mut at_once = spaced;
+        at_once.extend((0..12).map(|n| (0, 6.05 + f64::from(n) * 0.001, 9.9)));
+        assert!(alone <= 1.0, "{alone}");
+        assert!(between(&history(&at_once), 2.0, 10.0).herd >= 3.0);
+    }
+
+    #[test]
+    fn answers_are_counted_by_their_ends() {
+        let ends = [End::Served, End::Served, End::Refused, End::Failed, End::Nothing];
+        let asked = ends.iter().enumerate().map(|(n, end)| Asked {
+            id: n as u64,
+            node: 0,
+            effect: Effect::Safe,
+            due: 3.0,
+            lag: 0.0,
+            ended: 3.0 + 0.1 * (n + 1) as f64,
+            end: *end,
+            deadline: 0.8,
+        });
+        let figures = of(&History { asked: asked.collect(), ..history(&[]) });
+        assert_eq!((figures.offered, figures.refused, figures.failed, figures.nothing), (5, 0.2, 0.2, 0.2));
+        assert!((figures.p50 - 100.0).abs() < 1.0 && (figures.p99 - 200.0).abs() < 1.0, "{figures}");
+    }
+}
--- /dev/null
+++ b/crates/spurdrum-fleet/src/history.rs
@@ -0,0 +1,105 @@
+//! What clients, servers and nodes saw of one run, joined by request.
+
+use std::collections::BTreeMap;
+
+use spurdrum_load::plan::Effect;
+
+/// How a request ended for its client.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// 200.
+    Served,
+    /// 429 or 503.
+    Refused,
+    /// Another answer, or a connection that ended without one.
+    Failed,
+    /// No answer while its client waited, and a moment more.
+    Nothing,
+    /// No node could be reached.
+    Unreached,
+}
+
+/// One request, as its client saw it. Times are seconds from the start of the run.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Asked {
+    /// Its id.
+    pub id: u64,
+    /// The node that was asked.
+    pub node: usize,
+    /// What running it twice does.
+    pub effect: Effect,
+    /// When it was due.
+    pub due: f64,
+    /// How late it was sent, by the rig's own fault.
+    pub lag: f64,
+    /// When it ended.
+    pub ended: f64,
+    /// How.
+    pub end: End,
+    /// What its client waits in all, in seconds.
+    pub deadline: f64,
+}
+
+/// One attempt, as its server saw it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Worked {
+    /// The request's id.
+    pub id: u64,
+    /// Place of the server in [`History::servers`].
+    pub server: usize,
+    /// When its last byte had come.
+    pub begun: f64,
+    /// When it was answered, or its node left.
+    pub ended: Option<f64>,
+}
+
+/// One server.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Server {
+    /// Its name.
+    pub name: String,
+    /// Requests that it works on at once.
+    pub workers: usize,
+    /// Mean time of a request there, in seconds.
+    pub work: f64,
+    /// From when it takes nothing new by the list, where that comes.
+    pub drains_at: Option<f64>,
+    /// Seconds in which it does nothing: from and to.
+    pub still: Vec<(f64, f64)>,
+}
+
+/// A stretch in which a node could not do what it has to: killed or stopped.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Away {
+    /// The node.
+    pub node: usize,
+    /// From.
+    pub from: f64,
+    /// To.
+    pub to: f64,
+}
+
+/// One run.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct History {
+    /// Its length in seconds; the first fifth is left out of the figures.
+    pub length: f64,
+    /// Requests, in the order in which they were due.
+    pub asked: Vec<Asked>,
+    /// Attempts, in the order in which they were begun.
+    pub worked: Vec<Worked>,
+    /// The servers.
+    pub servers: Vec<Server>,
+    /// Stretches without a node.
+    pub away: Vec<Away>,
+    /// Faults: from and to.
+    pub faults: Vec<(f64, f64)>,
+    /// Connections that servers accepted.
+    pub connections: u64,
+    /// Attempts that the servers could not log, for want of room.
+    pub untold: u64,
+    /// Sums of the nodes' own figures, where they could be asked.
+    pub telemetry: BTreeMap<String, u64>,
+    /// Time in which keyed repeats are discarded, in seconds.
+    pub window: f64,
+}
--- /dev/null
+++ b/crates/spurdrum-fleet/src/process.rs
@@ -0,0 +1,174 @@
+//! One node's process.
+
+use std::fs::File;
+use std::io::{Read, Write};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::os::unix::process::CommandExt;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitCode, Stdio};
+use std::time::{Duration, Instant};
+
+use rustix::process::{getppid, kill_process, set_parent_process_death_signal, Pid, Signal};
+
+/// A node has this long until it is healthy.
+const READY_MOST: Duration = Duration::from_secs(30);
+/// What is shown of a log where a node does not come up.
+const LINES: usize = 8;
+
+/// The `n`th address of a run: in 127.0.0.0/8, and another for each rig that runs.
+#[must_use]
+pub fn address(n: usize) -> IpAddr {
+    let rig = (std::process::id() % 200) as u8;
+    IpAddr::V4(Ipv4Addr::new(127, 20 + rig, (n / 250) as u8, (n % 250) as u8 + 1))
+}
+
+/// A port that is free now on an address of the run's own.
+pub fn free(on: IpAddr) -> Result<SocketAddr, String> {
+    let listener = TcpListener::bind((on, 0)).map_err(|error| format!("no free port on {on}: {error}"))?;
+    listener.local_addr().map_err(|error| error.to_string())
+}
+
+/// What is needed to start a node, also again.
+#[derive(Clone, Debug)]
+pub struct Start {
+    /// Its name, for messages.
+    pub name: String,
+    /// The program.
+    pub program: PathBuf,
+    /// Its configuration file.
+    pub file: PathBuf,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Where operators call.
+    pub ops: SocketAddr,
+    /// Its log.
+    pub log: PathBuf,
+    /// Where it keeps its sockets for replacement.
+    pub folder: PathBuf,
+}
+
+/// A node that runs, until it is dropped.
+pub struct Node {
+    child: Child,
+}
+
+impl Start {
+    /// Starts the process. It dies with the rig, however that ends.
+    pub fn start(&self) -> Result<Node, String> {
+        let log = File::options().create(true).append(true).open(&self.log);
+        let log = log.map_err(|error| format!("{}: {error}", self.log.display()))?;
+        let own = std::env::current_exe().map_err(|error| error.to_string())?;
+        let holds = own.file_stem().is_some_and(|name| name == "spurdrum-fleet");
+        // In tests the rig is not the program that holds: the command beside it is.
+        let holder = if holds { own } else { beside("spurdrum-fleet")? };
+        let mut command = Command::new(holder);
+        command
+            .args(["hold", &std::process::id().to_string()])
+            .arg(&self.program)
+            .arg("--config")
+            .arg(&self.file);
+        command.env("TMPDIR", &self.folder).stdin(Stdio::null()).stdout(Stdio::null()).stderr(log);
+        let child = command.spawn().map_err(|error| format!("{} does not start: {error}", self.name))?;
+        Ok(Node { child })
+    }
+
+    /// Waits until it answers that it is healthy.
+    pub fn ready(&self, node: &mut Node) -> Result<(), String> {
+        let since = Instant::now();
+        while !self.healthy() {
+            let ended = node.child.try_wait().ok().flatten();
+            if ended.is_some() || since.elapsed() > READY_MOST {
+                let how = ended.map_or("does not become healthy".into(), |status| format!("ended: {status}"));
+                return Err(format!("{} {how}; the last lines of its log:\n{}", self.name, tail(&self.log)));
+            }
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        Ok(())
+    }
+
+    fn healthy(&self) -> bool {
+        let ask = || -> std::io::Result<bool> {
+            let mut stream = TcpStream::connect_timeout(&self.listen, Duration::from_secs(1))?;
+            stream.set_read_timeout(Some(Duration::from_secs(1)))?;
+            stream.write_all(b"GET /_health HTTP/1.1\r\nhost: n\r\nconnection: close\r\n\r\n")?;
+            let mut answer = String::new();
+            stream.read_to_string(&mut answer)?;
+            Ok(answer.starts_with("HTTP/1.1 200"))
+        };
+        ask().unwrap_or(false)
+    }
+
+    /// Its figures, where it answers.
+    pub fn telemetry(&self) -> Option<serde_json::Value> {
+        let mut stream = TcpStream::connect_timeout(&self.ops, Duration::from_secs(1)).ok()?;
+        stream.set_read_timeout(Some(Duration::from_secs(1))).ok()?;
+        stream.write_all(b"telemetry\n").ok()?;
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).ok()?;
+        serde_json::from_str(answer.lines().next()?).ok()
+    }
+}
+
+fn tail(path: &Path) -> String {
+    let text = std::fs::read_to_string(path).unwrap_or_default();
+    let lines: Vec<&str> = text.lines().collect();
+    lines[lines.len().saturating_sub(LINES)..].join("\n")
+}
+
+impl Node {
+    fn signal(&self, signal: Signal) {
+        if let Some(pid) = Pid::from_raw(self.child.id().cast_signed()) {
+            // It fails where the process has ended.
+            let _ = kill_process(pid, signal);
+        }
+    }
+
+    /// Stops it in the middle of whatever it does.
+    pub fn stop(&self) {
+        self.signal(Signal::STOP);
+    }
+
+    /// Lets it go on.
+    pub fn go_on(&self) {
+        self.signal(Signal::CONT);
+    }
+
+    /// Whether it has ended by itself.
+    pub fn ended(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(Some(_)))
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        // Each fails where it has ended already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// A program beside this one, one folder up from tests. The command of a package is built with its tests.
+pub fn beside(name: &str) -> Result<PathBuf, String> {
+    let own = std::env::current_exe().map_err(|error| error.to_string())?;
+    let folder = own.parent().unwrap_or(Path::new("."));
+    let folder = if folder.ends_with("deps") { folder.parent().unwrap_or(folder) } else { folder };
+    let program = folder.join(name);
+    match program.exists() {
+        true => Ok(program),
+        false => Err(format!("{} is not there: build it first", program.display())),
+    }
+}
+
+/// Becomes a program that dies with the process that asked for it. Returns only where that fails.
+#[must_use]
+pub fn hold(parent: i32, program: &Path, args: &[String]) -> ExitCode {
+    let set = set_parent_process_death_signal(Some(Signal::KILL));
+    // It may have died before the signal was asked for.
+    let alive = getppid().is_some_and(|pid| pid.as_raw_nonzero().get() == parent);
+    if set.is_err() || !alive {
+        return ExitCode::FAILURE;
+    }
+    let error = Command::new(program).args(args).exec();
+    eprintln!("{}: {error}", program.display());
+    ExitCode::FAILURE
+}
--- /dev/null
+++ b/crates/spurdrum-fleet/src/run.rs
@@ -0,0 +1,467 @@
+//! Plays a scenario with real processes.
+
+use std::collections::{BTreeMap, HashMap};
+use std::fmt::Write as _;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant};
+
+use spurdrum_load::plan::{Clients, Effect, Keys, Phase, Plan, Shape};
+use spurdrum_load::schedule::Schedule as Arrivals;
+use spurdrum_load::Arrival;
+use spurdrum_standin::scenario::FaultKind;
+use spurdrum_standin::{Fleet, Tally};
+use tokio::sync::oneshot;
+use tokio::task::LocalSet;
+
+use crate::clients::{self, Deal};
+use crate::history::{Asked, Away, History, Server, Worked};
+use crate::links::Link;
+use crate::process::{address, free, Node, Start};
+use crate::scenario::{workers, Kind, Scenario};
+use crate::schedule::{Schedule, Step};
+
+/// Servers are listening for so long before the run begins, and for so much longer for each node, in seconds.
+const LEAD: (f64, f64) = (2.0, 0.03);
+/// Event loops of the clients.
+const CLIENTS: usize = 4;
+/// Descriptors that a node may use.
+const SOCKETS: usize = 2048;
+
+/// What a run needs beside its scenario.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// The program.
+    pub program: PathBuf,
+    /// Where files and logs are kept while it runs; a folder of its own is made there, and removed after.
+    pub folder: PathBuf,
+    /// Whether the folder stays.
+    pub keep: bool,
+}
+
+/// Plays it. Returns when all processes have ended.
+pub fn run(scenario: &Scenario, options: &Options) -> Result<History, String> {
+    let lead = LEAD.0 + LEAD.1 * scenario.nodes as f64;
+    let mut standins = scenario.standins();
+    // Their script counts from their own start.
+    standins.faults.iter_mut().for_each(|fault| fault.at_s += lead);
+    let fleet = Fleet::start(&standins)?;
+    let servers: Vec<(String, SocketAddr)> =
+        fleet.servers.iter().map(|(name, at)| (name.clone(), *at)).collect();
+    let schedule = Schedule::new(scenario, servers.len());
+    let links = Links::start(scenario, &schedule, &servers)?;
+    let folder = Folder::make(options)?;
+    let mut world = World {
+        scenario,
+        starts: Vec::new(),
+        nodes: Vec::new(),
+        links,
+        away: Vec::new(),
+        stopped: Vec::new(),
+    };
+    for me in 0..scenario.nodes {
+        let start = world.prepare(me, &folder.path, options, &fleet, &servers)?;
+        world.starts.push(start);
+    }
+    let late = schedule.late(scenario);
+    for (me, start) in world.starts.iter().enumerate() {
+        let node = if late.contains(&me) { None } else { Some(start.start()?) };
+        world.nodes.push(node);
+    }
+    for (start, node) in world.starts.iter().zip(&mut world.nodes) {
+        if let Some(node) = node {
+            start.ready(node)?;
+        }
+    }
+    if fleet.elapsed().as_secs_f64() > lead {
+        return Err(format!(
+            "{} nodes were not ready after {lead:.1} s: is the machine too small for them?",
+            scenario.nodes
+        ));
+    }
+    std::thread::sleep(Duration::from_secs_f64(lead).saturating_sub(fleet.elapsed()));
+    let begins = fleet.elapsed().as_secs_f64();
+    let start = Instant::now();
+    let clients = world.clients(start);
+    world.play(&schedule, start)?;
+    let mut asked = Vec::new();
+    for client in clients {
+        asked.extend(client.join().map_err(|_| "a client's thread died".to_owned())??);
+    }
+    asked.sort_by(|a, b| a.due.total_cmp(&b.due));
+    let telemetry = world.telemetry();
+    let away = world.end(&schedule)?;
+    Ok(history(scenario, &fleet.tally(), begins, asked, away, telemetry))
+}
+
+/// A run's folder.
+struct Folder {
+    path: PathBuf,
+    keep: bool,
+}
+
+impl Folder {
+    fn make(options: &Options) -> Result<Self, String> {
+        let path = options.folder.join(format!("spurdrum-fleet-{}", std::process::id()));
+        std::fs::create_dir_all(&path).map_err(|error| format!("{}: {error}", path.display()))?;
+        Ok(Self { path, keep: options.keep })
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        if !self.keep {
+            let _ = std::fs::remove_dir_all(&self.path);
+        }
+    }
+}
+
+struct World<'a> {
+    scenario: &'a Scenario,
+    starts: Vec<Start>,
+    nodes: Vec<Option<Node>>,
+    links: Links,
+    away: Vec<Away>,
+    /// Nodes that are stopped or killed now, and since when.
+    stopped: Vec<(usize, f64)>,
+}
+
+impl World<'_> {
+    /// Writes a node's file.
+    fn prepare(
+        &self,
+        me: usize,
+        folder: &Path,
+        options: &Options,
+        fleet: &Fleet,
+        servers: &[(String, SocketAddr)],
+    ) -> Result<Start, String> {
+        let scenario = self.scenario;
+        let (on, name) = (address(me + 1), format!("n{me}"));
+        let (listen, ops) = (free(on)?, free(on)?);
+        let zones: Vec<&str> = scenario.servers.iter().map(|spec| spec.zone.as_str()).collect();
+        let zone = zones[me % zones.len()];
+        let told = scenario.told.unwrap_or(scenario.nodes);
+        let mut file = format!(
+            "[node]\nname = \"{name}\"\nlisten = \"{listen}\"\nops = \"{ops}\"\nseed = {}\nsockets = {SOCKETS}\nnodes = {told}\n\
+             me = {}\nzone = {zone:?}\nzones = {zones:?}\nretry_after_most_ms = 400\n",
+            scenario.seed.wrapping_mul(1000).wrapping_add(me as u64) >> 1,
+            me % told,
+        );
+        for class in &scenario.classes {
+            let (effect, group) = match class.effect {
+                Effect::Safe => ("safe", String::new()),
+                Effect::Unsafe => ("unsafe", String::new()),
+                Effect::Keyed => {
+                    ("keyed", format!("group = \"all\"\nwindow_ms = {:.1}\n", scenario.window_ms))
+                }
+            };
+            let (aim, deadline) = (class.aim_s * 1000.0, class.deadline_s * 1000.0);
+            let _ = write!(
+                file,
+                "[[class]]\nname = {:?}\neffect = \"{effect}\"\n{group}aim_ms = {aim:.1}\ndeadline_ms = {deadline:.1}\n",
+                class.name
+            );
+        }
+        let cold = scenario.servers.iter().map(|spec| (spec.cold_s * 1000.0, spec.cold_from));
+        let (cold_ms, cold_from) = cold.fold((0.0, 1.0), |a: (f64, f64), b| (a.0.max(b.0), a.1.min(b.1)));
+        let _ = write!(file, "[servers]\ncold_ms = {cold_ms:.1}\ncold_from = {cold_from:.3}\n");
+        match &scenario.catalog {
+            Some(_) => {
+                let _ = write!(file, "[sources.catalog]\naddress = \"{}\"\n", fleet.catalog);
+            }
+            None => {
+                file.push_str("[sources.static]\nservers = [\n");
+                for (n, (name, address)) in servers.iter().enumerate() {
+                    let spec = scenario.spec_of(name);
+                    let weight = spec.map_or(1.0, |spec| workers(spec) as f64 * spec.speed);
+                    let zone = spec.map_or("", |spec| spec.zone.as_str());
+                    let at = self.links.before(me, n).unwrap_or(*address);
+                    let _ = writeln!(
+                        file,
+                        "{{ id = {name:?}, address = \"{at}\", zone = {zone:?}, weight = {weight:.3} }},"
+                    );
+                }
+                file.push_str("]\n");
+            }
+        }
+        let path = folder.join(format!("{name}.toml"));
+        std::fs::write(&path, file).map_err(|error| format!("{}: {error}", path.display()))?;
+        let own = folder.join(&name);
+        std::fs::create_dir_all(&own).map_err(|error| format!("{}: {error}", own.display()))?;
+        let other = scenario.other.as_ref().filter(|other| (me as f64) < other.part * scenario.nodes as f64);
+        let program = other.map_or(&options.program, |other| &other.program).clone();
+        Ok(Start {
+            name: name.clone(),
+            program,
+            file: path,
+            listen,
+            ops,
+            log: folder.join(format!("{name}.log")),
+            folder: own,
+        })
+    }
+
+    /// The clients' threads; they begin at once.
+    fn clients(&self, start: Instant) -> Vec<std::thread::JoinHandle<Result<Vec<Asked>, String>>> {
+        let scenario = self.scenario;
+        let rate = scenario.capacity() * scenario.load;
+        let (shape, arrivals) = (Shape::Constant, spurdrum_load::plan::Arrivals::Poisson);
+        let phase = Phase {
+            for_s: scenario.for_s,
+            shape,
+            rate,
+            to: None,
+            swing: None,
+            period_s: None,
+            rates: Vec::new(),
+            burst: None,
+            arrivals,
+        };
+        let (keys, clients) = (Keys::default(), Clients::default());
+        let plan = Plan {
+            phases: vec![phase],
+            classes: scenario.classes.clone(),
+            tenants: Vec::new(),
+            keys,
+            clients,
+        };
+        let mut deal = Deal::new(scenario.nodes, scenario.sigma, scenario.seed);
+        let mut shares: Vec<Vec<(Arrival, usize)>> = vec![Vec::new(); CLIENTS];
+        for (n, arrival) in Arrivals::new(&plan, scenario.seed).enumerate() {
+            let node = deal.deal();
+            shares[n % CLIENTS].push((arrival, node));
+        }
+        let nodes: Vec<SocketAddr> = self.starts.iter().map(|start| start.listen).collect();
+        let begin = |(n, share): (usize, Vec<(Arrival, usize)>)| {
+            let (nodes, classes, seed) = (nodes.clone(), scenario.classes.clone(), scenario.seed + n as u64);
+            std::thread::spawn(move || {
+                let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+                let runtime = runtime.map_err(|error| error.to_string())?;
+                Ok(LocalSet::new().block_on(&runtime, clients::play(share, &nodes, &classes, start, seed)))
+            })
+        };
+        shares.into_iter().enumerate().map(begin).collect()
+    }
+
+    /// Carries out the script.
+    fn play(&mut self, schedule: &Schedule, start: Instant) -> Result<(), String> {
+        for step in &schedule.steps {
+            if step.at_s > self.scenario.for_s {
+                break;
+            }
+            let at = start + Duration::from_secs_f64(step.at_s);
+            std::thread::sleep(at.saturating_duration_since(Instant::now()));
+            self.step(step, schedule, start)?;
+        }
+        let end = start + Duration::from_secs_f64(self.scenario.for_s);
+        std::thread::sleep(end.saturating_duration_since(Instant::now()));
+        Ok(())
+    }
+
+    fn step(&mut self, step: &Step, schedule: &Schedule, start: Instant) -> Result<(), String> {
+        let fault = &self.scenario.faults[step.fault];
+        let nodes = &schedule.befalls[step.fault].0;
+        match (fault.kind, step.begins) {
+            (Kind::Kill, true) => nodes.iter().for_each(|me| {
+                self.nodes[*me] = None;
+                self.stopped.push((*me, start.elapsed().as_secs_f64()));
+            }),
+            (Kind::Stop, true) => nodes.iter().for_each(|me| {
+                self.nodes[*me].iter().for_each(Node::stop);
+                self.stopped.push((*me, start.elapsed().as_secs_f64()));
+            }),
+            (Kind::Stop, false) => nodes.iter().for_each(|me| {
+                self.nodes[*me].iter().for_each(Node::go_on);
+                back(&mut self.stopped, &mut self.away, *me, start.elapsed().as_secs_f64());
+            }),
+            (Kind::Kill, false) | (Kind::Late, true) => {
+                for me in nodes {
+                    if self.nodes[*me].is_none() {
+                        self.nodes[*me] = Some(self.starts[*me].start()?);
+                    }
+                }
+                for me in nodes {
+                    if let Some(node) = &mut self.nodes[*me] {
+                        self.starts[*me].ready(node)?;
+                    }
+                    back(&mut self.stopped, &mut self.away, *me, start.elapsed().as_secs_f64());
+                }
+            }
+            (Kind::Late, false) => {}
+            _ => self.links.step(step.fault, fault.kind, step.begins, Duration::from_millis(fault.delay_ms)),
+        }
+        Ok(())
+    }
+
+    fn telemetry(&self) -> BTreeMap<String, u64> {
+        let mut sums = BTreeMap::new();
+        let running = self.starts.iter().zip(&self.nodes).filter(|(_, node)| node.is_some());
+        for told in running.filter_map(|(start, _)| start.telemetry()) {
+            for name in ["backend_calls", "hosts_down", "inflight"] {
+                *sums.entry(name.to_owned()).or_insert(0) += told[name].as_u64().unwrap_or_default();
+            }
+            *sums.entry("nodes".to_owned()).or_insert(0) += 1;
+        }
+        sums
+    }
+
+    /// Ends all processes. An error names one that had ended by itself.
+    fn end(mut self, schedule: &Schedule) -> Result<Vec<Away>, String> {
+        let length = self.scenario.for_s;
+        for (me, from) in std::mem::take(&mut self.stopped) {
+            self.away.push(Away { node: me, from, to: length + 1.0 });
+        }
+        let late = schedule.late(self.scenario);
+        for (me, node) in self.nodes.iter_mut().enumerate() {
+            if node.as_mut().is_some_and(Node::ended) && !late.contains(&me) {
+                let log = std::fs::read_to_string(&self.starts[me].log).unwrap_or_default();
+                let last = log.lines().last().unwrap_or_default();
+                return Err(format!("{} ended by itself; its log ends: {last}", self.starts[me].name));
+            }
+        }
+        Ok(self.away)
+    }
+}
+
+fn back(stopped: &mut Vec<(usize, f64)>, away: &mut Vec<Away>, me: usize, now: f64) {
+    if let Some(at) = stopped.iter().position(|(node, _)| *node == me) {
+        let (node, from) = stopped.swap_remove(at);
+        away.push(Away { node, from, to: now });
+    }
+}
+
+/// The relays of a run, in a thread of their own.
+struct Links {
+    /// By fault and server: where the relay listens. The nodes that are behind it.
+    at: HashMap<(usize, usize), SocketAddr>,
+    behind: Vec<Vec<usize>>,
+    tell: Option<tokio::sync::mpsc::UnboundedSender<(usize, Kind, bool, Duration)>>,
+    stop: Option<oneshot::Sender<()>>,
+}
+
+impl Links {
+    fn start(
+        scenario: &Scenario,
+        schedule: &Schedule,
+        servers: &[(String, SocketAddr)],
+    ) -> Result<Self, String> {
+        let of_links = |fault: usize| scenario.faults[fault].kind.is_of_links();
+        let behind: Vec<Vec<usize>> = schedule.befalls.iter().map(|(nodes, _)| nodes.clone()).collect();
+        let wanted: Vec<(usize, usize, SocketAddr)> = (0..schedule.befalls.len())
+            .filter(|fault| of_links(*fault))
+            .flat_map(|fault| {
+                schedule.befalls[fault].1.iter().map(move |server| (fault, *server, servers[*server].1))
+            })
+            .collect();
+        let mut links = Self { at: HashMap::new(), behind, tell: None, stop: None };
+        if wanted.is_empty() {
+            return Ok(links);
+        }
+        let (told, at) = std::sync::mpsc::channel();
+        let (tell, mut hear) = tokio::sync::mpsc::unbounded_channel::<(usize, Kind, bool, Duration)>();
+        let (stop, stopped) = oneshot::channel();
+        std::thread::spawn(move || {
+            let Ok(runtime) = tokio::runtime::Builder::new_current_thread().enable_all().build() else {
+                return;
+            };
+            LocalSet::new().block_on(&runtime, async move {
+                let mut relays = HashMap::new();
+                for (fault, server, to) in wanted {
+                    let Ok(link) = Link::start(address(0), to).await else { return };
+                    let _ = told.send((fault, server, link.address));
+                    relays.insert((fault, server), link);
+                }
+                drop(told);
+                let hears = async {
+                    while let Some((of, kind, begins, delay)) = hear.recv().await {
+                        for (_, link) in relays.iter().filter(|((fault, _), _)| *fault == of) {
+                            if begins {
+                                link.break_by(kind, delay);
+                            } else {
+                                link.mend();
+                            }
+                        }
+                    }
+                };
+                tokio::select! {
+                    () = hears => {}
+                    _ = stopped => {}
+                }
+            });
+        });
+        links.at = at.iter().map(|(fault, server, at)| ((fault, server), at)).collect();
+        (links.tell, links.stop) = (Some(tell), Some(stop));
+        Ok(links)
+    }
+
+    /// The relay that stands between a node and a server; the first fault's, where there are several.
+    fn before(&self, node: usize, server: usize) -> Option<SocketAddr> {
+        let behind = |fault: &usize| self.behind[*fault].contains(&node);
+        (0..self.behind.len()).filter(behind).find_map(|fault| self.at.get(&(fault, server)).copied())
+    }
+
+    fn step(&self, fault: usize, kind: Kind, begins: bool, delay: Duration) {
+        if let Some(tell) = &self.tell {
+            let _ = tell.send((fault, kind, begins, delay));
+        }
+    }
+}
+
+impl Drop for Links {
+    fn drop(&mut self) {
+        if let Some(stop) = self.stop.take() {
+            let _ = stop.send(());
+        }
+    }
+}
+
+/// Joins what all saw.
+fn history(
+    scenario: &Scenario,
+    tally: &Tally,
+    begins: f64,
+    asked: Vec<Asked>,
+    away: Vec<Away>,
+    telemetry: BTreeMap<String, u64>,
+) -> History {
+    let names: Vec<&String> = tally.servers().keys().collect();
+    let delay = scenario.catalog.as_ref().map_or(0.0, |script| script.delay_ms as f64 / 1000.0);
+    let server = |name: &&String| {
+        let spec = scenario.spec_of(name);
+        let of = scenario.server_faults.iter().filter(|fault| fault.on == **name);
+        let drains = of.clone().filter(|fault| matches!(fault.kind, FaultKind::Drain | FaultKind::Replace));
+        let still =
+            of.filter(|fault| matches!(fault.kind, FaultKind::Pause | FaultKind::Die | FaultKind::Silent));
+        Server {
+            name: (*name).clone(),
+            workers: spec.map_or(1, workers),
+            work: spec.map_or(1.0, |spec| spec.work_ms / 1000.0 / spec.speed),
+            drains_at: drains.map(|fault| fault.at_s + delay).reduce(f64::min),
+            still: still.map(|fault| (fault.at_s, fault.at_s + fault.for_s.unwrap_or(1e9))).collect(),
+        }
+    };
+    let servers: Vec<Server> = names.iter().map(server).collect();
+    let at = |time: Duration| time.as_secs_f64() - begins;
+    let worked = tally.log().iter().filter_map(|work| {
+        let id = u64::from_str_radix(&work.id, 16).ok()?;
+        let server = names.binary_search(&&work.server).ok()?;
+        Some(Worked { id, server, begun: at(work.begun), ended: work.ended.map(at) })
+    });
+    let length = scenario.for_s;
+    let of_nodes = scenario.faults.iter().map(|fault| (fault.at_s, fault.for_s));
+    let of_servers = scenario.server_faults.iter().map(|fault| (fault.at_s, fault.for_s));
+    let faults = of_nodes.chain(of_servers).map(|(at, s)| (at, s.map_or(length, |s| at + s))).collect();
+    History {
+        length,
+        asked,
+        worked: worked.collect(),
+        servers,
+        away,
+        faults,
+        connections: tally.servers().values().map(|seen| seen.connections).sum(),
+        untold: tally.unlogged(),
+        telemetry,
+        window: scenario.window_ms / 1000.0,
+    }
+}
--- /dev/null
+++ b/crates/spurdrum-fleet/src/scenario.rs
@@ -0,0 +1,223 @@
+//! What a fleet is, what load comes and what breaks when, as a TOML file has it.
+
+use std::path::{Path, PathBuf};
+
+use serde::Deserialize;
+use spurdrum_load::plan::{Class, Effect};
+use spurdrum_standin::scenario::{CatalogScript, Fault as ServerFault, Scenario as Servers, Spec};
+
+/// Nodes and servers at most: each node is a process, and addresses are dealt out in 127.0.0.0/8.
+const NODES_MOST: usize = 1000;
+
+/// A fleet and its script.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Scenario {
+    /// Drives arrivals, work, and whom faults befall.
+    #[serde(default = "one_seed")]
+    pub seed: u64,
+    /// Length in seconds; the first fifth is left out of the figures.
+    pub for_s: f64,
+    /// Nodes: processes of the program.
+    pub nodes: usize,
+    /// Nodes that each is told there are; as many as there are where it is left out.
+    pub told: Option<usize>,
+    /// Part of the servers' capacity that clients ask for.
+    pub load: f64,
+    /// How unevenly clients are dealt out to nodes: the sigma of a lognormal.
+    #[serde(default = "sigma")]
+    pub sigma: f64,
+    /// Whether nodes follow the catalog; else the list stands in each node's file.
+    #[serde(default)]
+    pub catalog: Option<CatalogScript>,
+    /// The servers, as `spurdrum-standin` has them.
+    pub servers: Vec<Spec>,
+    /// What befalls servers or the catalog, as `spurdrum-standin` has it.
+    #[serde(default, rename = "server_fault")]
+    pub server_faults: Vec<ServerFault>,
+    /// What befalls nodes and links.
+    #[serde(default, rename = "fault")]
+    pub faults: Vec<Fault>,
+    /// Kinds of requests; one keyed class where there are none.
+    #[serde(default = "update", rename = "class")]
+    pub classes: Vec<Class>,
+    /// Time in which servers discard repeats of a key, in milliseconds.
+    #[serde(default = "window")]
+    pub window_ms: f64,
+    /// Another build of the program, for a part of the nodes.
+    pub other: Option<Other>,
+}
+
+/// Another build for some of the nodes.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Other {
+    /// Its path.
+    pub program: PathBuf,
+    /// Part of the nodes that run it.
+    pub part: f64,
+}
+
+/// Something that happens to nodes, or to their links to servers.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Fault {
+    /// What.
+    pub kind: Kind,
+    /// Part of the nodes that it befalls; which ones is drawn.
+    pub nodes: f64,
+    /// Part of the servers, for links; which ones is drawn.
+    #[serde(default = "whole")]
+    pub servers: f64,
+    /// From when, in seconds.
+    pub at_s: f64,
+    /// For how long; to the end where it is left out.
+    pub for_s: Option<f64>,
+    /// How much later, in milliseconds, for `delay`.
+    #[serde(default)]
+    pub delay_ms: u64,
+}
+
+/// What happens.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq, Hash)]
+#[serde(rename_all = "snake_case")]
+pub enum Kind {
+    /// Nodes are killed, and started again after `for_s`.
+    Kill,
+    /// Nodes are stopped (SIGSTOP), and go on after `for_s`.
+    Stop,
+    /// Nodes are not there before `at_s`.
+    Late,
+    /// Links break, and new ones are closed as they come.
+    Cut,
+    /// Links stay up, new ones too, and nothing moves.
+    Stall,
+    /// Requests pass, answers do not.
+    OneWay,
+    /// All bytes come `delay_ms` later.
+    Delay,
+    /// Links are reset once, at `at_s`, and go on being made.
+    Reset,
+}
+
+impl Kind {
+    /// Whether it befalls links, and not processes.
+    #[must_use]
+    pub fn is_of_links(self) -> bool {
+        matches!(self, Self::Cut | Self::Stall | Self::OneWay | Self::Delay | Self::Reset)
+    }
+}
+
+fn one_seed() -> u64 {
+    1
+}
+
+fn sigma() -> f64 {
+    0.8
+}
+
+fn window() -> f64 {
+    500.0
+}
+
+fn whole() -> f64 {
+    1.0
+}
+
+fn update() -> Vec<Class> {
+    let (name, effect) = ("update".into(), Effect::Keyed);
+    vec![Class { name, share: 1.0, effect, aim_s: 0.4, deadline_s: 0.8, bytes: (200, 200) }]
+}
+
+impl Scenario {
+    /// Reads a scenario. The error names the file, the line and the key.
+    pub fn read(path: &Path) -> Result<Self, String> {
+        let shown = path.display();
+        let text = std::fs::read_to_string(path).map_err(|e| format!("{shown}: cannot be read: {e}"))?;
+        Self::parse(&text).map_err(|why| format!("{shown}:{why}"))
+    }
+
+    /// Reads a scenario's text. The error begins with the line.
+    pub fn parse(text: &str) -> Result<Self, String> {
+        let scenario: Self = toml::from_str(text).map_err(|error| {
+            let at = error.span().map_or(0, |span| span.start).min(text.len());
+            let line = text[..at].matches('\n').count();
+            let key = text.lines().nth(line).unwrap_or_default().split('=').next().unwrap_or_default().trim();
+            format!("{}: `{key}`: {}", line + 1, error.message())
+        })?;
+        scenario.check().map_err(|(key, why)| {
+            let named = |line: &str| line.trim_start().split(['=', ' ']).next() == Some(key);
+            let line = text.lines().position(named).unwrap_or(0) + 1;
+            format!("{line}: `{key}`: {why}")
+        })?;
+        Ok(scenario)
+    }
+
+    fn check(&self) -> Result<(), (&'static str, String)> {
+        let part = |x: f64| (0.0..=1.0).contains(&x);
+        if self.nodes == 0 || self.nodes > NODES_MOST || self.told == Some(0) {
+            return Err(("nodes", format!("{} nodes are not between 1 and {NODES_MOST}", self.nodes)));
+        }
+        if !(self.for_s > 0.0 && self.for_s <= 86_400.0) {
+            return Err(("for_s", "is no time above 0 and up to a day".into()));
+        }
+        if !(self.load > 0.0 && self.load <= 10.0 && (0.0..=3.0).contains(&self.sigma)) {
+            return Err(("load", "`load` is above 0 and up to 10, `sigma` from 0 to 3".into()));
+        }
+        if self.servers.iter().map(|spec| spec.count).sum::<usize>() == 0 || self.classes.is_empty() {
+            return Err(("servers", "there is no server, or no class".into()));
+        }
+        for fault in &self.faults {
+            let times = fault.at_s >= 0.0 && fault.for_s.is_none_or(|s| s > 0.0);
+            if !(times && part(fault.nodes) && part(fault.servers)) {
+                return Err(("at_s", "times are above 0, `nodes` and `servers` parts from 0 to 1".into()));
+            }
+            if fault.kind.is_of_links() && self.catalog.is_some() {
+                return Err(("kind", "links break where the list stands in the nodes' files".into()));
+            }
+        }
+        if self.other.as_ref().is_some_and(|other| !part(other.part)) {
+            return Err(("part", "is no part from 0 to 1".into()));
+        }
+        Ok(())
+    }
+
+    /// What the stand-in servers play.
+    #[must_use]
+    pub fn standins(&self) -> Servers {
+        Servers {
+            seed: self.seed,
+            track: 1 << 22,
+            log: 1 << 22,
+            groups: self.servers.clone(),
+            catalog: self.catalog.clone().unwrap_or_default(),
+            faults: self.server_faults.clone(),
+        }
+    }
+
+    /// Requests a second that the servers can do together.
+    #[must_use]
+    pub fn capacity(&self) -> f64 {
+        self.servers
+            .iter()
+            .map(|spec| spec.count as f64 * workers(spec) as f64 * spec.speed * 1000.0 / spec.work_ms)
+            .sum()
+    }
+
+    /// What a server of this name is; also of one that replaces another.
+    #[must_use]
+    pub fn spec_of(&self, server: &str) -> Option<&Spec> {
+        let stem = |spec: &&Spec| {
+            server
+                .strip_prefix(spec.name.as_str())
+                .is_some_and(|rest| rest.starts_with(|c: char| c.is_ascii_digit()))
+        };
+        self.servers.iter().find(stem)
+    }
+}
+
+/// Requests that a server works on at once at its full pace.
+#[must_use]
+pub fn workers(spec: &Spec) -> usize {
+    spec.slots.min(spec.cores as usize).max(1)
+}
--- a/crates/spurdrum-load/src/lib.rs
+++ b/crates/spurdrum-load/src/lib.rs
@@ -13,6 +13,7 @@
 //! - [`firsts`]: tries put together by the first one of each request
 //! - [`run`]: the engine that sends
 //! - [`report`]: figures, requirements, JSON and histogram log
+//! - [`transport`]: connections to a target, as clients keep them
 //! - [`html`]: the report as one page
 
 pub mod client;
@@ -23,7 +24,7 @@
 pub mod run;
 pub mod schedule;
 pub mod trace;
-mod transport;
+pub mod transport;
 
 /// Due, and then sent at its time: one try of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/spurdrum-load/src/transport.rs
+++ b/crates/spurdrum-load/src/transport.rs
@@ -39,6 +39,8 @@
 }
 
 impl Pool {
+    /// To this target, so many at once.
+    #[must_use]
     pub fn new(target: SocketAddr, most: usize) -> Self {
         Self { target, most, open: Rc::default(), idle: RefCell::default(), made: Cell::new(0) }
     }
--- a/crates/spurdrum-standin/src/fleet.rs
+++ b/crates/spurdrum-standin/src/fleet.rs
@@ -46,7 +46,7 @@
     pub fn start(scenario: &Scenario) -> Result<Self, String> {
         let (tell, started) = mpsc::channel();
         let (stop, stopped) = oneshot::channel();
-        let tally = Arc::new(Mutex::new(Tally::tracking(scenario.track)));
+        let tally = Arc::new(Mutex::new(Tally::tracking(scenario.track, scenario.log)));
         let list = Arc::new(Mutex::new(Catalog::new(scenario.catalog.keeps.unwrap_or(1000))));
         let (scenario, tally_of, list_of) = (scenario.clone(), Arc::clone(&tally), Arc::clone(&list));
         let thread = std::thread::spawn(move || {
--- a/crates/spurdrum-standin/src/lib.rs
+++ b/crates/spurdrum-standin/src/lib.rs
@@ -15,4 +15,4 @@
 
 pub use catalog::Catalog;
 pub use fleet::Fleet;
-pub use tally::Tally;
+pub use tally::{Tally, Work};
--- a/crates/spurdrum-standin/src/scenario.rs
+++ b/crates/spurdrum-standin/src/scenario.rs
@@ -14,6 +14,9 @@
     /// Requests that are told apart by id and key; later ones are counted, and no more.
     #[serde(default = "tracked")]
     pub track: usize,
+    /// Attempts that are logged one by one, with their times; later ones are counted, and no more.
+    #[serde(default)]
+    pub log: usize,
     /// Kinds of servers.
     #[serde(rename = "servers")]
     pub groups: Vec<Spec>,
--- a/crates/spurdrum-standin/src/tally.rs
+++ b/crates/spurdrum-standin/src/tally.rs
@@ -14,6 +14,24 @@
     untracked: u64,
     /// Requests that are told apart.
     track: usize,
+    /// Attempts one by one, so many at most, and the open ones of them by server and id.
+    log: Vec<Work>,
+    log_most: usize,
+    open: HashMap<(String, String), usize>,
+    unlogged: u64,
+}
+
+/// One attempt, as its server saw it. Times count from the start of the fleet.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Work {
+    /// The server.
+    pub server: String,
+    /// The request's id.
+    pub id: String,
+    /// When its last byte had come.
+    pub begun: Duration,
+    /// When it was answered, or its sender left.
+    pub ended: Option<Duration>,
 }
 
 /// What one server has seen.
@@ -48,8 +66,8 @@
 
 impl Tally {
     /// Tells so many requests apart.
-    pub(crate) fn tracking(track: usize) -> Self {
-        Self { track, ..Self::default() }
+    pub(crate) fn tracking(track: usize, log_most: usize) -> Self {
+        Self { track, log_most, ..Self::default() }
     }
 
     pub(crate) fn server(&mut self, name: &str) -> &mut OfServer {
@@ -61,6 +79,12 @@
 
     pub(crate) fn begin(&mut self, server: &str, id: &str, key: Option<&str>, at: Duration) {
         self.server(server).begun += 1;
+        if self.log.len() < self.log_most {
+            self.open.insert((server.to_owned(), id.to_owned()), self.log.len());
+            self.log.push(Work { server: server.to_owned(), id: id.to_owned(), begun: at, ended: None });
+        } else {
+            self.unlogged += u64::from(self.log_most > 0);
+        }
         let full = self.ids.len() >= self.track && !self.ids.contains_key(id);
         if full {
             self.untracked += 1;
@@ -81,6 +105,12 @@
     pub(crate) fn end(&mut self, server: &str, id: &str, fate: Fate, at: Duration) {
         let served = matches!(fate, Fate::Served | Fate::Surplus(_));
         self.server(server).served += u64::from(served);
+        if self.log_most > 0 {
+            let open = self.open.remove(&(server.to_owned(), id.to_owned()));
+            if let Some(work) = open.and_then(|at| self.log.get_mut(at)) {
+                work.ended = Some(at);
+            }
+        }
         if let Some(runs) = self.ids.get_mut(id) {
             runs.out = runs.out.saturating_sub(1);
             if served {
@@ -104,6 +134,16 @@
         &self.keys
     }
 
+    /// Attempts one by one, in the order in which they were begun.
+    pub fn log(&self) -> &[Work] {
+        &self.log
+    }
+
+    /// Attempts that were not logged, for want of room.
+    pub fn unlogged(&self) -> u64 {
+        self.unlogged
+    }
+
     /// Requests that were not told apart, for want of room.
     pub fn untracked(&self) -> u64 {
         self.untracked
