--- a/crates/spurdrum-fleet/src/clients.rs
+++ b/crates/spurdrum-fleet/src/clients.rs
@@ -15,6 +15,7 @@
 use tokio::time::{sleep_until, timeout};
 
 use crate::history::{Asked, End};
+use crate::scenario::Scenario;
 use crate::verdict::SLACK;
 
 /// Connections that clients keep to one node at most.
@@ -24,28 +25,55 @@
 
 /// Deals requests out to nodes by their parts.
 pub struct Deal {
-    parts: Vec<f64>,
+    /// From when, and the sums of the nodes' parts.
+    parts: Vec<(f64, Vec<f64>)>,
     rng: fastrand::Rng,
 }
 
 impl Deal {
-    /// Parts are drawn lognormal with this sigma.
+    /// Parts are drawn lognormal, and leant as the scenario has it.
     #[must_use]
-    pub fn new(nodes: usize, sigma: f64, seed: u64) -> Self {
-        let mut rng = fastrand::Rng::with_seed(seed ^ 0x5eed);
-        let mut sum = 0.0;
-        let parts = (0..nodes).map(|_| {
-            let (a, b) = (1.0 - rng.f64(), rng.f64());
-            sum += (sigma * (-2.0 * a.ln()).sqrt() * (std::f64::consts::TAU * b).cos()).exp();
-            sum
-        });
-        Self { parts: parts.collect(), rng }
+    pub fn new(scenario: &Scenario) -> Self {
+        let mut rng = fastrand::Rng::with_seed(scenario.seed ^ 0x5eed);
+        let nodes = scenario.nodes;
+        let parts: Vec<f64> = (0..nodes)
+            .map(|_| {
+                let (a, b) = (1.0 - rng.f64(), rng.f64());
+                (scenario.sigma * (-2.0 * a.ln()).sqrt() * (std::f64::consts::TAU * b).cos()).exp()
+            })
+            .collect();
+        let mut all = vec![(0.0, parts.clone())];
+        for lean in &scenario.leans {
+            let mut drawn: Vec<usize> = (0..nodes).collect();
+            rng.shuffle(&mut drawn);
+            drawn.truncate(((nodes as f64 * lean.nodes).round() as usize).max(1));
+            let chosen = |node: usize| match &lean.zone {
+                Some(zone) => scenario.zone_of(node) == zone,
+                None => drawn.contains(&node),
+            };
+            let theirs: f64 = (0..nodes).filter(|node| chosen(*node)).map(|node| parts[node]).sum();
+            let rest: f64 = parts.iter().sum::<f64>() - theirs;
+            let leant = |(node, part): (usize, &f64)| match chosen(node) {
+                true => part / theirs.max(1e-9) * lean.share,
+                false => part / rest.max(1e-9) * (1.0 - lean.share),
+            };
+            all.push((lean.at_s, parts.iter().enumerate().map(leant).collect()));
+        }
+        for (_, parts) in &mut all {
+            let mut sum = 0.0;
+            parts.iter_mut().for_each(|part| {
+                sum += *part;
+                *part = sum;
+            });
+        }
+        Self { parts: all, rng }
     }
 
-    /// The node of the next request.
-    pub fn deal(&mut self) -> usize {
-        let draw = self.rng.f64() * self.parts.last().copied().unwrap_or_default();
-        self.parts.partition_point(|sum| *sum <= draw).min(self.parts.len().saturating_sub(1))
+    /// The node of a request that is due at this time, in seconds.
+    pub fn deal(&mut self, due: f64) -> usize {
+        let Some((_, parts)) = self.parts.iter().rev().find(|(from, _)| *from <= due) else { return 0 };
+        let draw = self.rng.f64() * parts.last().copied().unwrap_or_default();
+        parts.partition_point(|sum| *sum <= draw).min(parts.len().saturating_sub(1))
     }
 }
 
@@ -136,3 +164,25 @@
     }
     request.body(Full::new(body)).expect("names are checked as header values")
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_tenth_of_the_nodes_has_its_part_and_the_tenth_changes() {
+        let scenario = "for_s = 10\nnodes = 40\nload = 0.5\n[[servers]]\ncount = 2\n[[lean]]\nnodes = 0.1\nshare = 0.5\n\
+                        [[lean]]\nat_s = 5\nnodes = 0.1\nshare = 0.5\n";
+        let mut deal = Deal::new(&Scenario::parse(scenario).expect("sound"));
+        let mut busiest = |at: f64| {
+            let mut counts = [0; 40];
+            (0..20_000).for_each(|_| counts[deal.deal(at)] += 1);
+            let mut nodes: Vec<usize> = (0..40).collect();
+            nodes.sort_by_key(|node| std::cmp::Reverse(counts[*node]));
+            (nodes[..4].iter().map(|node| counts[*node]).sum::<i32>(), nodes[..4].to_vec())
+        };
+        let ((before, first), (after, second)) = (busiest(1.0), busiest(6.0));
+        assert!((9_500..11_500).contains(&before) && (9_500..11_500).contains(&after), "{before} {after}");
+        assert!(first.iter().any(|node| !second.contains(node)), "{first:?}");
+    }
+}
--- a/crates/spurdrum-fleet/src/figures.rs
+++ b/crates/spurdrum-fleet/src/figures.rs
@@ -4,7 +4,7 @@
 
 use hdrhistogram::Histogram;
 
-use crate::history::{End, History};
+use crate::history::{End, History, Server};
 
 /// Latencies are counted up to this many microseconds.
 const MOST: u64 = 600_000_000;
@@ -34,7 +34,7 @@
     pub by_second: f64,
     /// Part of the server-seconds with a free worker while some server has two or more waiting.
     pub idle: f64,
-    /// Most begun at one server within one service time, over the p99.9 of independent draws at the same rate.
+    /// Most begun at one server within one service time, over the p99.9 of independent draws of its fair part.
     pub herd: f64,
     /// Latencies of what was served, in milliseconds from when it was due.
     pub p50: f64,
@@ -103,12 +103,13 @@
         .filter(|worked| within(worked.begun))
         .for_each(|worked| begun[worked.server].push(worked.begun));
     let sent: usize = begun.iter().map(Vec::len).sum();
-    let (least, most, variation, poisson) = spread(history, &begun);
+    let (least, most, variation, poisson) = spread(history, &begun, (from, to));
     let seconds = (to - from).floor().max(1.0) as usize;
     let by_second = (0..seconds).map(|n| {
         let span = from + n as f64..from + n as f64 + 1.0;
         let of = |times: &Vec<f64>| times.iter().copied().filter(|at| span.contains(at)).collect();
-        let (.., variation, poisson) = spread(history, &begun.iter().map(of).collect::<Vec<_>>());
+        let (.., variation, poisson) =
+            spread(history, &begun.iter().map(of).collect::<Vec<_>>(), (span.start, span.end));
         if poisson > 0.0 {
             variation / poisson
         } else {
@@ -127,7 +128,7 @@
         poisson,
         by_second: by_second.sum::<f64>() / seconds as f64,
         idle: idle(history, from, to),
-        herd: herd(history, &begun, to - from),
+        herd: herd(history, &begun, (from, to)),
         p50: ms(&took, 0.5),
         p99: ms(&took, 0.99),
         lag: ms(&lag, 0.99),
@@ -135,16 +136,21 @@
 }
 
 /// Least, most and deviation of sends by capacity, over their mean, and the deviation that independent draws would have.
-fn spread(history: &History, begun: &[Vec<f64>]) -> (f64, f64, f64, f64) {
-    let sizes = history.servers.iter().map(|server| server.workers as f64 / server.work.max(1e-9));
-    let sizes: Vec<f64> = sizes.collect();
-    let sent: f64 = begun.iter().map(|times| times.len() as f64).sum();
+/// Servers that are there for less than a fifth of the stretch are left out; others count for the part in which they are.
+fn spread(history: &History, begun: &[Vec<f64>], (from, to): (f64, f64)) -> (f64, f64, f64, f64) {
+    let sizes = history.servers.iter().zip(begun).map(|(server, times)| {
+        let up = server.up(from, to) / (to - from).max(1e-9);
+        (server.workers as f64 / server.work.max(1e-9) * up, times.len() as f64, up)
+    });
+    let counted: Vec<(f64, f64)> =
+        sizes.filter(|(.., up)| *up >= 0.2).map(|(size, sent, _)| (size, sent)).collect();
+    let sizes: Vec<f64> = counted.iter().map(|(size, _)| *size).collect();
+    let sent: f64 = counted.iter().map(|(_, sent)| *sent).sum();
     let each = sent / sizes.iter().sum::<f64>().max(1e-9);
     if each <= 0.0 {
         return (0.0, 0.0, 0.0, 0.0);
     }
-    let parts: Vec<f64> =
-        begun.iter().zip(&sizes).map(|(times, size)| times.len() as f64 / size / each).collect();
+    let parts: Vec<f64> = counted.iter().map(|(size, sent)| sent / size / each).collect();
     let count = parts.len() as f64;
     let variance = parts.iter().map(|part| (part - 1.0).powi(2)).sum::<f64>() / count;
     let draws = sizes.iter().map(|size| 1.0 / (each * size)).sum::<f64>() / count;
@@ -167,10 +173,8 @@
         let now = at.clamp(from, to);
         if now > before {
             if held.iter().zip(&workers).any(|(held, workers)| held - workers >= 2) {
-                let still = |n: usize| {
-                    history.servers[n].still.iter().any(|(from, to)| (*from..*to).contains(&before))
-                };
-                let free = (0..held.len()).filter(|n| held[*n] < workers[*n] && !still(*n)).count();
+                let up = |n: usize| history.servers[n].up(before, before + 1e-6) > 0.0;
+                let free = (0..held.len()).filter(|n| held[*n] < workers[*n] && up(*n)).count();
                 idle += (now - before) * free as f64;
             }
             before = now;
@@ -180,8 +184,11 @@
     idle / ((to - from) * history.servers.len() as f64).max(1e-9)
 }
 
-fn herd(history: &History, begun: &[Vec<f64>], span: f64) -> f64 {
-    let of = |(server, times): (&crate::history::Server, &Vec<f64>)| {
+fn herd(history: &History, begun: &[Vec<f64>], (from, to): (f64, f64)) -> f64 {
+    let size = |server: &Server| server.workers as f64 / server.work.max(1e-9);
+    let sizes: f64 = history.servers.iter().map(|server| size(server) * server.up(from, to)).sum();
+    let each = begun.iter().map(|times| times.len() as f64).sum::<f64>() / sizes.max(1e-9);
+    let of = |(server, times): (&Server, &Vec<f64>)| {
         let mut first = 0;
         let most = times.iter().enumerate().map(|(n, at)| {
             while at - times[first] > server.work {
@@ -189,7 +196,7 @@
             }
             n + 1 - first
         });
-        let usual = poisson(times.len() as f64 / span.max(1e-9) * server.work, 0.999);
+        let usual = poisson(each * size(server) * server.work, 0.999);
         most.max().unwrap_or(0) as f64 / usual as f64
     };
     history.servers.iter().zip(begun).map(of).fold(0.0, f64::max)
@@ -225,14 +232,28 @@
     None
 }
 
+/// The greatest herd in the second after a fault began or ended.
+#[must_use]
+pub fn herd_after(history: &History) -> f64 {
+    let edges = history.faults.iter().flat_map(|(from, to)| [*from, *to]).filter(|at| *at < history.length);
+    edges.map(|at| between(history, at, at + 1.0).herd).fold(0.0, f64::max)
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::history::{Asked, Server, Worked};
+    use crate::history::{Asked, Worked};
     use spurdrum_load::plan::Effect;
 
     fn server(name: &str, workers: usize) -> Server {
-        Server { name: name.into(), workers, work: 0.04, drains_at: None, still: Vec::new() }
+        Server {
+            name: name.into(),
+            workers,
+            work: 0.04,
+            drains_at: None,
+            still: Vec::new(),
+            lives: (0.0, f64::MAX),
+        }
     }
 
     fn history(worked: &[(usize, f64, f64)]) -> History {
--- a/crates/spurdrum-fleet/src/history.rs
+++ b/crates/spurdrum-fleet/src/history.rs
@@ -66,6 +66,18 @@
     pub drains_at: Option<f64>,
     /// Seconds in which it does nothing: from and to.
     pub still: Vec<(f64, f64)>,
+    /// From when until when it is there, in seconds.
+    pub lives: (f64, f64),
+}
+
+impl Server {
+    /// Seconds of a stretch in which it could work.
+    #[must_use]
+    pub fn up(&self, from: f64, to: f64) -> f64 {
+        let (from, to) = (from.max(self.lives.0), to.min(self.lives.1));
+        let still = self.still.iter().map(|(a, b)| (b.min(to) - a.max(from)).max(0.0)).sum::<f64>();
+        (to - from - still).max(0.0)
+    }
 }
 
 /// A stretch in which a node could not do what it has to: killed or stopped.
--- a/crates/spurdrum-fleet/src/main.rs
+++ b/crates/spurdrum-fleet/src/main.rs
@@ -5,6 +5,7 @@
 
 use clap::{Parser, Subcommand};
 use spurdrum_fleet::history::History;
+use spurdrum_fleet::measure::{measure, Measure};
 use spurdrum_fleet::run::{run, Options};
 use spurdrum_fleet::scenario::Scenario;
 use spurdrum_fleet::schedule::{chaos, shrink};
@@ -49,6 +50,28 @@
         #[arg(long)]
         keep: bool,
     },
+    /// Plays scenarios for several seeds, builds, sizes and loads, and tells a table of means and deviations; exit 1 where
+    /// the first build broke a rule.
+    Measure {
+        /// The scenarios, in TOML.
+        #[arg(required = true)]
+        scenarios: Vec<PathBuf>,
+        /// How many seeds, from 1 on.
+        #[arg(long, default_value_t = 5)]
+        seeds: u64,
+        /// In place of the scenario's number of nodes.
+        #[arg(long, value_delimiter = ',')]
+        nodes: Vec<usize>,
+        /// In place of the scenario's load.
+        #[arg(long, value_delimiter = ',')]
+        loads: Vec<f64>,
+        /// Other builds of the program to set beside this one, by path.
+        #[arg(long)]
+        beside: Vec<PathBuf>,
+        /// Also what other ways to choose would have made of the same arrivals.
+        #[arg(long)]
+        references: bool,
+    },
     /// Reads a scenario, says what is wrong with it, and ends.
     Check {
         /// The scenario, in TOML.
@@ -71,6 +94,22 @@
     let done = match Cli::parse().command {
         Command::Hold { parent, program, args } => return process::hold(parent, &program, &args),
         Command::Check { scenario } => Scenario::read(&scenario).map(|_| true),
+        Command::Measure { scenarios, seeds, nodes, loads, beside, references } => {
+            process::beside("spurdrum").and_then(|program| {
+                let others =
+                    beside.iter().enumerate().map(|(n, path)| (format!("beside {}", n + 1), path.clone()));
+                let builds = std::iter::once(("this".to_owned(), program)).chain(others).collect();
+                let what = Measure { builds, seeds: (1..=seeds).collect(), nodes, loads, references };
+                let mut kept = true;
+                for path in &scenarios {
+                    let scenario = Scenario::read(path)?;
+                    let (table, fine) = measure(&scenario, &what, |broken| println!("broken: {broken}"))?;
+                    println!("{}\n\n{table}", path.display());
+                    kept &= fine;
+                }
+                Ok(kept)
+            })
+        }
         Command::Run { scenario, seed, nodes, load, chaos, shrink, program, html, keep } => {
             let file = scenario;
             Scenario::read(&file).and_then(|mut scenario| {
--- a/crates/spurdrum-fleet/src/process.rs
+++ b/crates/spurdrum-fleet/src/process.rs
@@ -12,6 +12,8 @@
 
 /// A node has this long until it is healthy.
 const READY_MOST: Duration = Duration::from_secs(30);
+/// Nodes listen on ports of these.
+const PORTS: std::ops::Range<u16> = 20_000..20_100;
 /// What is shown of a log where a node does not come up.
 const LINES: usize = 8;
 
@@ -22,10 +24,12 @@
     IpAddr::V4(Ipv4Addr::new(127, 20 + rig, (n / 250) as u8, (n % 250) as u8 + 1))
 }
 
-/// A port that is free now on an address of the run's own.
-pub fn free(on: IpAddr) -> Result<SocketAddr, String> {
-    let listener = TcpListener::bind((on, 0)).map_err(|error| format!("no free port on {on}: {error}"))?;
-    listener.local_addr().map_err(|error| error.to_string())
+/// A port above another that is free now on an address of the run's own, and that no connection is given by the system:
+/// those are dealt out from higher ones.
+pub fn free(on: IpAddr, above: u16) -> Result<SocketAddr, String> {
+    let ports = above.max(PORTS.start) + 1..PORTS.end;
+    let found = ports.map(|port| SocketAddr::new(on, port)).find(|at| TcpListener::bind(at).is_ok());
+    found.ok_or_else(|| format!("no free port on {on}"))
 }
 
 /// What is needed to start a node, also again.
--- /dev/null
+++ b/crates/spurdrum-fleet/src/references.rs
@@ -0,0 +1,241 @@
+//! What other ways to choose would have made of a run's own arrivals: first come, first served, with no faults and no talk
+//! but that of full knowledge.
+
+use std::cmp::Ordering;
+use std::collections::{BinaryHeap, VecDeque};
+
+use spurdrum_standin::scenario::Distribution;
+
+use crate::history::{Asked, End, History, Server, Worked};
+use crate::scenario::Scenario;
+
+/// How the next server is chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Way {
+    /// By capacity, and nothing else.
+    Random,
+    /// Each node in its own turn.
+    RoundRobin,
+    /// The one of two drawn by capacity that the node itself has fewer out to.
+    TwoChoices,
+    /// The one with the shortest wait, known to everybody at once.
+    Full,
+}
+
+impl Way {
+    /// All, in the order of tables.
+    pub const ALL: [Self; 4] = [Self::Random, Self::RoundRobin, Self::TwoChoices, Self::Full];
+
+    /// Its name in tables.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Random => "random",
+            Self::RoundRobin => "round robin",
+            Self::TwoChoices => "two choices",
+            Self::Full => "full knowledge",
+        }
+    }
+}
+
+/// Something that ends: a request's work at a server.
+struct Ends {
+    at: f64,
+    server: usize,
+    asked: usize,
+}
+
+impl PartialEq for Ends {
+    fn eq(&self, other: &Self) -> bool {
+        self.cmp(other) == Ordering::Equal
+    }
+}
+
+impl Eq for Ends {}
+
+impl PartialOrd for Ends {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Ends {
+    fn cmp(&self, other: &Self) -> Ordering {
+        // The heap gives the earliest first.
+        other.at.total_cmp(&self.at).then(other.asked.cmp(&self.asked))
+    }
+}
+
+#[derive(Default)]
+struct Queue {
+    busy: usize,
+    waits: VecDeque<usize>,
+}
+
+/// Plays a history's arrivals again.
+#[must_use]
+pub fn play(history: &History, scenario: &Scenario, way: Way) -> History {
+    // Those that replaced others are left out: here nothing is replaced.
+    let servers: Vec<Server> = history
+        .servers
+        .iter()
+        .filter(|server| server.lives.0 <= 0.0)
+        .map(|server| Server { still: Vec::new(), lives: (0.0, f64::MAX), drains_at: None, ..server.clone() })
+        .collect();
+    let mut rng = fastrand::Rng::with_seed(scenario.seed);
+    let sizes: Vec<f64> = servers.iter().map(|s| s.workers as f64 / s.work.max(1e-9)).collect();
+    let all: f64 = sizes.iter().sum();
+    let mut queues: Vec<Queue> = servers.iter().map(|_| Queue::default()).collect();
+    let nodes = history.asked.iter().map(|asked| asked.node + 1).max().unwrap_or(0);
+    let mut out: Vec<Vec<u32>> = vec![vec![0; servers.len()]; nodes];
+    let mut turns: Vec<usize> = (0..nodes).map(|node| node * 7).collect();
+    let mut worked: Vec<Worked> = Vec::with_capacity(history.asked.len());
+    let mut asked: Vec<Asked> = history.asked.clone();
+    let mut ends: BinaryHeap<Ends> = BinaryHeap::new();
+    let by_size = |rng: &mut fastrand::Rng| {
+        let mut draw = rng.f64() * all;
+        sizes.iter().position(|size| {
+            draw -= size;
+            draw < 0.0
+        })
+    };
+    for n in 0..asked.len() {
+        let now = asked[n].due;
+        while ends.peek().is_some_and(|next| next.at <= now) {
+            let Some(end) = ends.pop() else { break };
+            finish(
+                &end,
+                &mut queues,
+                &mut ends,
+                &mut asked,
+                &mut worked,
+                &mut out,
+                &servers,
+                scenario,
+                &mut rng,
+            );
+        }
+        let node = asked[n].node;
+        let server = match way {
+            Way::Random => by_size(&mut rng).unwrap_or(0),
+            Way::RoundRobin => {
+                turns[node] += 1;
+                turns[node] % servers.len()
+            }
+            Way::TwoChoices => {
+                let (a, b) = (by_size(&mut rng).unwrap_or(0), by_size(&mut rng).unwrap_or(0));
+                if out[node][a] <= out[node][b] {
+                    a
+                } else {
+                    b
+                }
+            }
+            Way::Full => {
+                let wait = |at: &usize| {
+                    let held = (queues[*at].busy + queues[*at].waits.len()) as f64;
+                    (held + 1.0 - servers[*at].workers as f64).max(0.0) / sizes[*at]
+                };
+                // Ties are common, and the first of them must not have them all.
+                let first = rng.usize(..servers.len());
+                let turned = (0..servers.len()).map(|at| (at + first) % servers.len());
+                turned.min_by(|a, b| wait(a).total_cmp(&wait(b))).unwrap_or(0)
+            }
+        };
+        out[node][server] += 1;
+        worked.push(Worked { id: n as u64, server, begun: now, ended: None });
+        if queues[server].busy < servers[server].workers {
+            queues[server].busy += 1;
+            ends.push(Ends { at: now + draw(&servers[server], scenario, &mut rng), server, asked: n });
+        } else {
+            queues[server].waits.push_back(n);
+        }
+    }
+    while let Some(end) = ends.pop() {
+        finish(&end, &mut queues, &mut ends, &mut asked, &mut worked, &mut out, &servers, scenario, &mut rng);
+    }
+    History { length: history.length, asked, worked, servers, ..History::default() }
+}
+
+#[allow(clippy::too_many_arguments)]
+fn finish(
+    end: &Ends,
+    queues: &mut [Queue],
+    ends: &mut BinaryHeap<Ends>,
+    asked: &mut [Asked],
+    worked: &mut [Worked],
+    out: &mut [Vec<u32>],
+    servers: &[Server],
+    scenario: &Scenario,
+    rng: &mut fastrand::Rng,
+) {
+    let (ended, server) = (&mut asked[end.asked], end.server);
+    (ended.ended, ended.end, ended.lag) = (end.at, End::Served, 0.0);
+    worked[end.asked].ended = Some(end.at);
+    out[ended.node][server] -= 1;
+    match queues[server].waits.pop_front() {
+        Some(next) => {
+            ends.push(Ends { at: end.at + draw(&servers[server], scenario, rng), server, asked: next });
+        }
+        None => queues[server].busy -= 1,
+    }
+}
+
+/// Work of a request there, in seconds.
+fn draw(server: &Server, scenario: &Scenario, rng: &mut fastrand::Rng) -> f64 {
+    let kind = scenario.spec_of(&server.name).map_or(Distribution::Constant, |spec| spec.work);
+    match kind {
+        Distribution::Constant => server.work,
+        Distribution::Exponential => -server.work * (1.0 - rng.f64()).ln(),
+        Distribution::Lognormal => {
+            // A deviation of the mean's size: sigma squared is ln 2.
+            let sigma = std::f64::consts::LN_2.sqrt();
+            let (a, b) = (1.0 - rng.f64(), rng.f64());
+            let normal = (-2.0 * a.ln()).sqrt() * (std::f64::consts::TAU * b).cos();
+            server.work * (sigma * normal - sigma * sigma / 2.0).exp()
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::figures;
+    use spurdrum_load::plan::Effect;
+
+    #[test]
+    fn two_servers_as_one_queue_wait_as_erlang_says() {
+        let scenario = Scenario::parse(
+            "for_s = 200\nnodes = 1\nload = 0.8\n[[servers]]\nname = 's'\ncount = 2\ncores = 1\nslots = 1\nwork_ms = 10\n\
+             work = 'exponential'",
+        );
+        let scenario = scenario.expect("sound");
+        let server = |n: usize| Server {
+            name: format!("s{n}"),
+            workers: 1,
+            work: 0.01,
+            drains_at: None,
+            still: Vec::new(),
+            lives: (0.0, f64::MAX),
+        };
+        let mut rng = fastrand::Rng::with_seed(5);
+        let mut due = 0.0;
+        let mut asked = Vec::new();
+        while due < 200.0 {
+            due += -(1.0 - rng.f64()).ln() / 160.0;
+            let (effect, end) = (Effect::Safe, End::Nothing);
+            asked.push(Asked { id: 0, node: 0, effect, due, lag: 0.0, ended: due, end, deadline: 1.0 });
+        }
+        let history =
+            History { length: 200.0, asked, servers: vec![server(0), server(1)], ..History::default() };
+        let mean = |way| {
+            let played = play(&history, &scenario, way);
+            let figures = figures::of(&played);
+            assert_eq!((figures.nothing, figures.attempts), (0.0, 1.0));
+            played.asked.iter().map(|asked| asked.ended - asked.due).sum::<f64>() / played.asked.len() as f64
+        };
+        // M/M/2 at 0.8 takes 1/(1 - 0.64) services, M/M/1 takes 5; joining the shortest of two queues is near the former.
+        let (full, random) = (mean(Way::Full) / 0.01, mean(Way::Random) / 0.01);
+        assert!((2.7..3.6).contains(&full), "{full}");
+        assert!((4.2..5.9).contains(&random), "{random}");
+    }
+}
--- a/crates/spurdrum-fleet/src/run.rs
+++ b/crates/spurdrum-fleet/src/run.rs
@@ -9,7 +9,7 @@
 use spurdrum_load::plan::{Clients, Effect, Keys, Phase, Plan, Shape};
 use spurdrum_load::schedule::Schedule as Arrivals;
 use spurdrum_load::Arrival;
-use spurdrum_standin::scenario::FaultKind;
+use spurdrum_standin::scenario::{Fault as ServerFault, FaultKind};
 use spurdrum_standin::{Fleet, Tally};
 use tokio::sync::oneshot;
 use tokio::task::LocalSet;
@@ -49,7 +49,9 @@
     let servers: Vec<(String, SocketAddr)> =
         fleet.servers.iter().map(|(name, at)| (name.clone(), *at)).collect();
     let schedule = Schedule::new(scenario, servers.len());
-    let links = Links::start(scenario, &schedule, &servers)?;
+    let mut links_to = servers.clone();
+    links_to.push(("catalog".into(), fleet.catalog));
+    let links = Links::start(scenario, &schedule, &links_to)?;
     let folder = Folder::make(options)?;
     let mut world = World {
         scenario,
@@ -138,9 +140,12 @@
     ) -> Result<Start, String> {
         let scenario = self.scenario;
         let (on, name) = (address(me + 1), format!("n{me}"));
-        let (listen, ops) = (free(on)?, free(on)?);
-        let zones: Vec<&str> = scenario.servers.iter().map(|spec| spec.zone.as_str()).collect();
-        let zone = zones[me % zones.len()];
+        let listen = free(on, 0)?;
+        let ops = free(on, listen.port())?;
+        let mut zones: Vec<&str> = scenario.servers.iter().map(|spec| spec.zone.as_str()).collect();
+        zones.sort_unstable();
+        zones.dedup();
+        let zone = scenario.zone_of(me);
         let told = scenario.told.unwrap_or(scenario.nodes);
         let mut file = format!(
             "[node]\nname = \"{name}\"\nlisten = \"{listen}\"\nops = \"{ops}\"\nseed = {}\nsockets = {SOCKETS}\nnodes = {told}\n\
@@ -168,7 +173,8 @@
         let _ = write!(file, "[servers]\ncold_ms = {cold_ms:.1}\ncold_from = {cold_from:.3}\n");
         match &scenario.catalog {
             Some(_) => {
-                let _ = write!(file, "[sources.catalog]\naddress = \"{}\"\n", fleet.catalog);
+                let at = self.links.before(me, servers.len()).unwrap_or(fleet.catalog);
+                let _ = write!(file, "[sources.catalog]\naddress = \"{at}\"\n");
             }
             None => {
                 file.push_str("[sources.static]\nservers = [\n");
@@ -226,10 +232,10 @@
             keys,
             clients,
         };
-        let mut deal = Deal::new(scenario.nodes, scenario.sigma, scenario.seed);
+        let mut deal = Deal::new(scenario);
         let mut shares: Vec<Vec<(Arrival, usize)>> = vec![Vec::new(); CLIENTS];
         for (n, arrival) in Arrivals::new(&plan, scenario.seed).enumerate() {
-            let node = deal.deal();
+            let node = deal.deal(arrival.due_us as f64 / 1e6);
             shares[n % CLIENTS].push((arrival, node));
         }
         let nodes: Vec<SocketAddr> = self.starts.iter().map(|start| start.listen).collect();
@@ -416,6 +422,15 @@
     }
 }
 
+/// From when until when a server is there: one that replaces another has the fault's place at the end of its name.
+fn lives(scenario: &Scenario, name: &str) -> (f64, f64) {
+    let replaced = |fault: &&ServerFault| fault.kind == FaultKind::Replace;
+    let by = name.rsplit_once('-').and_then(|(_, n)| n.parse::<usize>().ok());
+    let from = by.and_then(|n| scenario.server_faults.get(n)).filter(replaced);
+    let to = scenario.server_faults.iter().filter(|fault| fault.on == name).find(replaced);
+    (from.map_or(0.0, |fault| fault.at_s), to.map_or(f64::MAX, |fault| fault.at_s))
+}
+
 /// Joins what all saw.
 fn history(
     scenario: &Scenario,
@@ -439,6 +454,7 @@
             work: spec.map_or(1.0, |spec| spec.work_ms / 1000.0 / spec.speed),
             drains_at: drains.map(|fault| fault.at_s + delay).reduce(f64::min),
             still: still.map(|fault| (fault.at_s, fault.at_s + fault.for_s.unwrap_or(1e9))).collect(),
+            lives: lives(scenario, name),
         }
     };
     let servers: Vec<Server> = names.iter().map(server).collect();
--- a/crates/spurdrum-fleet/src/scenario.rs
+++ b/crates/spurdrum-fleet/src/scenario.rs
@@ -41,6 +41,9 @@
     /// Kinds of requests; one keyed class where there are none.
     #[serde(default = "update", rename = "class")]
     pub classes: Vec<Class>,
+    /// Who has how much of the load, from when; before the first, and without any, `sigma` alone deals it out.
+    #[serde(default, rename = "lean")]
+    pub leans: Vec<Lean>,
     /// Time in which servers discard repeats of a key, in milliseconds.
     #[serde(default = "window")]
     pub window_ms: f64,
@@ -58,6 +61,22 @@
     pub part: f64,
 }
 
+/// Some nodes' part of the load.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Lean {
+    /// From when, in seconds, until the next one's time.
+    #[serde(default)]
+    pub at_s: f64,
+    /// Part of the nodes, drawn anew for each; all of a zone's nodes in its place.
+    #[serde(default)]
+    pub nodes: f64,
+    /// Nodes of this zone.
+    pub zone: Option<String>,
+    /// Part of the load that they have together; the others have the rest.
+    pub share: f64,
+}
+
 /// Something that happens to nodes, or to their links to servers.
 #[derive(Clone, Debug, Deserialize, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -69,6 +88,9 @@
     /// Part of the servers, for links; which ones is drawn.
     #[serde(default = "whole")]
     pub servers: f64,
+    /// The link to the catalog, in place of those to servers.
+    #[serde(default)]
+    pub catalog: bool,
     /// From when, in seconds.
     pub at_s: f64,
     /// For how long; to the end where it is left out.
@@ -172,8 +194,18 @@
             if !(times && part(fault.nodes) && part(fault.servers)) {
                 return Err(("at_s", "times are above 0, `nodes` and `servers` parts from 0 to 1".into()));
             }
-            if fault.kind.is_of_links() && self.catalog.is_some() {
-                return Err(("kind", "links break where the list stands in the nodes' files".into()));
+            if fault.kind.is_of_links() && self.catalog.is_some() != fault.catalog {
+                let why = "links to servers break where the list stands in the nodes' files, that to the catalog where there is one";
+                return Err(("kind", why.into()));
+            }
+        }
+        let zones: Vec<&str> = self.servers.iter().map(|spec| spec.zone.as_str()).collect();
+        for lean in &self.leans {
+            if !(lean.at_s >= 0.0 && part(lean.nodes) && part(lean.share)) {
+                return Err(("share", "times are above 0, `nodes` and `share` parts from 0 to 1".into()));
+            }
+            if lean.zone.as_ref().is_some_and(|zone| !zones.contains(&zone.as_str())) {
+                return Err(("zone", "no server is in this zone".into()));
             }
         }
         if self.other.as_ref().is_some_and(|other| !part(other.part)) {
@@ -182,6 +214,15 @@
         Ok(())
     }
 
+    /// The zone of a node: they are dealt out in turn.
+    #[must_use]
+    pub fn zone_of(&self, node: usize) -> &str {
+        let mut zones: Vec<&str> = self.servers.iter().map(|spec| spec.zone.as_str()).collect();
+        zones.sort_unstable();
+        zones.dedup();
+        zones[node % zones.len()]
+    }
+
     /// What the stand-in servers play.
     #[must_use]
     pub fn standins(&self) -> Servers {
--- a/crates/spurdrum-fleet/src/schedule.rs
+++ b/crates/spurdrum-fleet/src/schedule.rs
@@ -38,7 +38,12 @@
                 drawn
             };
             let nodes = some(scenario.nodes, fault.nodes);
-            let servers = if fault.kind.is_of_links() { some(servers, fault.servers) } else { Vec::new() };
+            let servers = match fault.kind.is_of_links() {
+                // The catalog comes after the last server.
+                true if fault.catalog => vec![servers],
+                true => some(servers, fault.servers),
+                false => Vec::new(),
+            };
             schedule.befalls.push((nodes, servers));
             schedule.steps.push(Step { at_s: fault.at_s, fault: n, begins: true });
             let ends = fault.for_s.map(|s| fault.at_s + s).filter(|_| fault.kind != Kind::Late);
@@ -78,6 +83,7 @@
             at_s,
             for_s: Some(for_s * (0.02 + 0.15 * rng.f64())),
             delay_ms: rng.u64(5..100),
+            catalog: false,
         }
     };
     (0..count).map(|_| draw()).collect()
--- a/crates/spurdrum-fleet/src/verdict.rs
+++ b/crates/spurdrum-fleet/src/verdict.rs
@@ -118,6 +118,7 @@
             work: 0.04,
             drains_at: None,
             still: Vec::new(),
+            lives: (0.0, f64::MAX),
         };
         History {
             length: 10.0,
