A server that failed for a while is not left idle for good

A count rises with each send and falls by a report alone (send(), report()): what was sent while it failed was never overwritten, and its count stayed above all others. With one failure at one node it is the same; in slices of many nodes the sends since the last report did it.

What was sent and never told of is forgotten when nothing is out there and the last send is two mean aims ago, longer by each failure in a row; for a server that was taken out, when its trial begins. Ruled out: the server (it answered by hand), the list of those out (hosts_down 0).

--- a/crates/spurdrum-policy/src/rules.rs
+++ b/crates/spurdrum-policy/src/rules.rs
@@ -129,6 +129,8 @@
     /// The last fresh report, when that came, and what this node has sent since.
     told: Option<(f64, f64)>,
     since: f64,
+    /// When this node last sent to it.
+    sent_at: f64,
     /// Mean of what it reported, and of how many reports.
     usual: (f64, f64),
     /// This node's attempts that are out.
@@ -143,6 +145,15 @@
 }
 
 impl Server {
+    /// What was sent and never told of holds no longer, when it has long ended, or its server is on trial.
+    /// Guards against a server that failed a few times and is left idle for good: only a report lowers counts.
+    fn forget(&mut self, now: f64, patience: f64) {
+        let quiet = now - self.sent_at > patience * f64::from(1 + self.strikes);
+        if self.since > 0.0 && self.out == 0 && self.ejected_until.map_or(quiet, |until| until <= now) {
+            (self.count, self.since) = (None, 0.0);
+        }
+    }
+
     /// Gone, with nothing out to it: nothing more is heard of it.
     fn is_over(&self) -> bool {
         self.entry.availability == Availability::Gone && self.out == 0
@@ -550,6 +561,7 @@
         for at in near.chain(far).map(|i| self.ring[i]).chain(beyond) {
             let first = held.attempts.is_empty();
             let asked = first && held.reported.contains(&at);
+            self.servers.get_mut(&at).expect("listed").forget(now, EJECT * self.aim);
             let believed = self.sparse.then(|| self.believed(now, &self.servers[&at]));
             let server = self.servers.get_mut(&at).expect("listed");
             let bound = home.is_some_and(|home| !may_move(class.effect, home, &server.entry));
@@ -745,7 +757,7 @@
         let server = self.servers.get_mut(&at).expect("picked");
         server.out += 1;
         server.count = server.count.map(|count| count + 1.0);
-        server.since += 1.0 / server.size;
+        (server.since, server.sent_at) = (server.since + 1.0 / server.size, now);
         let depth = server.count.filter(|_| self.asks > 0).unwrap_or(server.out as f64);
         let turn = server.answers + server.out as u64 - 1;
         let (zone, cell, out) = (server.entry.zone, server.entry.cell, server.out);
--- a/crates/spurdrum-policy/tests/rules.rs
+++ b/crates/spurdrum-policy/tests/rules.rs
@@ -871,3 +871,32 @@
         assert!(cut || cuts == 0, "{effect:?}, lost {lost}: {cuts}");
     }
 }
+
+/// A count rises with each send and falls by a report alone: a server that failed for two seconds kept what had been sent to it
+/// meanwhile, was above all others from then on, and never got anything again.
+#[test]
+fn a_server_that_failed_for_a_while_is_not_left_idle() {
+    for (nodes, lost) in [(1, 99), (12, 99), (12, 2), (300, 99), (300, 2)] {
+        let mut settings = one_class(Effect::Safe);
+        (settings.nodes, settings.probe_price) = (nodes, 1.0);
+        let mut node = Node::new(settings, 4);
+        node.servers(ready(0..3));
+        let mut failures = 0;
+        let mut back = [0; 3];
+        for id in 0..1_000 {
+            let Some(mut server) = send_of(&node.request(id, 0, 800.0)) else { continue };
+            let mut attempt = 0;
+            while server == 1 && (2_000.0..4_000.0).contains(&(node.now - 1_000.0)) && failures < lost {
+                failures += 1;
+                let Some(next) = send_of(&node.end(id, attempt, 1.0, Ending::Unreachable)) else { break };
+                (server, attempt) = (next, attempt + 1);
+            }
+            node.now += 20.0;
+            node.report(id, attempt, 20.0, Ending::Served, Some(2.0));
+            if node.now > 12_000.0 {
+                back[server] += 1;
+            }
+        }
+        assert!(failures > 0 && back[1] > back[0] / 3, "{nodes} nodes, {failures} failures: {back:?}");
+    }
+}
