Stand-in: what a server works on ends with its death, also in the log

Work whose connection ended with its server stayed in the model as work that runs and in the log as begun: the rig took the next attempt for a second one at the same time. A guard ends it however it ends.

--- a/crates/spurdrum-standin/src/server.rs
+++ b/crates/spurdrum-standin/src/server.rs
@@ -47,6 +47,26 @@
     key: Option<String>,
 }
 
+/// A request that is worked on, until it is dropped: also where its server dies meanwhile.
+struct Running<'a> {
+    server: &'a Server,
+    number: u64,
+    id: &'a str,
+    fate: Option<Fate>,
+}
+
+impl Drop for Running<'_> {
+    fn drop(&mut self) {
+        let server = self.server;
+        if self.fate.is_none() {
+            server.replies.borrow_mut().remove(&self.number);
+            server.model.borrow_mut().cancel(self.number);
+        }
+        let fate = self.fate.unwrap_or(Fate::Silent);
+        server.tally(|tally| tally.end(&server.name, self.id, fate, server.start.elapsed()));
+    }
+}
+
 impl Server {
     pub fn new(
         name: String,
@@ -233,18 +253,14 @@
         let (reply, replied) = oneshot::channel();
         self.replies.borrow_mut().insert(number, reply);
         self.changed.notify_one();
+        let mut running = Running { server: self, number, id, fate: None };
         let mut more = [0; 1];
-        let fate = tokio::select! {
+        running.fate = tokio::select! {
             fate = replied => fate.ok(),
             // Nothing is to come before the answer but the client's end.
             _ = stream.peek(&mut more) => None,
         };
-        if fate.is_none() {
-            self.replies.borrow_mut().remove(&number);
-            self.model.borrow_mut().cancel(number);
-        }
-        self.tally(|tally| tally.end(&self.name, id, fate.unwrap_or(Fate::Silent), self.start.elapsed()));
-        fate
+        running.fate
     }
 
     /// Answers as a request's fate has it. Whether the connection goes on; an error where it is reset.
