--- a/crates/spurdrum-policy/src/interface.rs
+++ b/crates/spurdrum-policy/src/interface.rs
@@ -218,7 +218,7 @@
 impl SettingsError {
     /// The name of the setting.
     #[must_use]
-    pub fn key(&self) -> &str {
+    pub fn key(&self) -> &'static str {
         self.key
     }
 }
--- a/crates/spurdrum/src/file.rs
+++ b/crates/spurdrum/src/file.rs
@@ -357,9 +357,21 @@
         if self.class.iter().any(|class| class.effect == EffectName::Keyed && class.window_ms.is_none()) {
             return Err(("class", "effect", "a keyed class needs `window_ms`"));
         }
-        self.settings(node, &self.places(node))
-            .validate()
-            .map_err(|_| ("class", "deadline_ms", "a time or worth is out of range"))
+        let own_aim = |class: &ClassTable| class.aim_ms.is_some_and(|ms| !(ms.is_finite() && ms > 0.0));
+        self.settings(node, &self.places(node)).validate().map_err(|wrong| {
+            let (table, key) = match wrong.key() {
+                // Where it is left out, it is the deadline.
+                "classes[].aim_ms" if self.class.iter().any(own_aim) => ("class", "aim_ms"),
+                "classes[].window_ms" => ("class", "window_ms"),
+                "classes[].worth" => ("class", "worth"),
+                "classes[].late_worth" => ("class", "late_worth"),
+                "nodes" => ("node", "nodes"),
+                "max_retry_after_ms" => ("node", "retry_after_most_ms"),
+                key @ ("max_attempts" | "cold_ms" | "cold_from") => ("servers", key),
+                _ => ("class", "deadline_ms"),
+            };
+            (table, key, "is missing or out of range")
+        })
     }
 
     fn fixed(&self) -> Option<&Static> {
