Rig: tests by a dozen processes with faults between them; hard cases as scenarios

Eight tests: nodes killed, stopped, servers that stall and die, links one way, stalled and cut, faults drawn from seeds, servers replaced while lists differ, a node that does not come up, a rig that is killed.

--- a/crates/spurdrum-fleet/src/clients.rs
+++ b/crates/spurdrum-fleet/src/clients.rs
@@ -16,7 +16,6 @@
 
 use crate::history::{Asked, End};
 use crate::scenario::Scenario;
-use crate::verdict::SLACK;
 
 /// Connections that clients keep to one node at most.
 const CONNECTIONS: usize = 200;
@@ -81,12 +80,14 @@
 pub async fn play(
     arrivals: Vec<(Arrival, usize)>,
     nodes: &[SocketAddr],
-    classes: &[Class],
+    scenario: &Scenario,
     start: Instant,
     seed: u64,
 ) -> Vec<Asked> {
     let pools: Vec<Pool> = nodes.iter().map(|node| Pool::new(*node, CONNECTIONS)).collect();
-    let clients = Rc::new((pools, classes.to_vec(), RefCell::new(fastrand::Rng::with_seed(seed))));
+    let rng = RefCell::new(fastrand::Rng::with_seed(seed));
+    let clients =
+        Rc::new(Clients { pools, classes: scenario.classes.clone(), slack: scenario.slack_s, rng, start });
     let mut tasks = Vec::with_capacity(arrivals.len());
     for (arrival, node) in arrivals {
         let due = start + Duration::from_micros(arrival.due_us);
@@ -94,10 +95,7 @@
             sleep_until(due.into()).await;
         }
         let clients = Rc::clone(&clients);
-        tasks.push(tokio::task::spawn_local(async move {
-            let (pools, classes, rng) = &*clients;
-            one(arrival, node, pools, &classes[usize::from(arrival.class)], rng, start).await
-        }));
+        tasks.push(tokio::task::spawn_local(async move { one(arrival, node, &clients).await }));
     }
     let mut asked = Vec::with_capacity(tasks.len());
     for task in tasks {
@@ -106,18 +104,21 @@
     asked
 }
 
-async fn one(
-    arrival: Arrival,
-    mut node: usize,
-    pools: &[Pool],
-    class: &Class,
-    rng: &RefCell<fastrand::Rng>,
+/// What all requests of an event loop share.
+struct Clients {
+    pools: Vec<Pool>,
+    classes: Vec<Class>,
+    slack: f64,
+    rng: RefCell<fastrand::Rng>,
     start: Instant,
-) -> Asked {
+}
+
+async fn one(arrival: Arrival, mut node: usize, clients: &Clients) -> Asked {
+    let (pools, class, start) = (&clients.pools, &clients.classes[usize::from(arrival.class)], clients.start);
     let now = || start.elapsed().as_secs_f64();
     let due = arrival.due_us as f64 / 1e6;
     let lag = now() - due;
-    let ends = start + Duration::from_secs_f64(due + class.deadline_s + SLACK);
+    let ends = start + Duration::from_secs_f64(due + class.deadline_s + clients.slack);
     let mut end = End::Unreached;
     for _ in 0..=OTHERS {
         let left = (due + class.deadline_s - now()).max(0.001);
@@ -135,7 +136,7 @@
             break;
         }
         // What stands before nodes notices that one is dead, and asks another.
-        node = rng.borrow_mut().usize(..pools.len());
+        node = clients.rng.borrow_mut().usize(..pools.len());
     }
     Asked {
         id: arrival.id,
--- a/crates/spurdrum-fleet/src/figures.rs
+++ b/crates/spurdrum-fleet/src/figures.rs
@@ -232,6 +232,24 @@
     None
 }
 
+/// Sends to all servers of one capacity over their fair part, by capacity in requests a second.
+#[must_use]
+pub fn by_capacity(history: &History) -> Vec<(f64, f64)> {
+    let (from, to) = (history.length / 5.0, history.length);
+    let mut sums: std::collections::BTreeMap<u64, (f64, f64)> = std::collections::BTreeMap::new();
+    let size = |server: &Server| server.workers as f64 / server.work.max(1e-9);
+    let key = |server: &Server| (size(server) * 1000.0).round() as u64;
+    for server in &history.servers {
+        sums.entry(key(server)).or_default().0 += size(server) * server.up(from, to);
+    }
+    for worked in history.worked.iter().filter(|worked| (from..to).contains(&worked.begun)) {
+        sums.entry(key(&history.servers[worked.server])).or_default().1 += 1.0;
+    }
+    let (sizes, sent) = sums.values().fold((0.0, 0.0), |all, sum| (all.0 + sum.0, all.1 + sum.1));
+    let part = |(size, n): (f64, f64)| if size > 0.0 { n / size * sizes / sent } else { 0.0 };
+    sums.into_iter().map(|(key, sum)| (key as f64 / 1000.0, part(sum))).collect()
+}
+
 /// The greatest herd in the second after a fault began or ended.
 #[must_use]
 pub fn herd_after(history: &History) -> f64 {
--- a/crates/spurdrum-fleet/src/history.rs
+++ b/crates/spurdrum-fleet/src/history.rs
@@ -91,6 +91,19 @@
     pub to: f64,
 }
 
+/// Links through which a server does not hear in time that a node has closed its connection.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Blind {
+    /// Nodes.
+    pub nodes: Vec<usize>,
+    /// Places of servers in [`History::servers`].
+    pub servers: Vec<usize>,
+    /// From.
+    pub from: f64,
+    /// To.
+    pub to: f64,
+}
+
 /// One run.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct History {
@@ -104,6 +117,8 @@
     pub servers: Vec<Server>,
     /// Stretches without a node.
     pub away: Vec<Away>,
+    /// Links that hide a close: by them, servers cannot tell whether an attempt was over.
+    pub blind: Vec<Blind>,
     /// Faults: from and to.
     pub faults: Vec<(f64, f64)>,
     /// Connections that servers accepted.
@@ -112,6 +127,8 @@
     pub untold: u64,
     /// Sums of the nodes' own figures, where they could be asked.
     pub telemetry: BTreeMap<String, u64>,
+    /// What clocks, sockets and busy cores may be late by, in seconds.
+    pub slack: f64,
     /// Time in which keyed repeats are discarded, in seconds.
     pub window: f64,
 }
--- a/crates/spurdrum-fleet/src/main.rs
+++ b/crates/spurdrum-fleet/src/main.rs
@@ -1,5 +1,6 @@
 //! The command: plays a scenario with real processes, judges it, and shrinks what fails.
 
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -121,7 +122,7 @@
                         self::chaos(scenario.seed, count, scenario.for_s, scenario.catalog.is_none());
                 }
                 let program = program.map_or_else(|| process::beside("spurdrum"), Ok)?;
-                let options = Options { program, folder: std::env::temp_dir(), keep };
+                let options = Options { program, folder: std::env::temp_dir(), keep, playing: Some(playing) };
                 let again = format!(
                     "spurdrum-fleet run {} --seed {} --nodes {} --load {}{}",
                     file.display(),
@@ -154,7 +155,9 @@
 ) -> Result<bool, String> {
     let history = run(scenario, options)?;
     let table = table(&history);
-    print!("{table}");
+    use std::io::Write as _;
+    // Whoever reads may have read enough.
+    let _ = std::io::stdout().write_all(table.as_bytes());
     if let Some(path) = html {
         let page =
             chart::page(&format!("{} nodes, seed {}", scenario.nodes, scenario.seed), &history, &table)?;
@@ -180,8 +183,20 @@
     Ok(false)
 }
 
+/// Says where the first nodes are.
+fn playing(nodes: &[SocketAddr]) {
+    let some: Vec<String> = nodes.iter().take(3).map(ToString::to_string).collect();
+    println!("playing with {} nodes, at {} and so on", nodes.len(), some.join(" "));
+}
+
 fn table(history: &History) -> String {
     let mut table = format!("{}", figures::of(history));
+    let by_capacity = figures::by_capacity(history);
+    if by_capacity.len() > 1 {
+        by_capacity
+            .iter()
+            .for_each(|(capacity, part)| table += &format!("to {capacity:>5.0}/s {part:>10.3}\n"));
+    }
     if let Some(seconds) = figures::even_again(history, 1.2) {
         table += &format!("{:<12}{seconds:>10.1}\n", "even again");
     }
--- a/crates/spurdrum-fleet/src/measure.rs
+++ b/crates/spurdrum-fleet/src/measure.rs
@@ -47,8 +47,8 @@
             for seed in &measure.seeds {
                 let scenario = Scenario { seed: *seed, nodes, load, ..scenario.clone() };
                 for (n, (name, program)) in measure.builds.iter().enumerate() {
-                    let options =
-                        Options { program: program.clone(), folder: std::env::temp_dir(), keep: false };
+                    let folder = std::env::temp_dir();
+                    let options = Options { program: program.clone(), folder, keep: false, playing: None };
                     let history = run(&scenario, &options)?;
                     let broken = verdict::judge(&history);
                     kept &= n > 0 || broken.is_empty();
--- a/crates/spurdrum-fleet/src/run.rs
+++ b/crates/spurdrum-fleet/src/run.rs
@@ -15,7 +15,7 @@
 use tokio::task::LocalSet;
 
 use crate::clients::{self, Deal};
-use crate::history::{Asked, Away, History, Server, Worked};
+use crate::history::{Asked, Away, Blind, History, Server, Worked};
 use crate::links::Link;
 use crate::process::{address, free, Node, Start};
 use crate::scenario::{workers, Kind, Scenario};
@@ -37,6 +37,8 @@
     pub folder: PathBuf,
     /// Whether the folder stays.
     pub keep: bool,
+    /// Told where clients connect, when all nodes are ready.
+    pub playing: Option<fn(&[SocketAddr])>,
 }
 
 /// Plays it. Returns when all processes have ended.
@@ -84,6 +86,9 @@
     std::thread::sleep(Duration::from_secs_f64(lead).saturating_sub(fleet.elapsed()));
     let begins = fleet.elapsed().as_secs_f64();
     let start = Instant::now();
+    if let Some(playing) = options.playing {
+        playing(&world.starts.iter().map(|start| start.listen).collect::<Vec<_>>());
+    }
     let clients = world.clients(start);
     world.play(&schedule, start)?;
     let mut asked = Vec::new();
@@ -93,7 +98,9 @@
     asked.sort_by(|a, b| a.due.total_cmp(&b.due));
     let telemetry = world.telemetry();
     let away = world.end(&schedule)?;
-    Ok(history(scenario, &fleet.tally(), begins, asked, away, telemetry))
+    let mut history = history(scenario, &fleet.tally(), begins, asked, away, telemetry);
+    history.blind = blind(scenario, &schedule, &servers, &history);
+    Ok(history)
 }
 
 /// A run's folder.
@@ -240,11 +247,11 @@
         }
         let nodes: Vec<SocketAddr> = self.starts.iter().map(|start| start.listen).collect();
         let begin = |(n, share): (usize, Vec<(Arrival, usize)>)| {
-            let (nodes, classes, seed) = (nodes.clone(), scenario.classes.clone(), scenario.seed + n as u64);
+            let (nodes, scenario, seed) = (nodes.clone(), scenario.clone(), scenario.seed + n as u64);
             std::thread::spawn(move || {
                 let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
                 let runtime = runtime.map_err(|error| error.to_string())?;
-                Ok(LocalSet::new().block_on(&runtime, clients::play(share, &nodes, &classes, start, seed)))
+                Ok(LocalSet::new().block_on(&runtime, clients::play(share, &nodes, &scenario, start, seed)))
             })
         };
         shares.into_iter().enumerate().map(begin).collect()
@@ -422,6 +429,28 @@
     }
 }
 
+/// Links that are held up: what their servers see of a close is late, or nothing.
+fn blind(
+    scenario: &Scenario,
+    schedule: &Schedule,
+    servers: &[(String, SocketAddr)],
+    history: &History,
+) -> Vec<Blind> {
+    let held = scenario.faults.iter().zip(&schedule.befalls).filter(|(fault, _)| {
+        matches!(fault.kind, Kind::Stall | Kind::Delay | Kind::OneWay) && !fault.catalog
+    });
+    let place = |server: &usize| {
+        history.servers.iter().position(|seen| Some(&seen.name) == servers.get(*server).map(|s| &s.0))
+    };
+    held.map(|(fault, (nodes, befallen))| Blind {
+        nodes: nodes.clone(),
+        servers: befallen.iter().filter_map(place).collect(),
+        from: fault.at_s,
+        to: fault.for_s.map_or(scenario.for_s, |s| fault.at_s + s),
+    })
+    .collect()
+}
+
 /// From when until when a server is there: one that replaces another has the fault's place at the end of its name.
 fn lives(scenario: &Scenario, name: &str) -> (f64, f64) {
     let replaced = |fault: &&ServerFault| fault.kind == FaultKind::Replace;
@@ -479,5 +508,7 @@
         untold: tally.unlogged(),
         telemetry,
         window: scenario.window_ms / 1000.0,
+        slack: scenario.slack_s,
+        blind: Vec::new(),
     }
 }
--- a/crates/spurdrum-fleet/src/scenario.rs
+++ b/crates/spurdrum-fleet/src/scenario.rs
@@ -47,6 +47,9 @@
     /// Time in which servers discard repeats of a key, in milliseconds.
     #[serde(default = "window")]
     pub window_ms: f64,
+    /// What clocks, sockets and busy cores may be late by before a rule counts as broken, in seconds.
+    #[serde(default = "slack")]
+    pub slack_s: f64,
     /// Another build of the program, for a part of the nodes.
     pub other: Option<Other>,
 }
@@ -142,6 +145,10 @@
     500.0
 }
 
+fn slack() -> f64 {
+    0.1
+}
+
 fn whole() -> f64 {
     1.0
 }
--- a/crates/spurdrum-fleet/src/verdict.rs
+++ b/crates/spurdrum-fleet/src/verdict.rs
@@ -5,10 +5,8 @@
 
 use spurdrum_load::plan::Effect;
 
-use crate::history::{End, History, Worked};
+use crate::history::{Blind, End, History, Worked};
 
-/// What two machines' clocks, sockets and busy cores may be late by, in seconds.
-pub const SLACK: f64 = 0.1;
 /// A server that drains gets nothing new so long after its nodes were told, in seconds.
 const DRAIN: f64 = 0.25;
 /// What discovery has to tell counts as told after so long at the latest, in seconds.
@@ -66,7 +64,7 @@
     for asked in &history.asked {
         // A node that was killed or stopped meanwhile could not answer.
         let away = |a: &&crate::history::Away| {
-            a.node == asked.node && a.from <= asked.ended && a.to + SLACK >= asked.due
+            a.node == asked.node && a.from <= asked.ended && a.to + history.slack >= asked.due
         };
         if asked.end == End::Nothing && !history.away.iter().any(|a| away(&a)) {
             let seen = format!("node {} said nothing for {:.3} s", asked.node, asked.ended - asked.due);
@@ -76,11 +74,16 @@
         let name = |worked: &Worked| history.servers[worked.server].name.as_str();
         for pair in runs.windows(2) {
             // A server hears of an end a moment after its node made it.
-            if pair[0].ended.is_none_or(|ended| ended > pair[1].begun + SLACK) {
+            let over = pair[0].ended.is_some_and(|ended| ended <= pair[1].begun + history.slack);
+            let blind = |blind: &Blind| {
+                let met = blind.nodes.contains(&asked.node) && blind.servers.contains(&pair[0].server);
+                met && blind.from <= pair[1].begun && blind.to + history.slack >= pair[0].begun
+            };
+            if !over && !history.blind.iter().any(blind) {
                 let seen = format!("begun at {} while {} worked on it", name(pair[1]), name(pair[0]));
                 broken.push(Broken { rule: Rule::OneAtATime, id: asked.id, at: pair[1].begun, seen });
             }
-            let late = pair[1].begun - runs[0].begun > history.window + SLACK;
+            let late = pair[1].begun - runs[0].begun > history.window + history.slack;
             if asked.effect == Effect::Unsafe || asked.effect == Effect::Keyed && late {
                 let seen = format!("begun at {} and again at {}", name(runs[0]), name(pair[1]));
                 broken.push(Broken { rule: Rule::Once, id: asked.id, at: pair[1].begun, seen });
@@ -89,7 +92,7 @@
     }
     for worked in &history.worked {
         let server = &history.servers[worked.server];
-        if server.drains_at.is_some_and(|at| worked.begun > at + TOLD + DRAIN + SLACK) {
+        if server.drains_at.is_some_and(|at| worked.begun > at + TOLD + DRAIN + history.slack) {
             let seen = format!("{} drained from {:.3} s", server.name, server.drains_at.unwrap_or_default());
             broken.push(Broken { rule: Rule::Drained, id: worked.id, at: worked.begun, seen });
         }
@@ -126,6 +129,7 @@
             worked,
             servers: vec![server("a"), server("b")],
             window: 0.5,
+            slack: 0.1,
             ..History::default()
         }
     }
@@ -159,6 +163,16 @@
         assert_eq!(twice(Effect::Safe, 1.4, 1.6), [Rule::OneAtATime]);
     }
 
+    #[test]
+    fn what_a_server_cannot_have_heard_does_not_count() {
+        let both = vec![worked(0, 1.0, Some(1.6)), worked(1, 1.4, Some(1.8))];
+        let mut history = history(asked(Effect::Safe, End::Served), both);
+        history.blind.push(Blind { nodes: vec![3], servers: vec![0], from: 0.5, to: 1.2 });
+        assert_eq!(rules(&history), []);
+        history.blind[0].servers = vec![1];
+        assert_eq!(rules(&history), [Rule::OneAtATime]);
+    }
+
     #[test]
     fn work_for_a_server_that_drains_is_found() {
         let mut history = history(asked(Effect::Safe, End::Served), vec![worked(0, 8.0, Some(8.1))]);
--- /dev/null
+++ b/crates/spurdrum-fleet/tests/faults.rs
@@ -0,0 +1,167 @@
+//! A dozen real processes of the program, with faults between them. Verdicts are counts with wide margins.
+
+use std::io::BufRead;
+use std::net::{SocketAddr, TcpStream};
+use std::path::PathBuf;
+use std::process::{Command, Stdio};
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
+
+use spurdrum_fleet::figures;
+use spurdrum_fleet::history::{End, History};
+use spurdrum_fleet::run::{run, Options};
+use spurdrum_fleet::scenario::Scenario;
+use spurdrum_fleet::schedule::chaos;
+use spurdrum_fleet::verdict;
+
+/// One fleet at a time: two cores are enough for one.
+static ALONE: Mutex<()> = Mutex::new(());
+
+/// Twelve nodes before six servers at half of what those can do; time enough for a busy machine.
+const FLEET: &str = "seed = 3\nfor_s = 6\nnodes = 12\nload = 0.5\nslack_s = 2\nwindow_ms = 4000\n\
+    [[servers]]\nname = 's'\ncount = 6\ncores = 2\nslots = 2\nqueue = 200\nwork_ms = 30\nwork = 'exponential'\n\
+    [[class]]\nname = 'update'\nshare = 1.0\neffect = 'keyed'\naim_s = 0.4\ndeadline_s = 3.0\nbytes = [200, 200]\n";
+
+fn scenario(more: &str) -> Scenario {
+    Scenario::parse(&format!("{FLEET}{more}")).expect("sound")
+}
+
+fn options() -> Options {
+    let program = spurdrum_demo::program().expect("the program is built");
+    Options { program, folder: std::env::temp_dir(), keep: false, playing: None }
+}
+
+/// Plays it; no rule may be broken, whatever happened.
+fn kept(scenario: &Scenario) -> History {
+    let _alone = ALONE.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+    let history = run(scenario, &options()).expect("plays");
+    let broken: Vec<String> = verdict::judge(&history).iter().map(ToString::to_string).collect();
+    assert!(broken.is_empty(), "{} of {} requests: {broken:#?}", broken.len(), history.asked.len());
+    assert!(history.asked.len() > 500 && history.untold == 0, "{}", history.asked.len());
+    history
+}
+
+fn served(history: &History, from: f64, to: f64) -> f64 {
+    let due: Vec<_> = history.asked.iter().filter(|asked| (from..to).contains(&asked.due)).collect();
+    due.iter().filter(|asked| asked.end == End::Served).count() as f64 / due.len().max(1) as f64
+}
+
+fn begun(history: &History, server: &str, from: f64, to: f64) -> usize {
+    let within = |at: f64| (from..to).contains(&at);
+    let seen = history.worked.iter().filter(|w| history.servers[w.server].name == server && within(w.begun));
+    seen.count()
+}
+
+#[test]
+fn nodes_killed_at_once_come_back_and_all_serve_again() {
+    let history = kept(&scenario("[[fault]]\nkind = 'kill'\nnodes = 0.6\nat_s = 2\nfor_s = 0.5\n"));
+    assert_eq!(history.telemetry["nodes"], 12);
+    assert_eq!(history.away.len(), 7);
+    assert!(served(&history, 0.0, 1.5) > 0.95 && served(&history, 4.5, 6.0) > 0.9);
+    let back: Vec<usize> = history.away.iter().map(|away| away.node).collect();
+    let by_them = history.asked.iter().filter(|a| a.due > 4.5 && back.contains(&a.node)).count();
+    assert!(by_them > 50, "{by_them}");
+}
+
+#[test]
+fn nodes_that_were_stopped_go_on_in_the_same_instant() {
+    let history = kept(&scenario("[[fault]]\nkind = 'stop'\nnodes = 0.5\nat_s = 1.5\nfor_s = 2\n"));
+    assert_eq!(history.away.len(), 6);
+    assert!(served(&history, 5.0, 6.0) > 0.9, "{}", figures::of(&history));
+    let least = (0..6).map(|n| begun(&history, &format!("s{n}"), 4.5, 6.0)).min();
+    assert!(least > Some(10), "{least:?}");
+}
+
+#[test]
+fn servers_that_stall_and_servers_that_err_get_work_again() {
+    let history = kept(&scenario(
+        "[[server_fault]]\non = 's1'\nkind = 'pause'\nat_s = 1\nfor_s = 1.5\n\
+         [[server_fault]]\non = 's4'\nkind = 'die'\nat_s = 1\nfor_s = 1.5\n",
+    ));
+    assert!(
+        served(&history, 1.0, 2.5) > 0.5 && served(&history, 4.0, 6.0) > 0.9,
+        "{}",
+        figures::of(&history)
+    );
+    for server in ["s1", "s4"] {
+        assert!(begun(&history, server, 4.0, 6.0) > 10, "{server} is left idle after its fault");
+    }
+}
+
+#[test]
+fn links_that_are_cut_one_way_and_stalled_break_no_rule() {
+    let history = kept(&scenario(
+        "[[fault]]\nkind = 'one_way'\nnodes = 0.5\nservers = 0.34\nat_s = 1\nfor_s = 1.5\n\
+         [[fault]]\nkind = 'stall'\nnodes = 0.25\nservers = 0.34\nat_s = 1\nfor_s = 1.5\n\
+         [[fault]]\nkind = 'cut'\nnodes = 0.25\nservers = 0.5\nat_s = 2\nfor_s = 1\n",
+    ));
+    assert!(
+        served(&history, 1.0, 3.0) > 0.5 && served(&history, 4.5, 6.0) > 0.9,
+        "{}",
+        figures::of(&history)
+    );
+}
+
+#[test]
+fn faults_drawn_from_a_seed_break_no_rule() {
+    for seed in [11, 12] {
+        let base = scenario("");
+        let faults = chaos(seed, 4, base.for_s, true);
+        println!("seed {seed}: {faults:?}");
+        kept(&Scenario { seed, faults, ..base });
+    }
+}
+
+#[test]
+fn servers_are_replaced_while_lists_reach_nodes_at_different_times() {
+    let mut more = "[catalog]\ndelay_ms = 200\n\
+         [[fault]]\nkind = 'delay'\ncatalog = true\nnodes = 0.5\nat_s = 1\nfor_s = 4\ndelay_ms = 500\n"
+        .to_owned();
+    for n in 0..3 {
+        more += &format!(
+            "[[server_fault]]\non = 's{n}'\nkind = 'replace'\nat_s = {}\nfor_s = 2\n",
+            1.5 + 0.3 * f64::from(n)
+        );
+    }
+    let history = kept(&scenario(&more));
+    assert_eq!(history.servers.len(), 9);
+    assert!(served(&history, 1.0, 6.0) > 0.8, "{}", figures::of(&history));
+    let new = history.worked.iter().filter(|w| history.servers[w.server].lives.0 > 0.0).count();
+    assert!(new > 10, "{new} at servers that replaced others");
+}
+
+#[test]
+fn a_node_that_does_not_come_up_ends_the_run_with_its_name_and_last_lines() {
+    let _alone = ALONE.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+    // Nodes turn the setting down.
+    let wrong = Scenario { window_ms: -1.0, ..scenario("") };
+    let why = run(&wrong, &options()).expect_err("does not come up");
+    assert!(why.starts_with("n0 ended: exit status: 1; the last lines of its log:\n"), "{why}");
+    assert!(why.contains("window_ms"), "{why}");
+}
+
+#[test]
+fn nothing_is_left_running_when_the_rig_is_killed() {
+    let _alone = ALONE.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+    let program = spurdrum_demo::program().expect("the program is built");
+    let file = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("killed-rig.toml");
+    std::fs::write(&file, FLEET.replace("for_s = 6", "for_s = 600")).expect("written");
+    let mut rig = Command::new(env!("CARGO_BIN_EXE_spurdrum-fleet"))
+        .args(["run", "--nodes", "3", "--program"])
+        .args([&program, &file])
+        .stdout(Stdio::piped())
+        .spawn()
+        .expect("starts");
+    let mut lines = std::io::BufReader::new(rig.stdout.take().expect("piped")).lines();
+    let said = lines.next().expect("says that it plays").expect("reads");
+    let nodes: Vec<SocketAddr> = said.split(' ').filter_map(|word| word.parse().ok()).collect();
+    assert_eq!(nodes.len(), 3, "{said}");
+    assert!(nodes.iter().all(|node| TcpStream::connect(node).is_ok()));
+    rig.kill().expect("was running");
+    rig.wait().expect("ended");
+    let since = Instant::now();
+    while nodes.iter().any(|node| TcpStream::connect(node).is_ok()) {
+        assert!(since.elapsed() < Duration::from_secs(20), "a node outlives its rig");
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
