--- a/crates/spurdrum-policy/src/rules.rs
+++ b/crates/spurdrum-policy/src/rules.rs
@@ -146,7 +146,7 @@
 
 impl Server {
     /// What was sent and never told of holds no longer, when it has long ended, or its server is on trial.
-    /// Guards against a server that failed a few times and is left idle for good: only a report lowers counts.
+    /// Guards against a server that failed a few times and is left idle for good: only reports lower counts.
     fn forget(&mut self, now: f64, patience: f64) {
         let quiet = now - self.sent_at > patience * f64::from(1 + self.strikes);
         if self.since > 0.0 && self.out == 0 && self.ejected_until.map_or(quiet, |until| until <= now) {
@@ -413,7 +413,8 @@
         let listed = listed.filter(|e| e.availability == Availability::Ready);
         let rounds = if self.sparse { ROUNDS } else { 1 };
         let (round, turn) = (self.settings.me % rounds, self.settings.me / rounds);
-        // Keys of names that differ in their last letters alone are near each other: servers of one kind stood side by side.
+        // Keys of names that differ in their last letters alone are near each other: servers of one kind would
+        // stand side by side.
         let mixed = |key: u64| (key ^ round as u64).wrapping_mul(MIX).rotate_left(29).wrapping_mul(MIX);
         let mut listed: Vec<_> =
             listed.map(|e| (e.zone != self.settings.zone, mixed(e.key), e.server.0)).collect();
