Look a server up once for each choice; bench choice and fleet; how to run the rig

A candidate was looked up three times since servers are believed and forgotten.

`spurdrum-bench fleet` plays all scenarios of the rig.

--- a/crates/spurdrum-bench/src/main.rs
+++ b/crates/spurdrum-bench/src/main.rs
@@ -9,6 +9,8 @@
 //!     cargo run --release -p spurdrum-bench -- replace    requests turned back while the process is replaced under load
 //!     cargo run --release -p spurdrum-bench -- calls      how long operators wait for answers at saturation
 //!     cargo run --release -p spurdrum-bench -- streams    memory while long bodies and answers pass through
+//!     cargo run --release -p spurdrum-bench -- choice     what a decision costs, by servers and nodes
+//!     cargo run --release -p spurdrum-bench -- fleet      hundreds of nodes, and the hard cases; an hour
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -25,7 +27,9 @@
 use spurdrum_standin::Fleet;
 
 mod affinity;
+mod choice;
 mod days;
+mod fleet;
 mod proxy;
 mod registry;
 
@@ -37,6 +41,34 @@
 
 #[derive(Subcommand)]
 enum Command {
+    /// The module alone: a node's part of 24 requests a second for each server, answers after 40 ms.
+    Choice {
+        /// Servers.
+        #[arg(long, value_delimiter = ',', default_value = "10,40,100,1000,10000")]
+        servers: Vec<usize>,
+        /// Nodes.
+        #[arg(long, value_delimiter = ',', default_value = "1,100,300")]
+        nodes: Vec<usize>,
+        /// Requests.
+        #[arg(long, default_value_t = 2_000)]
+        requests: usize,
+    },
+    /// The standing setting at several sizes and loads, then every other scenario of the folder as it is. The programs are built
+    /// before.
+    Fleet {
+        /// Where the scenarios are.
+        #[arg(long, default_value = "crates/spurdrum-fleet/examples")]
+        folder: PathBuf,
+        /// Seeds, from 1 on.
+        #[arg(long, default_value_t = 5)]
+        seeds: u64,
+        /// Numbers of nodes of the standing setting.
+        #[arg(long, value_delimiter = ',', default_value = "100,300,600")]
+        nodes: Vec<usize>,
+        /// Other builds of the program to set beside this one, by path.
+        #[arg(long)]
+        beside: Vec<PathBuf>,
+    },
     /// A stand-in pauses for two seconds under 1,000 requests a second.
     Stall,
     /// An in-process stand-in takes 30,000 requests a second.
@@ -137,6 +169,11 @@
         Command::Replace { times, clients } => days::replace(times.max(1), clients.max(2)),
         Command::Calls { clients, times } => days::calls(&clients, times.max(1)),
         Command::Streams { at_once, megabytes } => days::streams(&at_once, megabytes.max(1)),
+        Command::Choice { servers, nodes, requests } => {
+            choice::choice(&servers, &nodes, requests.max(10));
+            Ok(())
+        }
+        Command::Fleet { folder, seeds, nodes, beside } => fleet::play(&folder, seeds.max(1), nodes, beside),
         Command::PlainProxy { listen, servers } => proxy::serve(listen, servers),
     };
     match done {
--- a/crates/spurdrum-policy/src/rules.rs
+++ b/crates/spurdrum-policy/src/rules.rs
@@ -145,6 +145,22 @@
 }
 
 impl Server {
+    /// How much more it holds by its reports: usually, as a part of what the others do, and now, as a part of
+    /// what it usually does. What was told fades.
+    fn told(&self, now: f64, known: Known) -> [f64; 2] {
+        let (own, seen) = self.usual;
+        let usual = known.held + (own - known.held) * seen / (seen + PRIOR);
+        let now = self.told.map_or(0.0, |(held, at)| (held - usual) * (-(now - at) / known.fades).exp());
+        [(usual - known.held) / (known.held + 1.0), now / (usual + 1.0)]
+    }
+
+    /// Its count, in units of the usual one, as far as reports can be believed.
+    fn believed(&self, now: f64, known: Known) -> f64 {
+        let ([usually, recently], told) = (known.trust, self.told(now, known));
+        let usual = (1.0 + told[0]) * (known.held + 1.0);
+        self.since / (1.0 + recently * (usual - 1.0)) + usually * told[0] + recently * told[1]
+    }
+
     /// What was sent and never told of holds no longer, when it has long ended, or its server is on trial.
     /// Guards against a server that failed a few times and is left idle for good: only reports lower counts.
     fn forget(&mut self, now: f64, patience: f64) {
@@ -160,6 +176,15 @@
     }
 }
 
+/// What a node knows of all its servers by their reports: the usual count, the time in which what one told
+/// fades, and how far to believe what they usually hold and what they told last.
+#[derive(Clone, Copy)]
+struct Known {
+    held: f64,
+    fades: f64,
+    trust: [f64; 2],
+}
+
 struct Attempt {
     server: usize,
     zone: usize,
@@ -549,7 +574,7 @@
         let crossing = self.settings.cross_zone_price * class.aim_ms;
         let blur = if self.asks > 0 && held.reported.is_empty() { BLUR } else { 0.0 };
         let home = held.ran.map(|first| &held.attempts[first]);
-        let mut candidates = Vec::new();
+        let (mut candidates, known) = (Vec::new(), self.known());
         // A request that may have run is bound to its group, wherever that is; any other stays in the slice.
         let [near, far] = if home.is_some() { [0..self.ring.len(), 0..0] } else { self.slice.clone() };
         // A preference holds beyond the slice, but not for a cold server: its budget is the slices' alone.
@@ -562,9 +587,9 @@
         for at in near.chain(far).map(|i| self.ring[i]).chain(beyond) {
             let first = held.attempts.is_empty();
             let asked = first && held.reported.contains(&at);
-            self.servers.get_mut(&at).expect("listed").forget(now, EJECT * self.aim);
-            let believed = self.sparse.then(|| self.believed(now, &self.servers[&at]));
             let server = self.servers.get_mut(&at).expect("listed");
+            server.forget(now, EJECT * self.aim);
+            let believed = self.sparse.then(|| server.believed(now, known));
             let bound = home.is_some_and(|home| !may_move(class.effect, home, &server.entry));
             if bound || first && !asked && !held.reported.is_empty() {
                 continue;
@@ -603,23 +628,9 @@
         candidates
     }
 
-    /// How much more a server holds by its reports: usually, as a part of what the others do, and now, as a
-    /// part of what it usually does. What was told fades.
-    fn told(&self, now: f64, server: &Server) -> [f64; 2] {
-        let (own, seen) = server.usual;
-        let usual = self.held_mean + (own - self.held_mean) * seen / (seen + PRIOR);
-        let fades = FADES * self.all.latency.max(1.0);
-        let weight = |at: f64| (-(now - at) / fades).exp();
-        let now = server.told.map_or(0.0, |(held, at)| (held - usual) * weight(at));
-        [(usual - self.held_mean) / (self.held_mean + 1.0), now / (usual + 1.0)]
-    }
-
-    /// A server's count, in units of the usual one, as far as reports can be believed.
-    fn believed(&self, now: f64, server: &Server) -> f64 {
-        let [usually, recently] = self.trust();
-        let told = self.told(now, server);
-        let usual = (1.0 + told[0]) * (self.held_mean + 1.0);
-        server.since / (1.0 + recently * (usual - 1.0)) + usually * told[0] + recently * told[1]
+    /// What reports together tell.
+    fn known(&self) -> Known {
+        Known { held: self.held_mean, fades: FADES * self.all.latency.max(1.0), trust: self.trust() }
     }
 
     /// How far longer answers followed higher reports, of late: slopes of their regression.
@@ -754,8 +765,9 @@
     }
 
     fn send(&mut self, now: f64, id: RequestId, held: &mut Held, at: usize, actions: &mut Vec<Action>) {
-        let told = if self.sparse { self.told(now, &self.servers[&at]) } else { [0.0; 2] };
+        let known = self.known();
         let server = self.servers.get_mut(&at).expect("picked");
+        let told = if self.sparse { server.told(now, known) } else { [0.0; 2] };
         server.out += 1;
         server.count = server.count.map(|count| count + 1.0);
         (server.since, server.sent_at) = (server.since + 1.0 / server.size, now);
