--- a/crates/spurdrum-policy/src/rules.rs
+++ b/crates/spurdrum-policy/src/rules.rs
@@ -438,8 +438,8 @@
         let listed = listed.filter(|e| e.availability == Availability::Ready);
         let rounds = if self.sparse { ROUNDS } else { 1 };
         let (round, turn) = (self.settings.me % rounds, self.settings.me / rounds);
-        // Keys of names that differ in their last letters alone are near each other: servers of one kind would
-        // stand side by side.
+        // Keys of names that differ in their last letters alone are near each other: servers of one kind
+        // would stand side by side.
         let mixed = |key: u64| (key ^ round as u64).wrapping_mul(MIX).rotate_left(29).wrapping_mul(MIX);
         let mut listed: Vec<_> =
             listed.map(|e| (e.zone != self.settings.zone, mixed(e.key), e.server.0)).collect();
