Counts of servers that a node has long left alone are given up, also high reports

A count is given up two mean aims after the last send or report, again and again until the server is sent to; where servers are asked before sends, and in the state that passes to the next process, counts hold as before.

--- a/crates/spurdrum-policy/src/rules.rs
+++ b/crates/spurdrum-policy/src/rules.rs
@@ -129,7 +129,7 @@
     /// The last fresh report, when that came, and what this node has sent since.
     told: Option<(f64, f64)>,
     since: f64,
-    /// When this node last sent to it.
+    /// When this node last sent to it, or gave its count up.
     sent_at: f64,
     /// Mean of what it reported, and of how many reports.
     usual: (f64, f64),
@@ -161,12 +161,14 @@
         self.since / (1.0 + recently * (usual - 1.0)) + usually * told[0] + recently * told[1]
     }
 
-    /// What was sent and never told of holds no longer, when it has long ended, or its server is on trial.
-    /// Guards against a server that failed a few times and is left idle for good: only reports lower counts.
+    /// A count holds no longer when its server has long been silent, or is on trial: then the mean does.
+    /// Guards against a server that failed, or was crowded once, and is left idle for good: reports alone
+    /// lower counts, and come with answers.
     fn forget(&mut self, now: f64, patience: f64) {
-        let quiet = now - self.sent_at > patience * f64::from(1 + self.strikes);
-        if self.since > 0.0 && self.out == 0 && self.ejected_until.map_or(quiet, |until| until <= now) {
-            (self.count, self.since) = (None, 0.0);
+        let last = self.told.map_or(self.sent_at, |(_, at)| at.max(self.sent_at));
+        let quiet = now - last > patience * f64::from(1 + self.strikes);
+        if self.out == 0 && self.ejected_until.map_or(quiet, |until| until <= now) {
+            (self.count, self.since, self.sent_at) = (None, 0.0, now);
         }
     }
 
@@ -325,7 +327,7 @@
         match event {
             Event::Servers(listing) => self.listing(listing, actions),
             Event::Settings(new) => self.retune(*new, actions),
-            Event::Learned(learned) => self.learn(&learned),
+            Event::Learned(learned) => self.learn(now, &learned),
             Event::Request(request) => self.request(now, &request, actions),
             Event::Outcome(outcome) => self.outcome(now, &outcome, actions),
             Event::ClientGone(id) => self.client_gone(id, actions),
@@ -367,11 +369,11 @@
     }
 
     /// Goes on from what another has learned, under the same settings; nothing has been seen here yet.
-    fn learn(&mut self, learned: &Learned) {
+    fn learn(&mut self, now: f64, learned: &Learned) {
         for s in &learned.servers {
             if let Some(server) = self.servers.get_mut(&s.server.0) {
                 (server.count, server.pace, server.strikes) = (s.count, s.pace, s.strikes);
-                server.ejected_until = s.out_until;
+                (server.ejected_until, server.sent_at) = (s.out_until, now);
             }
         }
         (self.all, self.served) = (learned.all, learned.served);
@@ -566,9 +568,15 @@
             if self.all.seen > 0.0 { (self.all.latency, self.all.depth) } else { (self.aim, 1.0) };
         let lasting = self.all.or(now, f64::INFINITY, (self.aim * EASY, 1.0));
         let all = self.all.or(now, half_life.max(GAPS * self.gap), (latency.min(self.aim * EASY), depth));
-        let slice = self.slice.clone().into_iter().flatten();
-        let counts = slice.filter_map(|i| self.servers[&self.ring[i]].count);
-        let mean = counts.clone().sum::<f64>() / counts.count().max(1) as f64;
+        // Where servers are asked, old counts tell whom.
+        let patience = if self.asks > 0 { f64::INFINITY } else { EJECT * self.aim };
+        let (mut sum, mut counts) = (0.0, 0);
+        for i in self.slice.clone().into_iter().flatten() {
+            let Some(server) = self.servers.get_mut(&self.ring[i]) else { continue };
+            server.forget(now, patience);
+            (sum, counts) = server.count.map_or((sum, counts), |count| (sum + count, counts + 1));
+        }
+        let mean = sum / counts.max(1) as f64;
         let total = self.slice[0].len() + self.slice[1].len();
         // A crossing counts as its price in aims.
         let crossing = self.settings.cross_zone_price * class.aim_ms;
@@ -588,7 +596,6 @@
             let first = held.attempts.is_empty();
             let asked = first && held.reported.contains(&at);
             let server = self.servers.get_mut(&at).expect("listed");
-            server.forget(now, EJECT * self.aim);
             let believed = self.sparse.then(|| server.believed(now, known));
             let bound = home.is_some_and(|home| !may_move(class.effect, home, &server.entry));
             if bound || first && !asked && !held.reported.is_empty() {
