Rig: torn pages and older copies of nodes' files; links that truly reset

A node's files can have a page written by half while it is down, or be put back as they were some seconds before; `settings` adds to each node's file. Cut and reset links end by a reset now (they ended in order before), shown by a test of the relay. A run whose script fails stops its clients: they asked on at the next run's nodes, which have the same addresses.

--- a/crates/spurdrum-fleet/src/clients.rs
+++ b/crates/spurdrum-fleet/src/clients.rs
@@ -3,6 +3,7 @@
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -83,6 +84,7 @@
     scenario: &Scenario,
     start: Instant,
     seed: u64,
+    stop: &AtomicBool,
 ) -> Vec<Asked> {
     let pools: Vec<Pool> = nodes.iter().map(|node| Pool::new(*node, CONNECTIONS)).collect();
     let rng = RefCell::new(fastrand::Rng::with_seed(seed));
@@ -90,6 +92,9 @@
         Rc::new(Clients { pools, classes: scenario.classes.clone(), slack: scenario.slack_s, rng, start });
     let mut tasks = Vec::with_capacity(arrivals.len());
     for (arrival, node) in arrivals {
+        if stop.load(Ordering::Relaxed) {
+            break;
+        }
         let due = start + Duration::from_micros(arrival.due_us);
         if due > Instant::now() {
             sleep_until(due.into()).await;
--- a/crates/spurdrum-fleet/src/lib.rs
+++ b/crates/spurdrum-fleet/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod chart;
 pub mod clients;
+pub mod disks;
 pub mod figures;
 pub mod history;
 pub mod links;
--- a/crates/spurdrum-fleet/src/links.rs
+++ b/crates/spurdrum-fleet/src/links.rs
@@ -1,13 +1,13 @@
 //! Links that can be broken: relays between some nodes and a server.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
 
 use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::tcp::{ReadHalf, WriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{watch, Notify};
 
@@ -23,7 +23,6 @@
     state: watch::Sender<Option<(Kind, Duration)>>,
     /// Raised to end all connections.
     breaks: Rc<Notify>,
-    reset: Rc<Cell<bool>>,
     /// Connections that were taken.
     pub taken: Rc<RefCell<u64>>,
 }
@@ -33,27 +32,21 @@
     pub async fn start(on: IpAddr, to: SocketAddr) -> std::io::Result<Self> {
         let listener = TcpListener::bind((on, 0)).await?;
         let (state, sees) = watch::channel(None);
-        let link = Self {
-            address: listener.local_addr()?,
-            state,
-            breaks: Rc::default(),
-            reset: Rc::default(),
-            taken: Rc::default(),
-        };
-        let (breaks, reset, taken) =
-            (Rc::clone(&link.breaks), Rc::clone(&link.reset), Rc::clone(&link.taken));
+        let link =
+            Self { address: listener.local_addr()?, state, breaks: Rc::default(), taken: Rc::default() };
+        let (breaks, taken) = (Rc::clone(&link.breaks), Rc::clone(&link.taken));
         tokio::task::spawn_local(async move {
             while let Ok((near, _)) = listener.accept().await {
                 *taken.borrow_mut() += 1;
                 if matches!(*sees.borrow(), Some((Kind::Cut, _))) {
-                    end(&near, true);
+                    reset(&near);
                     continue;
                 }
-                let (breaks, reset, sees) = (Rc::clone(&breaks), Rc::clone(&reset), sees.clone());
+                let (breaks, sees) = (Rc::clone(&breaks), sees.clone());
                 tokio::task::spawn_local(async move {
-                    let Ok(far) = TcpStream::connect(to).await else { return end(&near, true) };
+                    let Ok(far) = TcpStream::connect(to).await else { return reset(&near) };
                     let _ = (near.set_nodelay(true), far.set_nodelay(true));
-                    relay(near, far, sees, &breaks, &reset).await;
+                    relay(near, far, sees, &breaks).await;
                 });
             }
         });
@@ -62,18 +55,11 @@
 
     /// The fault begins.
     pub fn break_by(&self, kind: Kind, delay: Duration) {
-        match kind {
-            Kind::Reset => {
-                self.reset.set(true);
-                self.breaks.notify_waiters();
-            }
-            _ => {
-                self.state.send_replace(Some((kind, delay)));
-                if kind == Kind::Cut {
-                    self.reset.set(true);
-                    self.breaks.notify_waiters();
-                }
-            }
+        if kind != Kind::Reset {
+            self.state.send_replace(Some((kind, delay)));
+        }
+        if matches!(kind, Kind::Cut | Kind::Reset) {
+            self.breaks.notify_waiters();
         }
     }
 
@@ -83,39 +69,34 @@
     }
 }
 
-/// Ends a connection, by a reset or in order.
-fn end(stream: &TcpStream, reset: bool) {
-    if reset {
-        let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
-    }
+/// It will end by a reset.
+fn reset(stream: &TcpStream) {
+    // It fails where the other side was first.
+    let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
 }
 
 type State = watch::Receiver<Option<(Kind, Duration)>>;
 
-async fn relay(near: TcpStream, far: TcpStream, sees: State, breaks: &Notify, reset: &Cell<bool>) {
-    end(&near, false);
-    let (near_read, near_write) = near.into_split();
-    let (far_read, far_write) = far.into_split();
-    let there = pass(near_read, far_write, sees.clone(), |kind| kind == Kind::Stall);
-    let back = pass(far_read, near_write, sees, |kind| matches!(kind, Kind::Stall | Kind::OneWay));
-    let both = async { tokio::join!(there, back) };
-    tokio::select! {
-        _ = both => {}
-        () = breaks.notified() => {
-            // The halves were dropped with their futures: what is left of the sockets ends by a reset where bytes are
-            // unread, and in order otherwise; nodes take either for a break.
-            let _ = reset.get();
+async fn relay(mut near: TcpStream, mut far: TcpStream, sees: State, breaks: &Notify) {
+    let broken = {
+        let (near_read, near_write) = near.split();
+        let (far_read, far_write) = far.split();
+        let there = pass(near_read, far_write, sees.clone(), |kind| kind == Kind::Stall);
+        let back = pass(far_read, near_write, sees, |kind| matches!(kind, Kind::Stall | Kind::OneWay));
+        let both = async { tokio::join!(there, back) };
+        tokio::select! {
+            _ = both => false,
+            () = breaks.notified() => true,
         }
+    };
+    if broken {
+        reset(&near);
+        reset(&far);
     }
 }
 
 /// Passes bytes on in one direction, held up while the state says so.
-async fn pass(
-    mut from: OwnedReadHalf,
-    mut to: OwnedWriteHalf,
-    mut sees: State,
-    stops: impl Fn(Kind) -> bool,
-) {
+async fn pass(mut from: ReadHalf<'_>, mut to: WriteHalf<'_>, mut sees: State, stops: impl Fn(Kind) -> bool) {
     let mut held = vec![0; HELD];
     loop {
         let read = match from.read(&mut held).await {
@@ -135,3 +116,62 @@
     }
     let _ = to.shutdown().await;
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::net::Ipv4Addr;
+    use tokio::task::LocalSet;
+
+    /// A server that answers each byte with the same.
+    async fn echo() -> SocketAddr {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("a port");
+        let at = listener.local_addr().expect("bound");
+        tokio::task::spawn_local(async move {
+            while let Ok((mut stream, _)) = listener.accept().await {
+                tokio::task::spawn_local(async move {
+                    let mut byte = [0];
+                    while stream.read_exact(&mut byte).await.is_ok() {
+                        let _ = stream.write_all(&byte).await;
+                    }
+                });
+            }
+        });
+        at
+    }
+
+    async fn said(stream: &mut TcpStream, byte: u8) -> std::io::Result<u8> {
+        stream.write_all(&[byte]).await?;
+        stream.read_u8().await
+    }
+
+    #[tokio::test]
+    async fn links_pass_hold_and_reset() {
+        let all = async {
+            let link = Link::start(Ipv4Addr::LOCALHOST.into(), echo().await).await.expect("starts");
+            let mut stream = TcpStream::connect(link.address).await.expect("connects");
+            assert_eq!(said(&mut stream, 1).await.expect("passes"), 1);
+            for kind in [Kind::Stall, Kind::OneWay] {
+                link.break_by(kind, Duration::ZERO);
+                let mut held = std::pin::pin!(said(&mut stream, 2));
+                tokio::select! {
+                    said = &mut held => panic!("{kind:?} lets {said:?} pass"),
+                    () = async { for _ in 0..1000 { tokio::task::yield_now().await } } => {}
+                }
+                link.mend();
+                assert_eq!(held.await.expect("goes on"), 2);
+            }
+            link.break_by(Kind::Reset, Duration::ZERO);
+            let broken = said(&mut stream, 3).await.expect_err("is reset");
+            assert_eq!(broken.kind(), std::io::ErrorKind::ConnectionReset);
+            let mut next = TcpStream::connect(link.address).await.expect("connects again");
+            assert_eq!(said(&mut next, 4).await.expect("passes"), 4);
+            link.break_by(Kind::Cut, Duration::ZERO);
+            assert!(said(&mut next, 5).await.is_err());
+            if let Ok(mut late) = TcpStream::connect(link.address).await {
+                assert!(said(&mut late, 6).await.is_err());
+            }
+        };
+        LocalSet::new().run_until(all).await;
+    }
+}
--- a/crates/spurdrum-fleet/src/run.rs
+++ b/crates/spurdrum-fleet/src/run.rs
@@ -4,6 +4,8 @@
 use std::fmt::Write as _;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use spurdrum_load::plan::{Clients, Effect, Keys, Phase, Plan, Shape};
@@ -15,6 +17,7 @@
 use tokio::task::LocalSet;
 
 use crate::clients::{self, Deal};
+use crate::disks;
 use crate::history::{Asked, Away, Blind, History, Server, Worked};
 use crate::links::Link;
 use crate::process::{address, free, Node, Start};
@@ -61,6 +64,7 @@
         nodes: Vec::new(),
         links,
         away: Vec::new(),
+        copies: HashMap::new(),
         stopped: Vec::new(),
     };
     for me in 0..scenario.nodes {
@@ -89,12 +93,16 @@
     if let Some(playing) = options.playing {
         playing(&world.starts.iter().map(|start| start.listen).collect::<Vec<_>>());
     }
-    let clients = world.clients(start);
-    world.play(&schedule, start)?;
+    let stop = Arc::new(AtomicBool::new(false));
+    let clients = world.clients(start, &stop);
+    let played = world.play(&schedule, start);
+    // Where the script failed, nobody is to ask on: the next run has the same addresses.
+    stop.store(played.is_err(), Ordering::Relaxed);
     let mut asked = Vec::new();
     for client in clients {
         asked.extend(client.join().map_err(|_| "a client's thread died".to_owned())??);
     }
+    played?;
     asked.sort_by(|a, b| a.due.total_cmp(&b.due));
     let telemetry = world.telemetry();
     let away = world.end(&schedule)?;
@@ -131,6 +139,8 @@
     nodes: Vec<Option<Node>>,
     links: Links,
     away: Vec<Away>,
+    /// Older copies of files, by fault and node.
+    copies: HashMap<(usize, usize), disks::Copy>,
     /// Nodes that are stopped or killed now, and since when.
     stopped: Vec<(usize, f64)>,
 }
@@ -198,9 +208,10 @@
                 file.push_str("]\n");
             }
         }
+        let own = folder.join(&name);
+        file.push_str(&scenario.settings.replace("{folder}", &own.display().to_string()));
         let path = folder.join(format!("{name}.toml"));
         std::fs::write(&path, file).map_err(|error| format!("{}: {error}", path.display()))?;
-        let own = folder.join(&name);
         std::fs::create_dir_all(&own).map_err(|error| format!("{}: {error}", own.display()))?;
         let other = scenario.other.as_ref().filter(|other| (me as f64) < other.part * scenario.nodes as f64);
         let program = other.map_or(&options.program, |other| &other.program).clone();
@@ -216,7 +227,11 @@
     }
 
     /// The clients' threads; they begin at once.
-    fn clients(&self, start: Instant) -> Vec<std::thread::JoinHandle<Result<Vec<Asked>, String>>> {
+    fn clients(
+        &self,
+        start: Instant,
+        stop: &Arc<AtomicBool>,
+    ) -> Vec<std::thread::JoinHandle<Result<Vec<Asked>, String>>> {
         let scenario = self.scenario;
         let rate = scenario.capacity() * scenario.load;
         let (shape, arrivals) = (Shape::Constant, spurdrum_load::plan::Arrivals::Poisson);
@@ -248,10 +263,12 @@
         let nodes: Vec<SocketAddr> = self.starts.iter().map(|start| start.listen).collect();
         let begin = |(n, share): (usize, Vec<(Arrival, usize)>)| {
             let (nodes, scenario, seed) = (nodes.clone(), scenario.clone(), scenario.seed + n as u64);
+            let stop = Arc::clone(stop);
             std::thread::spawn(move || {
                 let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
                 let runtime = runtime.map_err(|error| error.to_string())?;
-                Ok(LocalSet::new().block_on(&runtime, clients::play(share, &nodes, &scenario, start, seed)))
+                Ok(LocalSet::new()
+                    .block_on(&runtime, clients::play(share, &nodes, &scenario, start, seed, &stop)))
             })
         };
         shares.into_iter().enumerate().map(begin).collect()
@@ -276,10 +293,38 @@
         let fault = &self.scenario.faults[step.fault];
         let nodes = &schedule.befalls[step.fault].0;
         match (fault.kind, step.begins) {
-            (Kind::Kill, true) => nodes.iter().for_each(|me| {
-                self.nodes[*me] = None;
-                self.stopped.push((*me, start.elapsed().as_secs_f64()));
-            }),
+            (Kind::Kill | Kind::Torn, true) => {
+                for me in nodes {
+                    self.nodes[*me] = None;
+                    self.stopped.push((*me, start.elapsed().as_secs_f64()));
+                }
+                if fault.kind == Kind::Torn {
+                    let mut rng = fastrand::Rng::with_seed(self.scenario.seed ^ step.fault as u64);
+                    for me in nodes {
+                        disks::tear(&self.starts[*me].folder, &mut rng).map_err(|e| self.spoilt(*me, &e))?;
+                    }
+                }
+            }
+            (Kind::Older, true) => {
+                for me in nodes {
+                    // Nothing is written while it is copied.
+                    self.nodes[*me].iter().for_each(Node::stop);
+                    let copy = disks::Copy::take(&self.starts[*me].folder);
+                    self.nodes[*me].iter().for_each(Node::go_on);
+                    let copy = copy.map_err(|error| self.spoilt(*me, &error))?;
+                    self.copies.insert((step.fault, *me), copy);
+                }
+            }
+            (Kind::Older, false) => {
+                for me in nodes {
+                    self.nodes[*me] = None;
+                    self.stopped.push((*me, start.elapsed().as_secs_f64()));
+                    if let Some(copy) = self.copies.remove(&(step.fault, *me)) {
+                        copy.put(&self.starts[*me].folder).map_err(|error| self.spoilt(*me, &error))?;
+                    }
+                }
+                self.start_again(nodes, start)?;
+            }
             (Kind::Stop, true) => nodes.iter().for_each(|me| {
                 self.nodes[*me].iter().for_each(Node::stop);
                 self.stopped.push((*me, start.elapsed().as_secs_f64()));
@@ -288,25 +333,32 @@
                 self.nodes[*me].iter().for_each(Node::go_on);
                 back(&mut self.stopped, &mut self.away, *me, start.elapsed().as_secs_f64());
             }),
-            (Kind::Kill, false) | (Kind::Late, true) => {
-                for me in nodes {
-                    if self.nodes[*me].is_none() {
-                        self.nodes[*me] = Some(self.starts[*me].start()?);
-                    }
-                }
-                for me in nodes {
-                    if let Some(node) = &mut self.nodes[*me] {
-                        self.starts[*me].ready(node)?;
-                    }
-                    back(&mut self.stopped, &mut self.away, *me, start.elapsed().as_secs_f64());
-                }
-            }
+            (Kind::Kill | Kind::Torn, false) | (Kind::Late, true) => self.start_again(nodes, start)?,
             (Kind::Late, false) => {}
             _ => self.links.step(step.fault, fault.kind, step.begins, Duration::from_millis(fault.delay_ms)),
         }
         Ok(())
     }
 
+    fn start_again(&mut self, nodes: &[usize], start: Instant) -> Result<(), String> {
+        for me in nodes {
+            if self.nodes[*me].is_none() {
+                self.nodes[*me] = Some(self.starts[*me].start()?);
+            }
+        }
+        for me in nodes {
+            if let Some(node) = &mut self.nodes[*me] {
+                self.starts[*me].ready(node)?;
+            }
+            back(&mut self.stopped, &mut self.away, *me, start.elapsed().as_secs_f64());
+        }
+        Ok(())
+    }
+
+    fn spoilt(&self, me: usize, error: &std::io::Error) -> String {
+        format!("{}: {error}", self.starts[me].folder.display())
+    }
+
     fn telemetry(&self) -> BTreeMap<String, u64> {
         let mut sums = BTreeMap::new();
         let running = self.starts.iter().zip(&self.nodes).filter(|(_, node)| node.is_some());
--- a/crates/spurdrum-fleet/src/scenario.rs
+++ b/crates/spurdrum-fleet/src/scenario.rs
@@ -44,6 +44,9 @@
     /// Who has how much of the load, from when; before the first, and without any, `sigma` alone deals it out.
     #[serde(default, rename = "lean")]
     pub leans: Vec<Lean>,
+    /// More of each node's file, in TOML; `{folder}` stands for the node's own folder.
+    #[serde(default)]
+    pub settings: String,
     /// Time in which servers discard repeats of a key, in milliseconds.
     #[serde(default = "window")]
     pub window_ms: f64,
@@ -113,6 +116,10 @@
     Stop,
     /// Nodes are not there before `at_s`.
     Late,
+    /// Nodes are killed; in each file of theirs a page was written by half; started again after `for_s`.
+    Torn,
+    /// After `for_s` nodes are killed and started with their files as they were at `at_s`.
+    Older,
     /// Links break, and new ones are closed as they come.
     Cut,
     /// Links stay up, new ones too, and nothing moves.
@@ -201,6 +208,9 @@
             if !(times && part(fault.nodes) && part(fault.servers)) {
                 return Err(("at_s", "times are above 0, `nodes` and `servers` parts from 0 to 1".into()));
             }
+            if fault.kind == Kind::Older && fault.for_s.is_none() {
+                return Err(("kind", "an older copy needs `for_s`".into()));
+            }
             if fault.kind.is_of_links() && self.catalog.is_some() != fault.catalog {
                 let why = "links to servers break where the list stands in the nodes' files, that to the catalog where there is one";
                 return Err(("kind", why.into()));
--- a/crates/spurdrum-fleet/src/schedule.rs
+++ b/crates/spurdrum-fleet/src/schedule.rs
@@ -72,6 +72,7 @@
 pub fn chaos(seed: u64, count: usize, for_s: f64, links: bool) -> Vec<Fault> {
     let mut rng = fastrand::Rng::with_seed(seed);
     let kinds = [Kind::Kill, Kind::Stop, Kind::Cut, Kind::Stall, Kind::OneWay, Kind::Delay, Kind::Reset];
+    // What needs settings of its own is not drawn: disks.
     let kinds = if links { &kinds[..] } else { &kinds[..2] };
     let mut draw = || {
         let kind = kinds[rng.usize(..kinds.len())];
--- a/crates/spurdrum-fleet/tests/faults.rs
+++ b/crates/spurdrum-fleet/tests/faults.rs
@@ -130,6 +130,18 @@
     assert!(new > 10, "{new} at servers that replaced others");
 }
 
+/// Nodes that keep bindings on a disk: some start with a file of which a page was written by half, some with an older one.
+#[test]
+fn nodes_start_and_serve_with_files_that_are_torn_or_old() {
+    let settings = "settings = '''\n[affinity]\nkey = ['query:k']\n[affinity.store]\npath = '{folder}/bindings.redb'\n'''\n";
+    let faults = "[[fault]]\nkind = 'torn'\nnodes = 0.5\nat_s = 2\nfor_s = 0.3\n\
+        [[fault]]\nkind = 'older'\nnodes = 0.5\nat_s = 1\nfor_s = 2.5\n";
+    let history = kept(&Scenario::parse(&format!("{settings}{FLEET}{faults}")).expect("sound"));
+    assert_eq!(history.away.len(), 12);
+    assert_eq!(history.telemetry["nodes"], 12);
+    assert!(served(&history, 4.5, 6.0) > 0.9, "{}", figures::of(&history));
+}
+
 #[test]
 fn a_node_that_does_not_come_up_ends_the_run_with_its_name_and_last_lines() {
     let _alone = ALONE.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
