Tools: one reader of scenarios, one way to find and ask a node, one Poisson count

Read once more, the rig had written again what stood elsewhere: the stand-ins' reading of a scenario with line and key (read_file, parse_checked now), the demo's search for a program beside this one and its question whether a node is healthy, and the lab's Poisson count. Zones were worked out in three places, and the list of builds in two. A node that is away has a stretch without an end in place of a second list; a counter of links that nobody read is gone.

Tools alone: no line of the program moved, and no test or bound changed.

--- a/crates/spurdrum-bench/src/fleet.rs
+++ b/crates/spurdrum-bench/src/fleet.rs
@@ -3,13 +3,12 @@
 use std::path::{Path, PathBuf};
 
 use spurdrum_demo::program;
-use spurdrum_fleet::measure::{measure, Measure};
+use spurdrum_fleet::measure::{builds, measure, Measure};
 use spurdrum_fleet::scenario::Scenario;
 
 /// Plays the scenarios of a folder, and tells their tables. An error where this build broke a rule.
-pub fn play(folder: &Path, seeds: u64, nodes: Vec<usize>, beside: Vec<PathBuf>) -> Result<(), String> {
-    let others = beside.into_iter().enumerate().map(|(n, path)| (format!("beside {}", n + 1), path));
-    let builds = std::iter::once(("this".to_owned(), program()?)).chain(others).collect();
+pub fn play(folder: &Path, seeds: u64, nodes: Vec<usize>, beside: &[PathBuf]) -> Result<(), String> {
+    let builds = builds(program()?, beside);
     let seeds = (1..=seeds).collect();
     let as_it_is = Measure { builds, seeds, nodes: Vec::new(), loads: Vec::new(), references: false };
     let standing = Measure { nodes, loads: vec![0.6, 0.8], references: true, ..as_it_is.clone() };
--- a/crates/spurdrum-bench/src/main.rs
+++ b/crates/spurdrum-bench/src/main.rs
@@ -173,7 +173,7 @@
             choice::choice(&servers, &nodes, requests.max(10));
             Ok(())
         }
-        Command::Fleet { folder, seeds, nodes, beside } => fleet::play(&folder, seeds.max(1), nodes, beside),
+        Command::Fleet { folder, seeds, nodes, beside } => fleet::play(&folder, seeds.max(1), nodes, &beside),
         Command::PlainProxy { listen, servers } => proxy::serve(listen, servers),
     };
     match done {
--- a/crates/spurdrum-demo/src/lib.rs
+++ b/crates/spurdrum-demo/src/lib.rs
@@ -22,17 +22,12 @@
 
 /// The node's program, beside this one. Builds it where it is not there.
 pub fn program() -> Result<PathBuf, String> {
-    let own =
-        std::env::current_exe().map_err(|error| format!("cannot tell where this program is: {error}"))?;
-    let folder = own.parent().unwrap_or(Path::new("."));
-    // Benches and tests lie one folder deeper.
-    let folder = if folder.ends_with("deps") { folder.parent().unwrap_or(folder) } else { folder };
-    let program = folder.join("spurdrum");
+    let program = beside("spurdrum")?;
     if !program.exists() {
         eprintln!("building the node first");
         let mut build = Command::new(std::env::var("CARGO").unwrap_or_else(|_| "cargo".into()));
         build.args(["build", "--locked", "--package", "spurdrum", "--bin", "spurdrum"]);
-        if folder.ends_with("release") {
+        if program.parent().is_some_and(|folder| folder.ends_with("release")) {
             build.arg("--release");
         }
         let built = build.status().map_err(|error| format!("cargo cannot be run: {error}"))?;
@@ -43,6 +38,16 @@
     Ok(program)
 }
 
+/// Where a program is that is built with this one.
+pub fn beside(name: &str) -> Result<PathBuf, String> {
+    let own =
+        std::env::current_exe().map_err(|error| format!("cannot tell where this program is: {error}"))?;
+    let folder = own.parent().unwrap_or(Path::new("."));
+    // Benches and tests lie one folder deeper.
+    let folder = if folder.ends_with("deps") { folder.parent().unwrap_or(folder) } else { folder };
+    Ok(folder.join(name))
+}
+
 /// A port that is free now.
 pub fn free_address() -> Result<SocketAddr, String> {
     let listener =
@@ -111,9 +116,10 @@
     }
 }
 
-fn healthy(address: SocketAddr) -> bool {
+/// Whether a node says so within a second.
+pub fn healthy(address: SocketAddr) -> bool {
     let ask = || -> std::io::Result<bool> {
-        let mut stream = TcpStream::connect(address)?;
+        let mut stream = TcpStream::connect_timeout(&address, Duration::from_secs(1))?;
         stream.set_read_timeout(Some(Duration::from_secs(1)))?;
         stream.write_all(b"GET /_health HTTP/1.1\r\nhost: n\r\nconnection: close\r\n\r\n")?;
         let mut answer = String::new();
--- a/crates/spurdrum-fleet/src/links.rs
+++ b/crates/spurdrum-fleet/src/links.rs
@@ -1,6 +1,5 @@
 //! Links that can be broken: relays between some nodes and a server.
 
-use std::cell::RefCell;
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
@@ -23,8 +22,6 @@
     state: watch::Sender<Option<(Kind, Duration)>>,
     /// Raised to end all connections.
     breaks: Rc<Notify>,
-    /// Connections that were taken.
-    pub taken: Rc<RefCell<u64>>,
 }
 
 impl Link {
@@ -32,12 +29,10 @@
     pub async fn start(on: IpAddr, to: SocketAddr) -> std::io::Result<Self> {
         let listener = TcpListener::bind((on, 0)).await?;
         let (state, sees) = watch::channel(None);
-        let link =
-            Self { address: listener.local_addr()?, state, breaks: Rc::default(), taken: Rc::default() };
-        let (breaks, taken) = (Rc::clone(&link.breaks), Rc::clone(&link.taken));
+        let link = Self { address: listener.local_addr()?, state, breaks: Rc::default() };
+        let breaks = Rc::clone(&link.breaks);
         tokio::task::spawn_local(async move {
             while let Ok((near, _)) = listener.accept().await {
-                *taken.borrow_mut() += 1;
                 if matches!(*sees.borrow(), Some((Kind::Cut, _))) {
                     reset(&near);
                     continue;
--- a/crates/spurdrum-fleet/src/main.rs
+++ b/crates/spurdrum-fleet/src/main.rs
@@ -6,7 +6,7 @@
 
 use clap::{Parser, Subcommand};
 use spurdrum_fleet::history::History;
-use spurdrum_fleet::measure::{measure, Measure};
+use spurdrum_fleet::measure::{builds, measure, Measure};
 use spurdrum_fleet::run::{run, Options};
 use spurdrum_fleet::scenario::Scenario;
 use spurdrum_fleet::schedule::{chaos, shrink};
@@ -97,9 +97,7 @@
         Command::Check { scenario } => Scenario::read(&scenario).map(|_| true),
         Command::Measure { scenarios, seeds, nodes, loads, beside, references } => {
             process::beside("spurdrum").and_then(|program| {
-                let others =
-                    beside.iter().enumerate().map(|(n, path)| (format!("beside {}", n + 1), path.clone()));
-                let builds = std::iter::once(("this".to_owned(), program)).chain(others).collect();
+                let builds = builds(program, &beside);
                 let what = Measure { builds, seeds: (1..=seeds).collect(), nodes, loads, references };
                 let mut kept = true;
                 for path in &scenarios {
--- a/crates/spurdrum-fleet/src/measure.rs
+++ b/crates/spurdrum-fleet/src/measure.rs
@@ -25,6 +25,13 @@
     pub references: bool,
 }
 
+/// This build, and others to set beside it.
+#[must_use]
+pub fn builds(this: PathBuf, beside: &[PathBuf]) -> Vec<(String, PathBuf)> {
+    let others = beside.iter().enumerate().map(|(n, path)| (format!("beside {}", n + 1), path.clone()));
+    std::iter::once(("this".to_owned(), this)).chain(others).collect()
+}
+
 /// Figures by run, under a name.
 type Row = (String, Vec<Vec<(&'static str, f64)>>);
 
--- a/crates/spurdrum-fleet/src/process.rs
+++ b/crates/spurdrum-fleet/src/process.rs
@@ -9,6 +9,7 @@
 use std::time::{Duration, Instant};
 
 use rustix::process::{getppid, kill_process, set_parent_process_death_signal, Pid, Signal};
+use spurdrum_demo::healthy;
 
 /// A node has this long until it is healthy.
 const READY_MOST: Duration = Duration::from_secs(30);
@@ -79,7 +80,7 @@
     /// Waits until it answers that it is healthy.
     pub fn ready(&self, node: &mut Node) -> Result<(), String> {
         let since = Instant::now();
-        while !self.healthy() {
+        while !healthy(self.listen) {
             let ended = node.child.try_wait().ok().flatten();
             if ended.is_some() || since.elapsed() > READY_MOST {
                 let how = ended.map_or("does not become healthy".into(), |status| format!("ended: {status}"));
@@ -90,18 +91,6 @@
         Ok(())
     }
 
-    fn healthy(&self) -> bool {
-        let ask = || -> std::io::Result<bool> {
-            let mut stream = TcpStream::connect_timeout(&self.listen, Duration::from_secs(1))?;
-            stream.set_read_timeout(Some(Duration::from_secs(1)))?;
-            stream.write_all(b"GET /_health HTTP/1.1\r\nhost: n\r\nconnection: close\r\n\r\n")?;
-            let mut answer = String::new();
-            stream.read_to_string(&mut answer)?;
-            Ok(answer.starts_with("HTTP/1.1 200"))
-        };
-        ask().unwrap_or(false)
-    }
-
     /// Its figures, where it answers.
     pub fn telemetry(&self) -> Option<serde_json::Value> {
         let mut stream = TcpStream::connect_timeout(&self.ops, Duration::from_secs(1)).ok()?;
@@ -151,12 +140,9 @@
     }
 }
 
-/// A program beside this one, one folder up from tests. The command of a package is built with its tests.
+/// A program that has been built beside this one.
 pub fn beside(name: &str) -> Result<PathBuf, String> {
-    let own = std::env::current_exe().map_err(|error| error.to_string())?;
-    let folder = own.parent().unwrap_or(Path::new("."));
-    let folder = if folder.ends_with("deps") { folder.parent().unwrap_or(folder) } else { folder };
-    let program = folder.join(name);
+    let program = spurdrum_demo::beside(name)?;
     match program.exists() {
         true => Ok(program),
         false => Err(format!("{} is not there: build it first", program.display())),
--- a/crates/spurdrum-fleet/src/run.rs
+++ b/crates/spurdrum-fleet/src/run.rs
@@ -65,7 +65,6 @@
         links,
         away: Vec::new(),
         copies: HashMap::new(),
-        stopped: Vec::new(),
     };
     for me in 0..scenario.nodes {
         let start = world.prepare(me, &folder.path, options, &fleet, &servers)?;
@@ -138,11 +137,10 @@
     starts: Vec<Start>,
     nodes: Vec<Option<Node>>,
     links: Links,
+    /// Stretches without a node; one that lasts has no end yet.
     away: Vec<Away>,
     /// Older copies of files, by fault and node.
     copies: HashMap<(usize, usize), disks::Copy>,
-    /// Nodes that are stopped or killed now, and since when.
-    stopped: Vec<(usize, f64)>,
 }
 
 impl World<'_> {
@@ -159,10 +157,7 @@
         let (on, name) = (address(me + 1), format!("n{me}"));
         let listen = free(on, 0)?;
         let ops = free(on, listen.port())?;
-        let mut zones: Vec<&str> = scenario.servers.iter().map(|spec| spec.zone.as_str()).collect();
-        zones.sort_unstable();
-        zones.dedup();
-        let zone = scenario.zone_of(me);
+        let (zones, zone) = (scenario.zones(), scenario.zone_of(me));
         let told = scenario.told.unwrap_or(scenario.nodes);
         let mut file = format!(
             "[node]\nname = \"{name}\"\nlisten = \"{listen}\"\nops = \"{ops}\"\nseed = {}\nsockets = {SOCKETS}\nnodes = {told}\n\
@@ -296,7 +291,7 @@
             (Kind::Kill | Kind::Torn, true) => {
                 for me in nodes {
                     self.nodes[*me] = None;
-                    self.stopped.push((*me, start.elapsed().as_secs_f64()));
+                    self.leaves(*me, start);
                 }
                 if fault.kind == Kind::Torn {
                     let mut rng = fastrand::Rng::with_seed(self.scenario.seed ^ step.fault as u64);
@@ -318,7 +313,7 @@
             (Kind::Older, false) => {
                 for me in nodes {
                     self.nodes[*me] = None;
-                    self.stopped.push((*me, start.elapsed().as_secs_f64()));
+                    self.leaves(*me, start);
                     if let Some(copy) = self.copies.remove(&(step.fault, *me)) {
                         copy.put(&self.starts[*me].folder).map_err(|error| self.spoilt(*me, &error))?;
                     }
@@ -327,11 +322,11 @@
             }
             (Kind::Stop, true) => nodes.iter().for_each(|me| {
                 self.nodes[*me].iter().for_each(Node::stop);
-                self.stopped.push((*me, start.elapsed().as_secs_f64()));
+                self.leaves(*me, start);
             }),
             (Kind::Stop, false) => nodes.iter().for_each(|me| {
                 self.nodes[*me].iter().for_each(Node::go_on);
-                back(&mut self.stopped, &mut self.away, *me, start.elapsed().as_secs_f64());
+                self.returns(*me, start);
             }),
             (Kind::Kill | Kind::Torn, false) | (Kind::Late, true) => self.start_again(nodes, start)?,
             (Kind::Late, false) => {}
@@ -340,6 +335,18 @@
         Ok(())
     }
 
+    fn leaves(&mut self, me: usize, start: Instant) {
+        self.away.push(Away { node: me, from: start.elapsed().as_secs_f64(), to: f64::INFINITY });
+    }
+
+    /// A node that was never there does not return: it comes.
+    fn returns(&mut self, me: usize, start: Instant) {
+        let open = |away: &&mut Away| away.node == me && away.to == f64::INFINITY;
+        if let Some(away) = self.away.iter_mut().find(open) {
+            away.to = start.elapsed().as_secs_f64();
+        }
+    }
+
     fn start_again(&mut self, nodes: &[usize], start: Instant) -> Result<(), String> {
         for me in nodes {
             if self.nodes[*me].is_none() {
@@ -350,7 +357,7 @@
             if let Some(node) = &mut self.nodes[*me] {
                 self.starts[*me].ready(node)?;
             }
-            back(&mut self.stopped, &mut self.away, *me, start.elapsed().as_secs_f64());
+            self.returns(*me, start);
         }
         Ok(())
     }
@@ -373,10 +380,6 @@
 
     /// Ends all processes. An error names one that had ended by itself.
     fn end(mut self, schedule: &Schedule) -> Result<Vec<Away>, String> {
-        let length = self.scenario.for_s;
-        for (me, from) in std::mem::take(&mut self.stopped) {
-            self.away.push(Away { node: me, from, to: length + 1.0 });
-        }
         let late = schedule.late(self.scenario);
         for (me, node) in self.nodes.iter_mut().enumerate() {
             if node.as_mut().is_some_and(Node::ended) && !late.contains(&me) {
@@ -389,13 +392,6 @@
     }
 }
 
-fn back(stopped: &mut Vec<(usize, f64)>, away: &mut Vec<Away>, me: usize, now: f64) {
-    if let Some(at) = stopped.iter().position(|(node, _)| *node == me) {
-        let (node, from) = stopped.swap_remove(at);
-        away.push(Away { node, from, to: now });
-    }
-}
-
 /// The relays of a run, in a thread of their own.
 struct Links {
     /// By fault and server: where the relay listens. The nodes that are behind it.
--- a/crates/spurdrum-fleet/src/scenario.rs
+++ b/crates/spurdrum-fleet/src/scenario.rs
@@ -4,7 +4,9 @@
 
 use serde::Deserialize;
 use spurdrum_load::plan::{Class, Effect};
-use spurdrum_standin::scenario::{CatalogScript, Fault as ServerFault, Scenario as Servers, Spec};
+use spurdrum_standin::scenario::{
+    parse_checked, read_file, CatalogScript, Fault as ServerFault, Scenario as Servers, Spec, Wrong,
+};
 
 /// Nodes and servers at most: each node is a process, and addresses are dealt out in 127.0.0.0/8.
 const NODES_MOST: usize = 1000;
@@ -168,65 +170,52 @@
 impl Scenario {
     /// Reads a scenario. The error names the file, the line and the key.
     pub fn read(path: &Path) -> Result<Self, String> {
-        let shown = path.display();
-        let text = std::fs::read_to_string(path).map_err(|e| format!("{shown}: cannot be read: {e}"))?;
-        Self::parse(&text).map_err(|why| format!("{shown}:{why}"))
+        read_file(path, Self::parse)
     }
 
     /// Reads a scenario's text. The error begins with the line.
     pub fn parse(text: &str) -> Result<Self, String> {
-        let scenario: Self = toml::from_str(text).map_err(|error| {
-            let at = error.span().map_or(0, |span| span.start).min(text.len());
-            let line = text[..at].matches('\n').count();
-            let key = text.lines().nth(line).unwrap_or_default().split('=').next().unwrap_or_default().trim();
-            format!("{}: `{key}`: {}", line + 1, error.message())
-        })?;
-        scenario.check().map_err(|(key, why)| {
-            let named = |line: &str| line.trim_start().split(['=', ' ']).next() == Some(key);
-            let line = text.lines().position(named).unwrap_or(0) + 1;
-            format!("{line}: `{key}`: {why}")
-        })?;
-        Ok(scenario)
+        parse_checked(text, Self::check)
     }
 
-    fn check(&self) -> Result<(), (&'static str, String)> {
+    fn check(&self) -> Result<(), Wrong> {
         let part = |x: f64| (0.0..=1.0).contains(&x);
         if self.nodes == 0 || self.nodes > NODES_MOST || self.told == Some(0) {
-            return Err(("nodes", format!("{} nodes are not between 1 and {NODES_MOST}", self.nodes)));
+            return Err(("nodes", 0, format!("{} nodes are not between 1 and {NODES_MOST}", self.nodes)));
         }
         if !(self.for_s > 0.0 && self.for_s <= 86_400.0) {
-            return Err(("for_s", "is no time above 0 and up to a day".into()));
+            return Err(("for_s", 0, "is no time above 0 and up to a day".into()));
         }
         if !(self.load > 0.0 && self.load <= 10.0 && (0.0..=3.0).contains(&self.sigma)) {
-            return Err(("load", "`load` is above 0 and up to 10, `sigma` from 0 to 3".into()));
+            return Err(("load", 0, "`load` is above 0 and up to 10, `sigma` from 0 to 3".into()));
         }
         if self.servers.iter().map(|spec| spec.count).sum::<usize>() == 0 || self.classes.is_empty() {
-            return Err(("servers", "there is no server, or no class".into()));
+            return Err(("servers", 0, "there is no server, or no class".into()));
         }
         for fault in &self.faults {
             let times = fault.at_s >= 0.0 && fault.for_s.is_none_or(|s| s > 0.0);
             if !(times && part(fault.nodes) && part(fault.servers)) {
-                return Err(("at_s", "times are above 0, `nodes` and `servers` parts from 0 to 1".into()));
+                return Err(("at_s", 0, "times are above 0, `nodes` and `servers` parts from 0 to 1".into()));
             }
             if fault.kind == Kind::Older && fault.for_s.is_none() {
-                return Err(("kind", "an older copy needs `for_s`".into()));
+                return Err(("kind", 0, "an older copy needs `for_s`".into()));
             }
             if fault.kind.is_of_links() && self.catalog.is_some() != fault.catalog {
                 let why = "links to servers break where the list stands in the nodes' files, that to the catalog where there is one";
-                return Err(("kind", why.into()));
+                return Err(("kind", 0, why.into()));
             }
         }
-        let zones: Vec<&str> = self.servers.iter().map(|spec| spec.zone.as_str()).collect();
+        let zones = self.zones();
         for lean in &self.leans {
             if !(lean.at_s >= 0.0 && part(lean.nodes) && part(lean.share)) {
-                return Err(("share", "times are above 0, `nodes` and `share` parts from 0 to 1".into()));
+                return Err(("share", 0, "times are above 0, `nodes` and `share` parts from 0 to 1".into()));
             }
             if lean.zone.as_ref().is_some_and(|zone| !zones.contains(&zone.as_str())) {
-                return Err(("zone", "no server is in this zone".into()));
+                return Err(("zone", 0, "no server is in this zone".into()));
             }
         }
         if self.other.as_ref().is_some_and(|other| !part(other.part)) {
-            return Err(("part", "is no part from 0 to 1".into()));
+            return Err(("part", 0, "is no part from 0 to 1".into()));
         }
         Ok(())
     }
@@ -234,10 +223,17 @@
     /// The zone of a node: they are dealt out in turn.
     #[must_use]
     pub fn zone_of(&self, node: usize) -> &str {
+        let zones = self.zones();
+        zones[node % zones.len()]
+    }
+
+    /// The zones of the servers, each once.
+    #[must_use]
+    pub fn zones(&self) -> Vec<&str> {
         let mut zones: Vec<&str> = self.servers.iter().map(|spec| spec.zone.as_str()).collect();
         zones.sort_unstable();
         zones.dedup();
-        zones[node % zones.len()]
+        zones
     }
 
     /// What the stand-in servers play.
--- a/crates/spurdrum-lab/src/spread.rs
+++ b/crates/spurdrum-lab/src/spread.rs
@@ -6,6 +6,7 @@
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, VecDeque};
 
+use spurdrum_fleet::figures::poisson;
 use spurdrum_policy::{
     Action, Availability, Balancer, Class, Effect, Ending, Event, Listing, Outcome, Report, Request,
     RequestId, ServerEntry, ServerId, Settings,
@@ -601,15 +602,3 @@
 fn wait_of(held: f64, workers: f64) -> f64 {
     ((held + 1.0) / workers).max(1.0)
 }
-
-/// The count that so large a part of Poisson draws of this mean do not pass, at least one.
-#[must_use]
-pub fn poisson(mean: f64, part: f64) -> usize {
-    let (mut term, mut sum, mut count) = ((-mean).exp(), (-mean).exp(), 0);
-    while sum < part && count < 10_000 {
-        count += 1;
-        term *= mean / count as f64;
-        sum += term;
-    }
-    count.max(1)
-}
--- a/crates/spurdrum-standin/src/scenario.rs
+++ b/crates/spurdrum-standin/src/scenario.rs
@@ -2,6 +2,7 @@
 
 use std::path::Path;
 
+use serde::de::DeserializeOwned;
 use serde::Deserialize;
 
 /// A fleet and its script.
@@ -200,29 +201,53 @@
     }
 }
 
+/// What makes no sense: the key, which of the lines that begin with it, and why.
+pub type Wrong = (&'static str, usize, String);
+
+/// Reads a file that `parse` understands. The error names the file, the line and the key.
+///
+/// # Errors
+///
+/// The file cannot be read, or makes no sense.
+pub fn read_file<T>(path: &Path, parse: impl Fn(&str) -> Result<T, String>) -> Result<T, String> {
+    let shown = path.display();
+    let text = std::fs::read_to_string(path).map_err(|e| format!("{shown}: cannot be read: {e}"))?;
+    parse(&text).map_err(|why| format!("{shown}:{why}"))
+}
+
+/// Reads TOML and checks what it says. The error begins with the line, and names the key.
+///
+/// # Errors
+///
+/// The text is no TOML of this kind, or `check` finds something wrong.
+pub fn parse_checked<T: DeserializeOwned>(
+    text: &str,
+    check: impl Fn(&T) -> Result<(), Wrong>,
+) -> Result<T, String> {
+    let read: T = toml::from_str(text).map_err(|error| {
+        let at = error.span().map_or(0, |span| span.start).min(text.len());
+        let line = text[..at].matches('\n').count();
+        let key = text.lines().nth(line).unwrap_or_default().split('=').next().unwrap_or_default().trim();
+        format!("{}: `{key}`: {}", line + 1, error.message())
+    })?;
+    check(&read).map_err(|(key, nth, why)| {
+        let named = |line: &str| line.trim_start().split(['=', ' ']).next() == Some(key);
+        let mut lines = text.lines().enumerate().filter(|(_, line)| named(line)).map(|(n, _)| n + 1);
+        let line = lines.nth(nth).unwrap_or(1);
+        format!("{line}: `{key}`: {why}")
+    })?;
+    Ok(read)
+}
+
 impl Scenario {
     /// Reads a scenario. The error names the file, the line and the key.
     pub fn read(path: &Path) -> Result<Self, String> {
-        let shown = path.display();
-        let text = std::fs::read_to_string(path).map_err(|e| format!("{shown}: cannot be read: {e}"))?;
-        Self::parse(&text).map_err(|why| format!("{shown}:{why}"))
+        read_file(path, Self::parse)
     }
 
     /// Reads a scenario's text. The error begins with the line.
     pub fn parse(text: &str) -> Result<Self, String> {
-        let scenario: Self = toml::from_str(text).map_err(|error| {
-            let at = error.span().map_or(0, |span| span.start).min(text.len());
-            let line = text[..at].matches('\n').count();
-            let key = text.lines().nth(line).unwrap_or_default().split('=').next().unwrap_or_default().trim();
-            format!("{}: `{key}`: {}", line + 1, error.message())
-        })?;
-        scenario.check().map_err(|(key, nth, why)| {
-            let named = |line: &str| line.trim_start().split(['=', ' ']).next() == Some(key);
-            let mut lines = text.lines().enumerate().filter(|(_, line)| named(line)).map(|(n, _)| n + 1);
-            let line = lines.nth(nth).unwrap_or(1);
-            format!("{line}: `{key}`: {why}")
-        })?;
-        Ok(scenario)
+        parse_checked(text, Self::check)
     }
 
     /// The servers' names, with what each is.
@@ -230,7 +255,7 @@
         self.groups.iter().flat_map(|spec| (0..spec.count).map(move |n| (format!("{}{n}", spec.name), spec)))
     }
 
-    fn check(&self) -> Result<(), (&'static str, usize, String)> {
+    fn check(&self) -> Result<(), Wrong> {
         let positive = |x: f64| x.is_finite() && x > 0.0;
         let count: usize = self.groups.iter().map(|spec| spec.count).sum();
         if count == 0 || count > 10_000 {
