--- a/crates/spurdrum-core/src/node.rs
+++ b/crates/spurdrum-core/src/node.rs
@@ -11,6 +11,7 @@
     Action, Availability, Balancer, Ending, Event, Learned, LearnedServer, Listing, NewSettings, Outcome,
     Report, Request, RequestId, ServerEntry, ServerId, Settings,
 };
+use spurdrum_trace::{Seen, State, Trace};
 use tokio::sync::oneshot;
 use tokio::time::{sleep, Instant};
 
@@ -88,6 +89,12 @@
     attempts: Vec<Option<oneshot::Sender<()>>>,
 }
 
+/// Where what happens is noted, and what was noted of the servers that are listed.
+struct Traced {
+    to: Trace,
+    servers: RefCell<HashMap<ServerId, (String, State)>>,
+}
+
 /// One node; all of its parts hold it.
 pub struct Node<T: Transport> {
     tidy_every: Duration,
@@ -112,6 +119,8 @@
     last_server: Cell<usize>,
     /// When the servers that are listed were started, as far as the list says.
     starts: RefCell<HashMap<ServerId, f64>>,
+    /// Where what happens is noted, where it is.
+    trace: Option<Traced>,
     started: Instant,
     started_unix_ms: f64,
 }
@@ -129,6 +138,7 @@
         transport: T,
         signs: impl Fn(Sign) + 'static,
         affinity: Option<Rc<RefCell<Affinity>>>,
+        trace: Option<Trace>,
     ) -> Result<Rc<Self>, String> {
         let balancer =
             Balancer::new(config.settings.clone(), config.seed).map_err(|e| format!("`settings`: {e}"))?;
@@ -149,11 +159,21 @@
             ids: RefCell::default(),
             last_server: Cell::new(0),
             starts: RefCell::default(),
+            trace: trace.map(|to| Traced { to, servers: RefCell::default() }),
             started: Instant::now(),
             started_unix_ms,
         }))
     }
 
+    /// Notes something of a request, where that is on.
+    fn saw(&self, id: RequestId, seen: impl FnOnce(String) -> Seen) {
+        let Some(trace) = &self.trace else { return };
+        let requests = self.requests.borrow();
+        let Some(held) = requests.get(&id) else { return };
+        let name = String::from_utf8_lossy(held.request.name().as_ref()).into_owned();
+        trace.to.note(self.now(), seen(name));
+    }
+
     /// Unix time in milliseconds that never runs backwards: starts of servers are told in it.
     pub fn now(&self) -> f64 {
         self.started_unix_ms + self.started.elapsed().as_secs_f64() * 1000.0
@@ -170,6 +190,7 @@
     fn carry_out(self: &Rc<Self>, action: Action) {
         match action {
             Action::Send { request, server } => {
+                self.saw(request, |id| self.placed(id, request, server));
                 let mut requests = self.requests.borrow_mut();
                 let Some(held) = requests.get_mut(&request) else { return };
                 let (give_up, given_up) = oneshot::channel();
@@ -199,6 +220,7 @@
                 });
             }
             Action::Cancel { request, attempt } => {
+                self.saw(request, |id| Seen::GivenUp { id, attempt });
                 let mut requests = self.requests.borrow_mut();
                 let out = requests.get_mut(&request).and_then(|held| held.attempts.get_mut(attempt));
                 if let Some(give_up) = out.and_then(Option::take) {
@@ -286,6 +308,7 @@
         let prefers = prefers.and_then(|(affinity, ask)| affinity.borrow_mut().prefers(self.now(), ask));
         let held = Held { request: Rc::new(asked), answer: Some(answer), attempts: Vec::new() };
         self.requests.borrow_mut().insert(id, held);
+        self.saw(id, |id| Seen::Asked { id, class: request.class });
         self.handle(Event::Request(Request { id, prefers, ..request }));
         Ok(id)
     }
@@ -294,6 +317,7 @@
     pub fn client_gone(self: &Rc<Self>, id: RequestId) {
         let owed = self.requests.borrow_mut().get_mut(&id).and_then(|held| held.answer.take());
         if owed.is_some() {
+            self.saw(id, |id| Seen::Left { id });
             self.handle(Event::ClientGone(id));
             self.forget_if_over(id);
         }
@@ -317,12 +341,25 @@
     fn answer(&self, id: RequestId, answer: Answer<T::Body>) {
         let owed = self.requests.borrow_mut().get_mut(&id).and_then(|held| held.answer.take());
         if let Some(owed) = owed {
+            let name = match &answer {
+                Answer::Served(_) => "served",
+                Answer::Refused(_) => "refused",
+                Answer::Failed => "failed",
+            };
+            self.saw(id, |id| Seen::Answered { id, answer: name.into() });
             // It fails where the client has just left.
             let _ = owed.send(answer);
         }
         self.forget_if_over(id);
     }
 
+    fn placed(&self, id: String, request: RequestId, server: ServerId) -> Seen {
+        let attempt = self.requests.borrow().get(&request).map_or(0, |held| held.attempts.len());
+        let servers = self.trace.as_ref().map(|trace| trace.servers.borrow());
+        let named = servers.as_ref().and_then(|servers| servers.get(&server));
+        Seen::Placed { id, attempt, server: named.map_or_else(String::new, |(name, _)| name.clone()) }
+    }
+
     fn ended(
         self: &Rc<Self>,
         id: RequestId,
@@ -332,6 +369,7 @@
         reply: Reply<T::Body>,
     ) {
         let mut ask = None;
+        self.saw(id, |id| Seen::Ended { id, attempt, how: format!("{:?}", reply.ending) });
         if let Some(held) = self.requests.borrow_mut().get_mut(&id) {
             held.attempts[attempt] = None;
             ask = held.request.affinity();
@@ -402,6 +440,7 @@
             ids.retain(|id, server| {
                 let stays = listed.contains(id);
                 if !stays {
+                    self.told(*server, id, Availability::Gone);
                     self.transport.forget(*server);
                     self.starts.borrow_mut().remove(server);
                 }
@@ -414,6 +453,7 @@
             let next = ServerId(self.last_server.get() + 1);
             let number = *ids.entry(id.clone()).or_insert(next);
             self.last_server.set(self.last_server.get().max(number.0));
+            self.told(number, &id, entry.availability);
             if entry.availability == Availability::Gone {
                 ids.remove(&id);
                 self.transport.forget(number);
@@ -434,6 +474,24 @@
         entries
     }
 
+    /// Notes what a list says of a server, where that is new.
+    fn told(&self, server: ServerId, id: &str, availability: Availability) {
+        let Some(trace) = &self.trace else { return };
+        let state = match availability {
+            Availability::Ready => State::Ready,
+            Availability::Draining => State::Draining,
+            Availability::Gone => State::Gone,
+        };
+        let mut servers = trace.servers.borrow_mut();
+        let known = match state {
+            State::Gone => servers.remove(&server).map(|(_, state)| state),
+            _ => servers.insert(server, (id.to_owned(), state)).map(|(_, state)| state),
+        };
+        if known != Some(state) {
+            trace.to.note(self.now(), Seen::Told { server: id.to_owned(), state });
+        }
+    }
+
     /// Closes connections to servers whose places others need, for as long as the node runs.
     pub async fn lend(self: Rc<Self>) {
         loop {
--- a/crates/spurdrum-core/src/transport.rs
+++ b/crates/spurdrum-core/src/transport.rs
@@ -12,7 +12,7 @@
 /// A request as its transport sends it.
 pub trait Asked {
     /// What the client calls it: no two of one name are held at once.
-    type Name: Clone + Eq + Hash;
+    type Name: Clone + Eq + Hash + AsRef<[u8]>;
 
     /// What the client calls it.
     fn name(&self) -> &Self::Name;
--- a/crates/spurdrum-fleet/src/clients.rs
+++ b/crates/spurdrum-fleet/src/clients.rs
@@ -134,6 +134,7 @@
             Ok(Outcome::Served) => End::Served,
             Ok(Outcome::Refused { .. }) => End::Refused,
             Ok(Outcome::Unreached) => End::Unreached,
+            Ok(Outcome::Broken) => End::Broken,
             Ok(_) => End::Failed,
             Err(_) => End::Nothing,
         };
--- a/crates/spurdrum-fleet/src/figures.rs
+++ b/crates/spurdrum-fleet/src/figures.rs
@@ -119,7 +119,7 @@
     Figures {
         offered: asked.len(),
         refused: part(End::Refused),
-        failed: part(End::Failed) + part(End::Unreached),
+        failed: part(End::Failed) + part(End::Broken) + part(End::Unreached),
         nothing: part(End::Nothing),
         attempts: sent as f64 / asked.len().max(1) as f64,
         least,
--- a/crates/spurdrum-fleet/src/history.rs
+++ b/crates/spurdrum-fleet/src/history.rs
@@ -11,8 +11,10 @@
     Served,
     /// 429 or 503.
     Refused,
-    /// Another answer, or a connection that ended without one.
+    /// Another answer.
     Failed,
+    /// A connection that ended without one.
+    Broken,
     /// No answer while its client waited, and a moment more.
     Nothing,
     /// No node could be reached.
@@ -80,6 +82,32 @@
     }
 }
 
+/// What a node was told of a server, as its trace has it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Told {
+    /// The node.
+    pub node: usize,
+    /// Place of the server in [`History::servers`].
+    pub server: usize,
+    /// When.
+    pub at: f64,
+    /// Whether it may be sent to from then on.
+    pub ready: bool,
+}
+
+/// A server that a node chose, as its trace has it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Chosen {
+    /// The node.
+    pub node: usize,
+    /// The request's id.
+    pub id: u64,
+    /// Place of the server in [`History::servers`].
+    pub server: usize,
+    /// When.
+    pub at: f64,
+}
+
 /// A stretch in which a node could not do what it has to: killed or stopped.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Away {
@@ -123,6 +151,12 @@
     pub faults: Vec<(f64, f64)>,
     /// Connections that servers accepted.
     pub connections: u64,
+    /// What nodes were told of servers, in the order of time; nothing where they keep no trace.
+    pub told: Vec<Told>,
+    /// What nodes chose, in the order of time; nothing where they keep no trace.
+    pub chosen: Vec<Chosen>,
+    /// Lines that the nodes' traces lost.
+    pub lost: u64,
     /// Attempts that the servers could not log, for want of room.
     pub untold: u64,
     /// Sums of the nodes' own figures, where they could be asked.
--- a/crates/spurdrum-fleet/src/links.rs
+++ b/crates/spurdrum-fleet/src/links.rs
@@ -20,6 +20,8 @@
     /// Where it listens.
     pub address: SocketAddr,
     state: watch::Sender<Option<(Kind, Duration)>>,
+    /// Faults that befall it now.
+    faults: Vec<(usize, Kind, Duration)>,
     /// Raised to end all connections.
     breaks: Rc<Notify>,
 }
@@ -29,7 +31,7 @@
     pub async fn start(on: IpAddr, to: SocketAddr) -> std::io::Result<Self> {
         let listener = TcpListener::bind((on, 0)).await?;
         let (state, sees) = watch::channel(None);
-        let link = Self { address: listener.local_addr()?, state, breaks: Rc::default() };
+        let link = Self { address: listener.local_addr()?, state, faults: Vec::new(), breaks: Rc::default() };
         let breaks = Rc::clone(&link.breaks);
         tokio::task::spawn_local(async move {
             while let Ok((near, _)) = listener.accept().await {
@@ -48,19 +50,34 @@
         Ok(link)
     }
 
-    /// The fault begins.
-    pub fn break_by(&self, kind: Kind, delay: Duration) {
+    /// A fault begins.
+    pub fn begins(&mut self, fault: usize, kind: Kind, delay: Duration) {
         if kind != Kind::Reset {
-            self.state.send_replace(Some((kind, delay)));
+            self.faults.push((fault, kind, delay));
+            self.shows();
         }
         if matches!(kind, Kind::Cut | Kind::Reset) {
             self.breaks.notify_waiters();
         }
     }
 
-    /// The fault is over.
-    pub fn mend(&self) {
-        self.state.send_replace(None);
+    /// A fault is over; others may go on.
+    pub fn ends(&mut self, fault: usize) {
+        self.faults.retain(|(of, ..)| *of != fault);
+        self.shows();
+    }
+
+    /// Of several faults the one shows that lets least pass.
+    fn shows(&self) {
+        let lets = |kind: Kind| match kind {
+            Kind::Cut => 0,
+            Kind::Stall => 1,
+            Kind::OneWay => 2,
+            _ => 3,
+        };
+        let worst =
+            self.faults.iter().min_by_key(|(_, kind, delay)| (lets(*kind), std::cmp::Reverse(*delay)));
+        self.state.send_replace(worst.map(|(_, kind, delay)| (*kind, *delay)));
     }
 }
 
@@ -143,29 +160,34 @@
     #[tokio::test]
     async fn links_pass_hold_and_reset() {
         let all = async {
-            let link = Link::start(Ipv4Addr::LOCALHOST.into(), echo().await).await.expect("starts");
+            let mut link = Link::start(Ipv4Addr::LOCALHOST.into(), echo().await).await.expect("starts");
             let mut stream = TcpStream::connect(link.address).await.expect("connects");
             assert_eq!(said(&mut stream, 1).await.expect("passes"), 1);
             for kind in [Kind::Stall, Kind::OneWay] {
-                link.break_by(kind, Duration::ZERO);
+                link.begins(0, kind, Duration::ZERO);
                 let mut held = std::pin::pin!(said(&mut stream, 2));
                 tokio::select! {
                     said = &mut held => panic!("{kind:?} lets {said:?} pass"),
                     () = async { for _ in 0..1000 { tokio::task::yield_now().await } } => {}
                 }
-                link.mend();
+                link.ends(0);
                 assert_eq!(held.await.expect("goes on"), 2);
             }
-            link.break_by(Kind::Reset, Duration::ZERO);
+            link.begins(1, Kind::Reset, Duration::ZERO);
             let broken = said(&mut stream, 3).await.expect_err("is reset");
             assert_eq!(broken.kind(), std::io::ErrorKind::ConnectionReset);
             let mut next = TcpStream::connect(link.address).await.expect("connects again");
             assert_eq!(said(&mut next, 4).await.expect("passes"), 4);
-            link.break_by(Kind::Cut, Duration::ZERO);
+            // Of two the worse one shows, until it is over.
+            link.begins(3, Kind::Delay, Duration::from_millis(1));
+            link.begins(2, Kind::Cut, Duration::ZERO);
             assert!(said(&mut next, 5).await.is_err());
             if let Ok(mut late) = TcpStream::connect(link.address).await {
                 assert!(said(&mut late, 6).await.is_err());
             }
+            link.ends(2);
+            let mut last = TcpStream::connect(link.address).await.expect("connects again");
+            assert_eq!(said(&mut last, 7).await.expect("passes, later"), 7);
         };
         LocalSet::new().run_until(all).await;
     }
--- a/crates/spurdrum-fleet/src/process.rs
+++ b/crates/spurdrum-fleet/src/process.rs
@@ -48,6 +48,10 @@
     pub ops: SocketAddr,
     /// Its log.
     pub log: PathBuf,
+    /// Its trace, where it keeps one.
+    pub trace: PathBuf,
+    /// What says how its disk does.
+    pub disk: PathBuf,
     /// Where it keeps its sockets for replacement.
     pub folder: PathBuf,
 }
@@ -121,6 +125,11 @@
         self.signal(Signal::STOP);
     }
 
+    /// Has it read its file again.
+    pub fn reload(&self) {
+        self.signal(Signal::HUP);
+    }
+
     /// Lets it go on.
     pub fn go_on(&self) {
         self.signal(Signal::CONT);
--- a/crates/spurdrum-fleet/src/run.rs
+++ b/crates/spurdrum-fleet/src/run.rs
@@ -1,6 +1,6 @@
 //! Plays a scenario with real processes.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::fmt::Write as _;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -13,21 +13,24 @@
 use spurdrum_load::Arrival;
 use spurdrum_standin::scenario::{Fault as ServerFault, FaultKind};
 use spurdrum_standin::{Fleet, Tally};
+use spurdrum_trace::{Line, Seen, State};
 use tokio::sync::oneshot;
 use tokio::task::LocalSet;
 
 use crate::clients::{self, Deal};
 use crate::disks;
-use crate::history::{Asked, Away, Blind, History, Server, Worked};
+use crate::history::{Asked, Away, Blind, Chosen, History, Server, Told, Worked};
 use crate::links::Link;
 use crate::process::{address, free, Node, Start};
-use crate::scenario::{workers, Kind, Scenario};
+use crate::scenario::{workers, Fault, Kind, Scenario};
 use crate::schedule::{Schedule, Step};
 
 /// Servers are listening for so long before the run begins, and for so much longer for each node, in seconds.
 const LEAD: (f64, f64) = (2.0, 0.03);
 /// Event loops of the clients.
 const CLIENTS: usize = 4;
+/// What a node's trace may take up, in MiB.
+const TRACE_MB: u64 = 16;
 /// Descriptors that a node may use.
 const SOCKETS: usize = 2048;
 
@@ -60,7 +63,9 @@
     let folder = Folder::make(options)?;
     let mut world = World {
         scenario,
+        servers: servers.iter().map(|(name, _)| name.clone()).collect(),
         starts: Vec::new(),
+        files: Vec::new(),
         nodes: Vec::new(),
         links,
         away: Vec::new(),
@@ -89,6 +94,8 @@
     std::thread::sleep(Duration::from_secs_f64(lead).saturating_sub(fleet.elapsed()));
     let begins = fleet.elapsed().as_secs_f64();
     let start = Instant::now();
+    let unix = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    let began_ms = unix.map_err(|error| format!("the clock: {error}"))?.as_secs_f64() * 1000.0;
     if let Some(playing) = options.playing {
         playing(&world.starts.iter().map(|start| start.listen).collect::<Vec<_>>());
     }
@@ -104,8 +111,12 @@
     played?;
     asked.sort_by(|a, b| a.due.total_cmp(&b.due));
     let telemetry = world.telemetry();
+    let traces: Vec<PathBuf> = world.starts.iter().map(|start| start.trace.clone()).collect();
     let away = world.end(&schedule)?;
     let mut history = history(scenario, &fleet.tally(), begins, asked, away, telemetry);
+    if scenario.trace {
+        traced(&mut history, &traces, began_ms)?;
+    }
     history.blind = blind(scenario, &schedule, &servers, &history);
     Ok(history)
 }
@@ -134,7 +145,10 @@
 
 struct World<'a> {
     scenario: &'a Scenario,
+    servers: Vec<String>,
     starts: Vec<Start>,
+    /// The nodes' files as they were at first.
+    files: Vec<String>,
     nodes: Vec<Option<Node>>,
     links: Links,
     /// Stretches without a node; one that lasts has no end yet.
@@ -146,7 +160,7 @@
 impl World<'_> {
     /// Writes a node's file.
     fn prepare(
-        &self,
+        &mut self,
         me: usize,
         folder: &Path,
         options: &Options,
@@ -204,9 +218,15 @@
             }
         }
         let own = folder.join(&name);
-        file.push_str(&scenario.settings.replace("{folder}", &own.display().to_string()));
+        let (trace, disk) = (folder.join(format!("{name}.trace")), folder.join(format!("{name}.disk")));
+        let settings = scenario.settings.replace("{folder}", &own.display().to_string());
+        file.push_str(&settings.replace("{disk}", &disk.display().to_string()));
+        if scenario.trace {
+            let _ = write!(file, "\n[trace]\npath = \"{}\"\nmost_mb = {TRACE_MB}\n", trace.display());
+        }
         let path = folder.join(format!("{name}.toml"));
-        std::fs::write(&path, file).map_err(|error| format!("{}: {error}", path.display()))?;
+        std::fs::write(&path, &file).map_err(|error| format!("{}: {error}", path.display()))?;
+        self.files.push(file);
         std::fs::create_dir_all(&own).map_err(|error| format!("{}: {error}", own.display()))?;
         let other = scenario.other.as_ref().filter(|other| (me as f64) < other.part * scenario.nodes as f64);
         let program = other.map_or(&options.program, |other| &other.program).clone();
@@ -217,6 +237,8 @@
             listen,
             ops,
             log: folder.join(format!("{name}.log")),
+            trace,
+            disk,
             folder: own,
         })
     }
@@ -330,11 +352,43 @@
             }),
             (Kind::Kill | Kind::Torn, false) | (Kind::Late, true) => self.start_again(nodes, start)?,
             (Kind::Late, false) => {}
+            (Kind::DiskFull | Kind::DiskSlow | Kind::DiskUnsynced | Kind::DiskForgets, begins) => {
+                if fault.kind == Kind::DiskForgets && !begins {
+                    for me in nodes {
+                        self.nodes[*me] = None;
+                        self.leaves(*me, start);
+                    }
+                }
+                let says = fault.kind.of_disk(fault.delay_ms).filter(|_| begins).unwrap_or_default();
+                for me in nodes {
+                    std::fs::write(&self.starts[*me].disk, &says)
+                        .map_err(|error| self.spoilt(*me, &error))?;
+                }
+                if fault.kind == Kind::DiskForgets && !begins {
+                    self.start_again(nodes, start)?;
+                }
+            }
+            (Kind::Lists, begins) => {
+                let missing = &schedule.befalls[step.fault].1;
+                for me in nodes {
+                    let lacks = if begins { &missing[..] } else { &[] };
+                    self.list(*me, lacks).map_err(|error| self.spoilt(*me, &error))?;
+                    self.nodes[*me].iter().for_each(Node::reload);
+                }
+            }
             _ => self.links.step(step.fault, fault.kind, step.begins, Duration::from_millis(fault.delay_ms)),
         }
         Ok(())
     }
 
+    /// Writes a node's file anew, without these servers.
+    fn list(&self, me: usize, lacks: &[usize]) -> std::io::Result<()> {
+        let lines = self.files[me].lines().filter(|line| {
+            lacks.iter().all(|server| !line.starts_with(&format!("{{ id = {:?},", self.servers[*server])))
+        });
+        std::fs::write(&self.starts[me].file, lines.collect::<Vec<_>>().join("\n"))
+    }
+
     fn leaves(&mut self, me: usize, start: Instant) {
         self.away.push(Away { node: me, from: start.elapsed().as_secs_f64(), to: f64::INFINITY });
     }
@@ -392,11 +446,14 @@
     }
 }
 
+/// What stands before a server for some nodes: the server, and the faults that befall the links there.
+type Relay = (usize, Vec<usize>);
+
 /// The relays of a run, in a thread of their own.
 struct Links {
-    /// By fault and server: where the relay listens. The nodes that are behind it.
-    at: HashMap<(usize, usize), SocketAddr>,
-    behind: Vec<Vec<usize>>,
+    /// Where each listens.
+    at: HashMap<Relay, SocketAddr>,
+    befalls: Vec<(Vec<usize>, Vec<usize>)>,
     tell: Option<tokio::sync::mpsc::UnboundedSender<(usize, Kind, bool, Duration)>>,
     stop: Option<oneshot::Sender<()>>,
 }
@@ -407,18 +464,23 @@
         schedule: &Schedule,
         servers: &[(String, SocketAddr)],
     ) -> Result<Self, String> {
-        let of_links = |fault: usize| scenario.faults[fault].kind.is_of_links();
-        let behind: Vec<Vec<usize>> = schedule.befalls.iter().map(|(nodes, _)| nodes.clone()).collect();
-        let wanted: Vec<(usize, usize, SocketAddr)> = (0..schedule.befalls.len())
-            .filter(|fault| of_links(*fault))
-            .flat_map(|fault| {
-                schedule.befalls[fault].1.iter().map(move |server| (fault, *server, servers[*server].1))
-            })
+        let of_links = |(fault, befalls): (&Fault, &(Vec<usize>, Vec<usize>))| match fault.kind.is_of_links()
+        {
+            true => befalls.clone(),
+            false => Default::default(),
+        };
+        let befalls = scenario.faults.iter().zip(&schedule.befalls).map(of_links).collect();
+        let mut links = Self { at: HashMap::new(), befalls, tell: None, stop: None };
+        let pairs = (0..scenario.nodes).flat_map(|node| (0..servers.len()).map(move |server| (node, server)));
+        let wanted: BTreeSet<Relay> = pairs
+            .map(|(node, server)| (server, links.faults(node, server)))
+            .filter(|(_, faults)| !faults.is_empty())
             .collect();
-        let mut links = Self { at: HashMap::new(), behind, tell: None, stop: None };
         if wanted.is_empty() {
             return Ok(links);
         }
+        let wanted: Vec<(Relay, SocketAddr)> =
+            wanted.into_iter().map(|relay| (relay.clone(), servers[relay.0].1)).collect();
         let (told, at) = std::sync::mpsc::channel();
         let (tell, mut hear) = tokio::sync::mpsc::unbounded_channel::<(usize, Kind, bool, Duration)>();
         let (stop, stopped) = oneshot::channel();
@@ -427,20 +489,20 @@
                 return;
             };
             LocalSet::new().block_on(&runtime, async move {
-                let mut relays = HashMap::new();
-                for (fault, server, to) in wanted {
+                let mut relays = Vec::new();
+                for (relay, to) in wanted {
                     let Ok(link) = Link::start(address(0), to).await else { return };
-                    let _ = told.send((fault, server, link.address));
-                    relays.insert((fault, server), link);
+                    let _ = told.send((relay.clone(), link.address));
+                    relays.push((relay.1, link));
                 }
                 drop(told);
                 let hears = async {
-                    while let Some((of, kind, begins, delay)) = hear.recv().await {
-                        for (_, link) in relays.iter().filter(|((fault, _), _)| *fault == of) {
+                    while let Some((fault, kind, begins, delay)) = hear.recv().await {
+                        for (_, link) in relays.iter_mut().filter(|(faults, _)| faults.contains(&fault)) {
                             if begins {
-                                link.break_by(kind, delay);
+                                link.begins(fault, kind, delay);
                             } else {
-                                link.mend();
+                                link.ends(fault);
                             }
                         }
                     }
@@ -451,15 +513,23 @@
                 }
             });
         });
-        links.at = at.iter().map(|(fault, server, at)| ((fault, server), at)).collect();
+        links.at = at.iter().collect();
         (links.tell, links.stop) = (Some(tell), Some(stop));
         Ok(links)
     }
 
-    /// The relay that stands between a node and a server; the first fault's, where there are several.
+    /// The faults that befall the link between a node and a server.
+    fn faults(&self, node: usize, server: usize) -> Vec<usize> {
+        let met = |fault: &usize| {
+            let (nodes, servers) = &self.befalls[*fault];
+            servers.contains(&server) && nodes.contains(&node)
+        };
+        (0..self.befalls.len()).filter(met).collect()
+    }
+
+    /// The relay that stands between a node and a server.
     fn before(&self, node: usize, server: usize) -> Option<SocketAddr> {
-        let behind = |fault: &usize| self.behind[*fault].contains(&node);
-        (0..self.behind.len()).filter(behind).find_map(|fault| self.at.get(&(fault, server)).copied())
+        self.at.get(&(server, self.faults(node, server))).copied()
     }
 
     fn step(&self, fault: usize, kind: Kind, begins: bool, delay: Duration) {
@@ -508,6 +578,41 @@
     (from.map_or(0.0, |fault| fault.at_s), to.map_or(f64::MAX, |fault| fault.at_s))
 }
 
+/// Adds what nodes noted, in the run's time: they share a clock with the rig.
+fn traced(history: &mut History, traces: &[PathBuf], began_ms: f64) -> Result<(), String> {
+    let places: HashMap<String, usize> =
+        history.servers.iter().enumerate().map(|(n, server)| (server.name.clone(), n)).collect();
+    for (node, path) in traces.iter().enumerate() {
+        let lines = spurdrum_trace::read(path).map_err(|error| format!("{}: {error}", path.display()))?;
+        for Line { at, seen } in lines {
+            let at = (at - began_ms) / 1000.0;
+            match seen {
+                Seen::Told { server, state } => history.told.extend(places.get(&server).map(|server| Told {
+                    node,
+                    server: *server,
+                    at,
+                    ready: state == State::Ready,
+                })),
+                Seen::Placed { id, server, .. } => {
+                    let id = u64::from_str_radix(&id, 16).ok();
+                    let chosen = id.zip(places.get(&server));
+                    history.chosen.extend(chosen.map(|(id, server)| Chosen {
+                        node,
+                        id,
+                        server: *server,
+                        at,
+                    }));
+                }
+                Seen::Lost { lines } => history.lost = history.lost.max(lines),
+                _ => {}
+            }
+        }
+    }
+    history.told.sort_by(|a, b| a.at.total_cmp(&b.at));
+    history.chosen.sort_by(|a, b| a.at.total_cmp(&b.at));
+    Ok(())
+}
+
 /// Joins what all saw.
 fn history(
     scenario: &Scenario,
@@ -558,5 +663,8 @@
         window: scenario.window_ms / 1000.0,
         slack: scenario.slack_s,
         blind: Vec::new(),
+        told: Vec::new(),
+        chosen: Vec::new(),
+        lost: 0,
     }
 }
--- a/crates/spurdrum-fleet/src/scenario.rs
+++ b/crates/spurdrum-fleet/src/scenario.rs
@@ -46,7 +46,11 @@
     /// Who has how much of the load, from when; before the first, and without any, `sigma` alone deals it out.
     #[serde(default, rename = "lean")]
     pub leans: Vec<Lean>,
-    /// More of each node's file, in TOML; `{folder}` stands for the node's own folder.
+    /// Whether nodes note what they choose and are told: the verdict then judges drains by each node.
+    #[serde(default)]
+    pub trace: bool,
+    /// More of each node's file, in TOML; `{folder}` stands for the node's own folder, `{disk}` for what says how its disk
+    /// does.
     #[serde(default)]
     pub settings: String,
     /// Time in which servers discard repeats of a key, in milliseconds.
@@ -93,7 +97,7 @@
     pub kind: Kind,
     /// Part of the nodes that it befalls; which ones is drawn.
     pub nodes: f64,
-    /// Part of the servers, for links; which ones is drawn.
+    /// Part of the servers, for links and lists; which ones is drawn.
     #[serde(default = "whole")]
     pub servers: f64,
     /// The link to the catalog, in place of those to servers.
@@ -103,7 +107,7 @@
     pub at_s: f64,
     /// For how long; to the end where it is left out.
     pub for_s: Option<f64>,
-    /// How much later, in milliseconds, for `delay`.
+    /// How much later, in milliseconds, for `delay` and `disk_slow`.
     #[serde(default)]
     pub delay_ms: u64,
 }
@@ -122,6 +126,16 @@
     Torn,
     /// After `for_s` nodes are killed and started with their files as they were at `at_s`.
     Older,
+    /// Nodes' disks take no byte more.
+    DiskFull,
+    /// Nodes' disks take `delay_ms` longer for each write and each sync.
+    DiskSlow,
+    /// Nodes' disks refuse to sync.
+    DiskUnsynced,
+    /// Nodes' disks say yes and keep nothing; after `for_s` nodes are killed and started with what was kept.
+    DiskForgets,
+    /// Nodes' lists lack these servers.
+    Lists,
     /// Links break, and new ones are closed as they come.
     Cut,
     /// Links stay up, new ones too, and nothing moves.
@@ -140,6 +154,18 @@
     pub fn is_of_links(self) -> bool {
         matches!(self, Self::Cut | Self::Stall | Self::OneWay | Self::Delay | Self::Reset)
     }
+
+    /// What a node's disk is told, where it befalls disks.
+    #[must_use]
+    pub fn of_disk(self, delay_ms: u64) -> Option<String> {
+        match self {
+            Self::DiskFull => Some("full".into()),
+            Self::DiskSlow => Some(format!("slow {delay_ms}")),
+            Self::DiskUnsynced => Some("unsynced".into()),
+            Self::DiskForgets => Some("forgets".into()),
+            _ => None,
+        }
+    }
 }
 
 fn one_seed() -> u64 {
@@ -197,8 +223,18 @@
             if !(times && part(fault.nodes) && part(fault.servers)) {
                 return Err(("at_s", 0, "times are above 0, `nodes` and `servers` parts from 0 to 1".into()));
             }
-            if fault.kind == Kind::Older && fault.for_s.is_none() {
-                return Err(("kind", 0, "an older copy needs `for_s`".into()));
+            if matches!(fault.kind, Kind::Older | Kind::DiskForgets) && fault.for_s.is_none() {
+                return Err(("kind", 0, "an older copy, or a disk that forgets, needs `for_s`".into()));
+            }
+            if fault.kind.of_disk(0).is_some() && !self.settings.contains("{disk}") {
+                return Err((
+                    "kind",
+                    0,
+                    "a disk is told how to do by a file that `settings` names: `{disk}`".into(),
+                ));
+            }
+            if fault.kind == Kind::Lists && self.catalog.is_some() {
+                return Err(("kind", 0, "lists differ where they stand in the nodes' files".into()));
             }
             if fault.kind.is_of_links() && self.catalog.is_some() != fault.catalog {
                 let why = "links to servers break where the list stands in the nodes' files, that to the catalog where there is one";
--- a/crates/spurdrum-fleet/src/schedule.rs
+++ b/crates/spurdrum-fleet/src/schedule.rs
@@ -42,6 +42,7 @@
                 // The catalog comes after the last server.
                 true if fault.catalog => vec![servers],
                 true => some(servers, fault.servers),
+                false if fault.kind == Kind::Lists => some(servers, fault.servers),
                 false => Vec::new(),
             };
             schedule.befalls.push((nodes, servers));
--- a/crates/spurdrum-fleet/src/verdict.rs
+++ b/crates/spurdrum-fleet/src/verdict.rs
@@ -5,7 +5,7 @@
 
 use spurdrum_load::plan::Effect;
 
-use crate::history::{Blind, End, History, Worked};
+use crate::history::{Blind, End, History, Told, Worked};
 
 /// A server that drains gets nothing new so long after its nodes were told, in seconds.
 const DRAIN: f64 = 0.25;
@@ -64,10 +64,11 @@
     for asked in &history.asked {
         // A node that was killed or stopped meanwhile could not answer.
         let away = |a: &&crate::history::Away| {
-            a.node == asked.node && a.from <= asked.ended && a.to + history.slack >= asked.due
+            a.node == asked.node && a.from <= asked.ended + history.slack && a.to + history.slack >= asked.due
         };
-        if asked.end == End::Nothing && !history.away.iter().any(|a| away(&a)) {
-            let seen = format!("node {} said nothing for {:.3} s", asked.node, asked.ended - asked.due);
+        if matches!(asked.end, End::Nothing | End::Broken) && !history.away.iter().any(|a| away(&a)) {
+            let what = if asked.end == End::Broken { "broke off after" } else { "said nothing for" };
+            let seen = format!("node {} {what} {:.3} s", asked.node, asked.ended - asked.due);
             broken.push(Broken { rule: Rule::Answered, id: asked.id, at: asked.due, seen });
         }
         let Some(runs) = by_id.get(&asked.id) else { continue };
@@ -97,14 +98,35 @@
             broken.push(Broken { rule: Rule::Drained, id: worked.id, at: worked.begun, seen });
         }
     }
+    broken.extend(told(history));
     broken.sort_by(|a, b| a.at.total_cmp(&b.at));
     broken
 }
 
+/// Choices of nodes that had been told a while before that the server takes nothing new. A node that was not there, or stopped,
+/// was told by what it wrote itself.
+fn told(history: &History) -> Vec<Broken> {
+    let mut last: HashMap<(usize, usize), &Told> = HashMap::new();
+    let mut broken = Vec::new();
+    let mut told = history.told.iter().peekable();
+    for chosen in &history.chosen {
+        while let Some(told) = told.next_if(|told| told.at <= chosen.at) {
+            last.insert((told.node, told.server), told);
+        }
+        let ends = last.get(&(chosen.node, chosen.server)).filter(|told| !told.ready);
+        if let Some(told) = ends.filter(|told| chosen.at > told.at + DRAIN) {
+            let name = &history.servers[chosen.server].name;
+            let seen = format!("node {} chose {name}, of which it was told at {:.3} s", chosen.node, told.at);
+            broken.push(Broken { rule: Rule::Drained, id: chosen.id, at: chosen.at, seen });
+        }
+    }
+    broken
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::history::{Asked, Away, Server};
+    use crate::history::{Asked, Away, Chosen, Server};
 
     fn asked(effect: Effect, end: End) -> Asked {
         Asked { id: 7, node: 3, effect, due: 1.0, lag: 0.0, ended: 1.9, end, deadline: 0.8 }
@@ -148,6 +170,26 @@
         assert_eq!(rules(&history), [Rule::Answered]);
     }
 
+    #[test]
+    fn a_connection_that_ends_without_an_answer_breaks_the_rule_that_silence_breaks() {
+        let mut history = history(asked(Effect::Safe, End::Broken), Vec::new());
+        assert_eq!(rules(&history), [Rule::Answered]);
+        history.away.push(Away { node: 3, from: 1.95, to: 2.0 });
+        assert_eq!(rules(&history), []);
+    }
+
+    #[test]
+    fn a_choice_is_judged_by_what_its_own_node_was_told() {
+        let mut history = history(asked(Effect::Safe, End::Served), Vec::new());
+        let told = |node, at, ready| Told { node, server: 1, at, ready };
+        let chosen = |node, at| Chosen { node, id: 7, server: 1, at };
+        history.told = vec![told(3, 1.0, true), told(3, 2.0, false), told(3, 4.0, true)];
+        history.chosen = vec![chosen(3, 1.5), chosen(3, 2.2), chosen(4, 3.0), chosen(3, 4.1)];
+        assert_eq!(rules(&history), []);
+        history.chosen.insert(3, chosen(3, 3.9));
+        assert_eq!(rules(&history), [Rule::Drained]);
+    }
+
     #[test]
     fn repeats_are_judged_by_class_window_and_overlap() {
         let twice = |effect, second, ended| {
--- a/crates/spurdrum-fleet/tests/faults.rs
+++ b/crates/spurdrum-fleet/tests/faults.rs
@@ -1,5 +1,6 @@
 //! A dozen real processes of the program, with faults between them. Verdicts are counts with wide margins.
 
+use std::collections::BTreeSet;
 use std::io::BufRead;
 use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
@@ -26,6 +27,11 @@
     Scenario::parse(&format!("{FLEET}{more}")).expect("sound")
 }
 
+/// The same with nodes that note what they choose.
+fn traced(scenario: Scenario) -> Scenario {
+    Scenario { trace: true, ..scenario }
+}
+
 fn options() -> Options {
     let program = spurdrum_demo::program().expect("the program is built");
     Options { program, folder: std::env::temp_dir(), keep: false, playing: None }
@@ -142,6 +148,52 @@
     assert!(served(&history, 4.5, 6.0) > 0.9, "{}", figures::of(&history));
 }
 
+/// Nodes that keep bindings on disks that fail while they serve: full, slow, without sync, or saying yes and keeping nothing.
+#[test]
+fn nodes_serve_on_while_their_disks_are_full_slow_or_lie() {
+    let settings =
+        "settings = '''\n[affinity]\nkey = ['query:k']\n[affinity.store]\npath = '{folder}/bindings.redb'\n\
+        trial = '{disk}'\nwrite_every_ms = 20\n'''\n";
+    let fault = |kind, more| {
+        format!("[[fault]]\nkind = 'disk_{kind}'\nnodes = 0.34\nat_s = 1\nfor_s = 2.5\n{more}\n")
+    };
+    let faults =
+        [fault("full", ""), fault("slow", "delay_ms = 300"), fault("unsynced", ""), fault("forgets", "")];
+    let history = kept(&Scenario::parse(&format!("{settings}{FLEET}{}", faults.concat())).expect("sound"));
+    assert_eq!(history.away.len(), 4, "those that forgot were killed");
+    assert_eq!(history.telemetry["nodes"], 12, "no disk ends a node");
+    assert!(served(&history, 1.0, 3.4) > 0.95 && served(&history, 4.5, 6.0) > 0.9);
+}
+
+/// Half of the nodes lack a third of the servers for a while. What each chose is judged by what it was told itself.
+#[test]
+fn nodes_whose_lists_differ_send_nothing_where_they_were_told_not_to() {
+    let faults = "[[fault]]\nkind = 'lists'\nnodes = 0.5\nservers = 0.34\nat_s = 1.5\nfor_s = 2\n";
+    let history = kept(&traced(scenario(&format!("[[lean]]\nnodes = 0.2\nshare = 0.4\n{faults}"))));
+    let told: Vec<_> = history.told.iter().filter(|told| told.at > 1.0).collect();
+    assert_eq!((told.len(), history.lost), (2 * 6 * 2, 0), "six nodes, two servers, gone and back");
+    let without = |at: f64| (2.0..3.4).contains(&at);
+    let gone = |node, server| told.iter().any(|told| (told.node, told.server) == (node, server));
+    assert!(history.chosen.iter().all(|c| !(without(c.at) && gone(c.node, c.server))));
+    assert!(history.chosen.iter().any(|c| c.at > 4.5 && gone(c.node, c.server)), "they are used again");
+    assert!(history.chosen.len() >= history.worked.len(), "all that servers saw was chosen");
+    assert!(served(&history, 1.5, 3.5) > 0.9, "{}", figures::of(&history));
+}
+
+/// A third of the servers drains, as the catalog has it. Traces tell when each node heard of it.
+#[test]
+fn servers_that_drain_get_nothing_new_from_any_node_that_was_told() {
+    let mut more = "[catalog]\ndelay_ms = 100\n".to_owned();
+    for n in 0..2 {
+        more += &format!("[[server_fault]]\non = 's{n}'\nkind = 'drain'\nat_s = 2\n");
+    }
+    let history = kept(&traced(scenario(&more)));
+    let heard = history.told.iter().filter(|told| told.at > 1.0 && !told.ready);
+    let heard: BTreeSet<_> = heard.map(|told| (told.node, told.server)).collect();
+    assert_eq!(heard.len(), 2 * 12, "each node heard of each");
+    assert!(history.chosen.iter().any(|c| c.at > 4.0) && served(&history, 3.0, 6.0) > 0.9);
+}
+
 #[test]
 fn a_node_that_does_not_come_up_ends_the_run_with_its_name_and_last_lines() {
     let _alone = ALONE.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
--- a/crates/spurdrum-load/src/client.rs
+++ b/crates/spurdrum-load/src/client.rs
@@ -14,8 +14,10 @@
         /// What `Retry-After` said.
         retry_after: Option<Duration>,
     },
-    /// Any other answer, or a connection that broke.
+    /// Any other answer.
     Failed,
+    /// The connection ended before its answer did.
+    Broken,
     /// No connection was to be had.
     Unreached,
     /// The client's patience was over.
@@ -34,7 +36,7 @@
     let retry_after = match outcome {
         Outcome::Served | Outcome::Left | Outcome::NotSent => return None,
         Outcome::Refused { retry_after } => retry_after.filter(|_| draw < clients.honour),
-        Outcome::Failed | Outcome::Unreached | Outcome::GaveUp => None,
+        Outcome::Failed | Outcome::Broken | Outcome::Unreached | Outcome::GaveUp => None,
     };
     if tries > clients.retries {
         return None;
--- a/crates/spurdrum-load/src/firsts.rs
+++ b/crates/spurdrum-load/src/firsts.rs
@@ -113,7 +113,7 @@
         match (self.served_us.filter(in_time), self.last) {
             (Some(at), _) => Final::Served(at.saturating_sub(self.arrival.due_us)),
             (None, Some(Outcome::Refused { .. })) => Final::Refused,
-            (None, Some(Outcome::Failed | Outcome::Unreached)) => Final::Failed,
+            (None, Some(Outcome::Failed | Outcome::Broken | Outcome::Unreached)) => Final::Failed,
             (None, Some(Outcome::Left)) => Final::Left,
             (None, Some(Outcome::NotSent)) => Final::NotSent,
             (None, Some(Outcome::Served | Outcome::GaveUp) | None) => Final::Lost,
--- a/crates/spurdrum-load/src/transport.rs
+++ b/crates/spurdrum-load/src/transport.rs
@@ -71,13 +71,13 @@
                         request = unsent;
                         continue;
                     }
-                    _ => return Outcome::Failed,
+                    _ => return Outcome::Broken,
                 },
             };
             let (head, mut body) = response.into_parts();
             while let Some(frame) = body.frame().await {
                 if frame.is_err() {
-                    return Outcome::Failed;
+                    return Outcome::Broken;
                 }
             }
             if keep && !connection.sender.is_closed() {
--- a/crates/spurdrum-store/src/disk.rs
+++ b/crates/spurdrum-store/src/disk.rs
@@ -12,6 +12,8 @@
     TableDefinition,
 };
 
+use crate::trial::Trial;
+
 /// Memory that the file's pages may take up.
 const CACHE: usize = 4 << 20;
 
@@ -113,7 +115,24 @@
     ///
     /// Another process has it, or the system refuses.
     pub fn open(path: &Path, about: About) -> Result<Self, Trouble> {
-        let attempt = || Self::of(builder().create(path).map_err(Trouble::from), about);
+        Self::open_by(path, about, || builder().create(path))
+    }
+
+    /// As [`Disk::open`], on a disk that does what the file `says` tells: see [`crate::trial`].
+    ///
+    /// # Errors
+    ///
+    /// As there.
+    pub fn open_on_trial(path: &Path, about: About, says: &Path) -> Result<Self, Trouble> {
+        Self::open_by(path, about, || builder().create_with_backend(Trial::open(path, says)?))
+    }
+
+    fn open_by(
+        path: &Path,
+        about: About,
+        create: impl Fn() -> Result<Database, DatabaseError>,
+    ) -> Result<Self, Trouble> {
+        let attempt = || Self::of(create().map_err(Trouble::from), about);
         match guarded(attempt) {
             Err(why @ (Trouble::Broken(_) | Trouble::Foreign)) => {
                 std::fs::rename(path, aside(path)).map_err(|error| Trouble::Refused(error.to_string()))?;
--- a/crates/spurdrum-store/src/lib.rs
+++ b/crates/spurdrum-store/src/lib.rs
@@ -4,13 +4,15 @@
 //! - [`pace`]: when to open, write and try again, and how much at once; no I/O, no clock.
 //! - [`disk`]: the file (a `redb` database), its checks, and what is done with one that is broken.
 //! - [`shell`]: the thread, and what ties all to the event loop.
+//! - [`trial`]: a disk that is full, slow, fails to sync or forgets, on command.
 //!
 //! What is kept comes from a [`Keeper`]: it says what waits to be written, and takes in what an earlier life wrote.
 
 pub mod disk;
 pub mod pace;
 pub mod shell;
+pub mod trial;
 
 pub use disk::{About, Disk, Row, Trouble};
 pub use pace::{Pace, Settings};
-pub use shell::{keep, keep_by, Keeper, Status};
+pub use shell::{keep, Keeper, Status};
--- a/crates/spurdrum-store/src/shell.rs
+++ b/crates/spurdrum-store/src/shell.rs
@@ -2,7 +2,6 @@
 
 use std::cell::RefCell;
 use std::future::Future;
-use std::path::PathBuf;
 use std::pin::pin;
 use std::rc::Rc;
 use std::sync::mpsc;
@@ -10,7 +9,7 @@
 use tokio::sync::mpsc as async_mpsc;
 use tokio::time::{sleep_until, timeout_at, Instant};
 
-use crate::disk::{About, Disk, Row, Trouble};
+use crate::disk::{Disk, Row, Trouble};
 use crate::pace::{Action, Event, Pace, Settings};
 
 /// Rows of an earlier life that are taken in at once: the event loop goes on between two chunks.
@@ -144,30 +143,13 @@
     disk.ok_or_else(closed)?.write(rows).map(|()| Told::Written(rows.len()))
 }
 
-/// Keeps what `keeper` has in a file, until `stop` is done and what was left is written, or the time for that is over.
+/// Keeps what `keeper` has in a file that `open` opens, until `stop` is done and what was left is written, or the time for
+/// that is over.
 ///
 /// # Errors
 ///
 /// There is no thread to be had.
 pub async fn keep<K: Keeper>(
-    path: PathBuf,
-    about: About,
-    settings: Settings,
-    keeper: Rc<RefCell<K>>,
-    status: Rc<RefCell<Status>>,
-    chance: impl FnMut() -> f64,
-    stop: impl Future<Output = ()>,
-) -> std::io::Result<()> {
-    let open = move || Disk::open(&path, about);
-    keep_by(open, settings, keeper, status, chance, stop).await
-}
-
-/// As [`keep`], with a way of opening of one's own.
-///
-/// # Errors
-///
-/// There is no thread to be had.
-pub async fn keep_by<K: Keeper>(
     open: impl FnMut() -> Result<Disk, Trouble> + Send + 'static,
     settings: Settings,
     keeper: Rc<RefCell<K>>,
--- a/crates/spurdrum-store/tests/shell.rs
+++ b/crates/spurdrum-store/tests/shell.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use redb::{backends::InMemoryBackend, StorageBackend};
-use spurdrum_store::{keep_by, About, Disk, Keeper, Row, Settings, Status, Trouble};
+use spurdrum_store::{keep, About, Disk, Keeper, Row, Settings, Status, Trouble};
 use tokio::sync::oneshot;
 use tokio::task::yield_now;
 
@@ -101,7 +101,7 @@
     let (end, ends) = oneshot::channel::<()>();
     let (things, status) = (Rc::clone(&life.things), Rc::clone(&life.status));
     runtime.block_on(async {
-        let kept = keep_by(open, settings, things, status, || 0.5, async { drop(ends.await) });
+        let kept = keep(open, settings, things, status, || 0.5, async { drop(ends.await) });
         let played = async {
             plays(&life).await;
             let _ = end.send(());
--- a/crates/spurdrum/src/affinity.rs
+++ b/crates/spurdrum/src/affinity.rs
@@ -12,7 +12,7 @@
 use spurdrum_affinity::{Affinity, First, Keyer, Settings};
 use spurdrum_http::keys::{Making, Owner};
 use spurdrum_store::shell::Keeper;
-use spurdrum_store::{About, Row};
+use spurdrum_store::{About, Disk, Row};
 use tokio::time::sleep;
 
 use crate::set::{set, set_time};
@@ -63,6 +63,7 @@
 #[serde(deny_unknown_fields)]
 struct StoreTable {
     path: PathBuf,
+    trial: Option<PathBuf>,
     write_every_ms: Option<u64>,
     share: Option<f64>,
     aim_ms: Option<u64>,
@@ -86,7 +87,16 @@
     pub slack: f64,
     settings: Settings,
     /// Where they are kept, if they are.
-    store: Option<(PathBuf, spurdrum_store::Settings)>,
+    store: Option<Stores>,
+}
+
+/// Where bindings are kept.
+#[derive(Clone)]
+pub struct Stores {
+    path: PathBuf,
+    /// What tells how the disk fails, in trials.
+    trial: Option<PathBuf>,
+    settings: spurdrum_store::Settings,
 }
 
 impl AffinityTable {
@@ -145,7 +155,7 @@
 }
 
 impl StoreTable {
-    fn read(&self) -> Result<(PathBuf, spurdrum_store::Settings), Wrong> {
+    fn read(&self) -> Result<Stores, Wrong> {
         let mut settings = spurdrum_store::Settings::default();
         set_time(&mut settings.every, self.write_every_ms);
         set(&mut settings.share, self.share);
@@ -155,7 +165,7 @@
         set_time(&mut settings.retry_most, self.retry_most_ms);
         set_time(&mut settings.flush_most, self.flush_most_ms);
         settings.validate().map_err(|(key, why)| ("affinity.store", key, why))?;
-        Ok((self.path.clone(), settings))
+        Ok(Stores { path: self.path.clone(), trial: self.trial.clone(), settings })
     }
 }
 
@@ -183,7 +193,7 @@
 
     /// The secret by which keys are hashed: of the store's own file, or drawn anew where nothing is kept.
     pub fn keyer(&self) -> Result<Keyer, String> {
-        let Some((path, _)) = &self.store else { return random_secret().map(Keyer::new) };
+        let Some(Stores { path, .. }) = &self.store else { return random_secret().map(Keyer::new) };
         let mut name = path.as_os_str().to_owned();
         name.push(".secret");
         secret(Path::new(&name)).map(Keyer::new).map_err(|error| {
@@ -192,7 +202,7 @@
     }
 
     /// Where they are kept, if they are.
-    pub fn store(&self) -> Option<&(PathBuf, spurdrum_store::Settings)> {
+    pub fn store(&self) -> Option<&Stores> {
         self.store.as_ref()
     }
 }
@@ -302,7 +312,7 @@
 
 /// Keeps bindings in their file until `stop` is done.
 pub async fn keep(
-    store: (PathBuf, spurdrum_store::Settings),
+    store: Stores,
     keyer: Keyer,
     affinity: Rc<RefCell<Affinity>>,
     status: Rc<RefCell<spurdrum_store::Status>>,
@@ -310,12 +320,16 @@
     stop: impl Future<Output = ()>,
 ) {
     let about = About { format: record::FORMAT, mark: keyer.mark() };
-    let (path, settings) = store;
+    let Stores { path, trial, settings } = store;
     let kept = Rc::new(RefCell::new(Kept { affinity, now: Box::new(now) }));
     // Nodes that start together must not come together: their numbers do not.
     let mut random = fastrand::Rng::with_seed(u64::from(std::process::id()));
     let chance = move || random.f64();
-    if let Err(error) = spurdrum_store::keep(path, about, settings, kept, status, chance, stop).await {
+    let open = move || match &trial {
+        None => Disk::open(&path, about),
+        Some(says) => Disk::open_on_trial(&path, about, says),
+    };
+    if let Err(error) = spurdrum_store::keep(open, settings, kept, status, chance, stop).await {
         tracing::warn!("the bindings' store: there is no thread for it: {error}");
     }
 }
--- a/crates/spurdrum/src/config.rs
+++ b/crates/spurdrum/src/config.rs
@@ -57,6 +57,8 @@
     pub told: Arc<Value>,
     /// Which requests had better share a server, where that is on.
     pub affinity: Option<Bindings>,
+    /// Where what happens is noted, if it is.
+    pub trace: Option<spurdrum_trace::Settings>,
 }
 
 /// Where a list of servers comes from.
--- a/crates/spurdrum/src/file.rs
+++ b/crates/spurdrum/src/file.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashSet;
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -31,6 +31,7 @@
     connections: Option<Connections>,
     sources: Option<Sources>,
     affinity: Option<AffinityTable>,
+    trace: Option<TraceTable>,
 }
 
 /// Table `[node]`: a node that is told everything by this file.
@@ -135,6 +136,25 @@
     format: Format,
 }
 
+/// Table `[trace]`.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct TraceTable {
+    path: PathBuf,
+    #[serde(default = "trace_mb")]
+    most_mb: u64,
+    #[serde(default = "trace_queue")]
+    queue: usize,
+}
+
+fn trace_mb() -> u64 {
+    64
+}
+
+fn trace_queue() -> usize {
+    16_384
+}
+
 /// Table `[sources]`.
 #[derive(Default, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -295,6 +315,15 @@
         self.log.as_ref().map(|log| log.format).unwrap_or_default()
     }
 
+    /// Where what happens is noted, if it is.
+    pub fn trace(&self) -> Option<spurdrum_trace::Settings> {
+        self.trace.as_ref().map(|table| spurdrum_trace::Settings {
+            path: table.path.clone(),
+            most: table.most_mb << 20,
+            queue: table.queue,
+        })
+    }
+
     /// Which requests had better share a server.
     pub fn affinity(&self) -> Option<Bindings> {
         self.affinity.as_ref().and_then(|table| table.read().ok())
@@ -308,6 +337,14 @@
     /// What makes no sense: the table, the key, and why.
     fn check(&self) -> Result<(), (&'static str, &'static str, &'static str)> {
         self.affinity.as_ref().map(AffinityTable::read).transpose()?;
+        if let Some(table) = &self.trace {
+            if !(1..=1 << 20).contains(&table.most_mb) {
+                return Err(("trace", "most_mb", "is not between 1 and 1048576"));
+            }
+            if !(1..=1 << 20).contains(&table.queue) {
+                return Err(("trace", "queue", "is not between 1 and 1048576"));
+            }
+        }
         let fixed = self.fixed();
         if let Some((key, why)) = fixed.and_then(|fixed| fixed.check().err()) {
             return Err(("sources.static", key, why));
@@ -478,6 +515,7 @@
             dial_timeout: time(servers.and_then(|servers| servers.dial_timeout_ms), 250),
             most_held: node.most_held,
             affinity: self.affinity(),
+            trace: self.trace(),
             settings,
         })
     }
--- a/crates/spurdrum/src/main.rs
+++ b/crates/spurdrum/src/main.rs
@@ -14,6 +14,7 @@
 use spurdrum_core::{unix_ms, Connections, Figures, Node};
 use spurdrum_http::{Front, Keys, Successor, Upstream};
 use spurdrum_sources::catalog::{Catalog, News};
+use spurdrum_trace::Trace;
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::oneshot;
@@ -193,6 +194,15 @@
     let upstream =
         Upstream::new(Rc::clone(&connections), Rc::clone(&figures), config.conn_idle, config.dial_timeout);
     let upstream = upstream.with_keys(keys.clone());
+    let (trace, _writing) = match &config.trace {
+        None => (None, None),
+        Some(settings) => {
+            let started = Trace::start(settings);
+            let (trace, writing) =
+                started.map_err(|error| format!("`trace.path`: {}: {error}", settings.path.display()))?;
+            (Some(trace), Some(writing))
+        }
+    };
     let signs = catalog.clone();
     let core = spurdrum_core::Config {
         seed: config.seed,
@@ -211,6 +221,7 @@
             }
         },
         affinity.clone(),
+        trace,
     )?;
     let (end_store, store_ends) = oneshot::channel();
     let (store_status, stored) = keep_bindings(&node, &config.affinity, bindings, store_ends);
--- a/crates/spurdrum/src/platform.rs
+++ b/crates/spurdrum/src/platform.rs
@@ -70,6 +70,7 @@
         most_held: whole(allowed, "most_held")?,
         told: Arc::new(json),
         affinity: file.affinity(),
+        trace: file.trace(),
     })
 }
 
