--- a/crates/spurdrum-bench/src/days.rs
+++ b/crates/spurdrum-bench/src/days.rs
@@ -10,7 +10,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use spurdrum_demo::{free_address, program};
+use spurdrum_harness::{free_address, program};
 
 const WAIT_MOST: Duration = Duration::from_secs(10);
 
--- a/crates/spurdrum-bench/src/fleet.rs
+++ b/crates/spurdrum-bench/src/fleet.rs
@@ -2,9 +2,9 @@
 
 use std::path::{Path, PathBuf};
 
-use spurdrum_demo::program;
 use spurdrum_fleet::measure::{builds, measure, Measure};
 use spurdrum_fleet::scenario::Scenario;
+use spurdrum_harness::program;
 
 /// Plays the scenarios of a folder, and tells their tables. An error where this build broke a rule.
 pub fn play(folder: &Path, seeds: u64, nodes: Vec<usize>, beside: &[PathBuf]) -> Result<(), String> {
--- a/crates/spurdrum-bench/src/main.rs
+++ b/crates/spurdrum-bench/src/main.rs
@@ -10,6 +10,7 @@
 //!     cargo run --release -p spurdrum-bench -- calls      how long operators wait for answers at saturation
 //!     cargo run --release -p spurdrum-bench -- streams    memory while long bodies and answers pass through
 //!     cargo run --release -p spurdrum-bench -- choice     what a decision costs, by servers and nodes
+//!     cargo run --release -p spurdrum-bench -- rollout    a hundred nodes changed in stages, by good and bad changes
 //!     cargo run --release -p spurdrum-bench -- fleet      hundreds of nodes, and the hard cases; an hour
 
 use std::net::SocketAddr;
@@ -18,7 +19,7 @@
 use std::time::{Duration, Instant};
 
 use clap::{Parser, Subcommand};
-use spurdrum_demo::{config, free_address, program, Node};
+use spurdrum_harness::{config, free_address, program, Node};
 use spurdrum_load::plan::Plan;
 use spurdrum_load::report::Report;
 use spurdrum_load::run::{run, Options};
@@ -32,6 +33,7 @@
 mod fleet;
 mod proxy;
 mod registry;
+mod rollout;
 
 #[derive(Parser)]
 struct Cli {
@@ -69,6 +71,16 @@
         #[arg(long)]
         beside: Vec<PathBuf>,
     },
+    /// A fleet whose nodes have keepers, changed in stages: a good build, then bad ones of several kinds, each beside the same sent to
+    /// all at once. The programs are built before.
+    Rollout {
+        /// Nodes.
+        #[arg(long, default_value_t = 100)]
+        nodes: usize,
+        /// Seed.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+    },
     /// A stand-in pauses for two seconds under 1,000 requests a second.
     Stall,
     /// An in-process stand-in takes 30,000 requests a second.
@@ -173,6 +185,7 @@
             choice::choice(&servers, &nodes, requests.max(10));
             Ok(())
         }
+        Command::Rollout { nodes, seed } => rollout::play(nodes, seed),
         Command::Fleet { folder, seeds, nodes, beside } => fleet::play(&folder, seeds.max(1), nodes, &beside),
         Command::PlainProxy { listen, servers } => proxy::serve(listen, servers),
     };
--- a/crates/spurdrum-core/src/figures.rs
+++ b/crates/spurdrum-core/src/figures.rs
@@ -3,10 +3,23 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
 
 /// Classes that are counted: those of new settings beyond so many are not.
 const CLASSES_MOST: usize = 1024;
 
+/// Answers that take longer count as this long, in microseconds.
+const LONGEST_US: u64 = 60_000_000;
+/// Histograms have bounds that grow by this, from [`FIRST_US`] on: the same at every node, so that counts can be added.
+const STEP: f64 = 1.25;
+/// See [`STEP`].
+const FIRST_US: u64 = 500;
+
+/// Answers by their time: upper bounds in microseconds, and how many were at most that long and longer than the bound before.
+pub type Times = Vec<(u64, u64)>;
+
 /// How a request ended for its client.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fate {
@@ -37,6 +50,8 @@
     inflight: Cell<u64>,
     reconfig_ok: Cell<u64>,
     reconfig_failed: Cell<u64>,
+    /// How long answers took, where that is kept.
+    latencies: Option<RefCell<BTreeMap<String, Histogram<u32>>>>,
 }
 
 fn add(to: &Cell<u64>) {
@@ -44,6 +59,39 @@
 }
 
 impl Figures {
+    /// With how long answers took, by class: some 20 kB each.
+    #[must_use]
+    pub fn with_latencies() -> Self {
+        Self { latencies: Some(RefCell::default()), ..Self::default() }
+    }
+
+    /// A request of a class that is counted took so long to its answer.
+    pub fn took(&self, class: &str, time: Duration) {
+        let Some(latencies) = self.latencies.as_ref().filter(|_| self.classes.borrow().contains_key(class))
+        else {
+            return;
+        };
+        let mut latencies = latencies.borrow_mut();
+        if !latencies.contains_key(class) {
+            let Ok(empty) = Histogram::new_with_max(LONGEST_US, 2) else { return };
+            latencies.insert(class.to_owned(), empty);
+        }
+        if let Some(histogram) = latencies.get_mut(class) {
+            histogram.saturating_record(u64::try_from(time.as_micros()).unwrap_or(LONGEST_US));
+        }
+    }
+
+    /// How long answers took, by class, where that is kept.
+    pub fn latencies(&self) -> Option<Vec<(String, Times)>> {
+        let shown = |histogram: &Histogram<u32>| {
+            let steps = histogram.iter_log(FIRST_US, STEP);
+            let steps = steps.map(|step| (step.value_iterated_to(), step.count_since_last_iteration()));
+            steps.filter(|(_, count)| *count > 0).collect()
+        };
+        let latencies = self.latencies.as_ref()?.borrow();
+        Some(latencies.iter().map(|(class, histogram)| (class.clone(), shown(histogram))).collect())
+    }
+
     /// Requests of these classes are counted from now on. Those that were counted keep their counts.
     pub fn know<'a>(&self, classes: impl IntoIterator<Item = &'a String>) {
         let mut counted = self.classes.borrow_mut();
--- a/crates/spurdrum-demo/src/main.rs
+++ b/crates/spurdrum-demo/src/main.rs
@@ -1,16 +1,34 @@
 //! Starts a small fleet of stand-ins with a catalog, and a real node before it; sends a wave of load through a
 //! server's slowdown and a rolling deploy; shows both sides each second; ends by itself with a summary.
+//!
+//! `spurdrum-demo rollout` shows a change of six nodes in stages: a good one that reaches all, and a bad one that is stopped.
 
 use std::process::{ExitCode, Stdio};
 use std::time::Duration;
 
-use spurdrum_demo::{config, Node};
+use clap::{Parser, Subcommand};
+use spurdrum_harness::{config, Node};
 use spurdrum_load::plan::Plan;
 use spurdrum_load::run::{run, Options};
 use spurdrum_load::schedule::Schedule;
 use spurdrum_standin::scenario::Scenario;
 use spurdrum_standin::Fleet;
 
+mod rollout;
+
+/// A fleet, a node and a wave of load.
+#[derive(Parser)]
+struct Cli {
+    #[command(subcommand)]
+    command: Option<Command>,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// A good change of six nodes, and a bad one that is stopped; under two minutes.
+    Rollout,
+}
+
 const FLEET: &str = include_str!("../../spurdrum-standin/examples/deploy.toml");
 
 const LOAD: &str = r#"
@@ -48,7 +66,11 @@
 "#;
 
 fn main() -> ExitCode {
-    match play() {
+    let played = match Cli::parse().command {
+        Some(Command::Rollout) => rollout::play(),
+        None => play(),
+    };
+    match played {
         Ok(()) => ExitCode::SUCCESS,
         Err(why) => {
             eprintln!("spurdrum-demo: {why}");
--- a/crates/spurdrum-fleet/src/clients.rs
+++ b/crates/spurdrum-fleet/src/clients.rs
@@ -4,20 +4,25 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Method, Request};
 use spurdrum_load::client::Outcome;
-use spurdrum_load::plan::{Class, Effect};
+use spurdrum_load::plan::{Class, Effect, Keys, Phase, Plan, Shape};
+use spurdrum_load::schedule::Schedule as Arrivals;
 use spurdrum_load::transport::Pool;
 use spurdrum_load::Arrival;
+use tokio::task::LocalSet;
 use tokio::time::{sleep_until, timeout};
 
 use crate::history::{Asked, End};
 use crate::scenario::Scenario;
 
+/// Event loops of the clients.
+const LOOPS: usize = 4;
 /// Connections that clients keep to one node at most.
 const CONNECTIONS: usize = 200;
 /// A client that reaches no node tries so many others.
@@ -77,6 +82,50 @@
     }
 }
 
+/// A thread that plays a share of the clients.
+pub type Client = std::thread::JoinHandle<Result<Vec<Asked>, String>>;
+
+/// Starts the threads of all clients; they begin at once, and end with the scenario or with `stop`.
+pub fn start(
+    scenario: &Scenario,
+    nodes: &[SocketAddr],
+    start: Instant,
+    stop: &Arc<AtomicBool>,
+) -> Vec<Client> {
+    let rate = scenario.capacity() * scenario.load;
+    let (shape, arrivals) = (Shape::Constant, spurdrum_load::plan::Arrivals::Poisson);
+    let phase = Phase {
+        for_s: scenario.for_s,
+        shape,
+        rate,
+        to: None,
+        swing: None,
+        period_s: None,
+        rates: Vec::new(),
+        burst: None,
+        arrivals,
+    };
+    let (keys, clients) = (Keys::default(), spurdrum_load::plan::Clients::default());
+    let plan =
+        Plan { phases: vec![phase], classes: scenario.classes.clone(), tenants: Vec::new(), keys, clients };
+    let mut deal = Deal::new(scenario);
+    let mut shares: Vec<Vec<(Arrival, usize)>> = vec![Vec::new(); LOOPS];
+    for (n, arrival) in Arrivals::new(&plan, scenario.seed).enumerate() {
+        let node = deal.deal(arrival.due_us as f64 / 1e6);
+        shares[n % LOOPS].push((arrival, node));
+    }
+    let begin = |(n, share): (usize, Vec<(Arrival, usize)>)| {
+        let (nodes, scenario, seed) = (nodes.to_vec(), scenario.clone(), scenario.seed + n as u64);
+        let stop = Arc::clone(stop);
+        std::thread::spawn(move || {
+            let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+            let runtime = runtime.map_err(|error| error.to_string())?;
+            Ok(LocalSet::new().block_on(&runtime, play(share, &nodes, &scenario, start, seed, &stop)))
+        })
+    };
+    shares.into_iter().enumerate().map(begin).collect()
+}
+
 /// Plays a share of the arrivals, on one event loop: sends each at its time, and returns what became of it.
 pub async fn play(
     arrivals: Vec<(Arrival, usize)>,
--- a/crates/spurdrum-fleet/src/links.rs
+++ b/crates/spurdrum-fleet/src/links.rs
@@ -1,5 +1,6 @@
 //! Links that can be broken: relays between some nodes and a server.
 
+use std::collections::HashMap;
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
@@ -8,8 +9,10 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{ReadHalf, WriteHalf};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{watch, Notify};
+use tokio::sync::{mpsc, oneshot, watch, Notify};
+use tokio::task::LocalSet;
 
+use crate::process::address;
 use crate::scenario::Kind;
 
 /// Bytes that a relay holds for one direction of a connection.
@@ -81,6 +84,82 @@
     }
 }
 
+/// What stands before something: its place, and the faults that befall it there.
+pub type Relay = (usize, Vec<usize>);
+
+/// Relays, in a thread of their own.
+#[derive(Default)]
+pub struct Relays {
+    at: HashMap<Relay, SocketAddr>,
+    tell: Option<mpsc::UnboundedSender<(usize, Kind, bool, Duration)>>,
+    stop: Option<oneshot::Sender<()>>,
+}
+
+impl Relays {
+    /// Before these addresses; none where there are none.
+    #[must_use]
+    pub fn start(wanted: impl IntoIterator<Item = (Relay, SocketAddr)>) -> Self {
+        let wanted: Vec<(Relay, SocketAddr)> = wanted.into_iter().collect();
+        if wanted.is_empty() {
+            return Self::default();
+        }
+        let (told, at) = std::sync::mpsc::channel();
+        let (tell, mut hear) = mpsc::unbounded_channel::<(usize, Kind, bool, Duration)>();
+        let (stop, stopped) = oneshot::channel();
+        std::thread::spawn(move || {
+            let Ok(runtime) = tokio::runtime::Builder::new_current_thread().enable_all().build() else {
+                return;
+            };
+            LocalSet::new().block_on(&runtime, async move {
+                let mut relays = Vec::new();
+                for (relay, to) in wanted {
+                    let Ok(link) = Link::start(address(0), to).await else { return };
+                    let _ = told.send((relay.clone(), link.address));
+                    relays.push((relay.1, link));
+                }
+                drop(told);
+                let hears = async {
+                    while let Some((fault, kind, begins, delay)) = hear.recv().await {
+                        for (_, link) in relays.iter_mut().filter(|(faults, _)| faults.contains(&fault)) {
+                            if begins {
+                                link.begins(fault, kind, delay);
+                            } else {
+                                link.ends(fault);
+                            }
+                        }
+                    }
+                };
+                tokio::select! {
+                    () = hears => {}
+                    _ = stopped => {}
+                }
+            });
+        });
+        Self { at: at.iter().collect(), tell: Some(tell), stop: Some(stop) }
+    }
+
+    /// Where a relay listens.
+    #[must_use]
+    pub fn at(&self, relay: &Relay) -> Option<SocketAddr> {
+        self.at.get(relay).copied()
+    }
+
+    /// A fault begins or ends.
+    pub fn step(&self, fault: usize, kind: Kind, begins: bool, delay: Duration) {
+        if let Some(tell) = &self.tell {
+            let _ = tell.send((fault, kind, begins, delay));
+        }
+    }
+}
+
+impl Drop for Relays {
+    fn drop(&mut self) {
+        if let Some(stop) = self.stop.take() {
+            let _ = stop.send(());
+        }
+    }
+}
+
 /// It will end by a reset.
 fn reset(stream: &TcpStream) {
     // It fails where the other side was first.
@@ -133,7 +212,6 @@
 mod tests {
     use super::*;
     use std::net::Ipv4Addr;
-    use tokio::task::LocalSet;
 
     /// A server that answers each byte with the same.
     async fn echo() -> SocketAddr {
--- a/crates/spurdrum-fleet/src/main.rs
+++ b/crates/spurdrum-fleet/src/main.rs
@@ -78,6 +78,12 @@
         /// The scenario, in TOML.
         scenario: PathBuf,
     },
+    /// Waits until its parent has gone, and ends what still names this folder: nodes that outlive their keepers.
+    #[command(hide = true)]
+    Sweep {
+        /// The folder.
+        folder: PathBuf,
+    },
     /// Becomes a program that dies with the process of this number: how nodes are started.
     #[command(hide = true)]
     Hold {
@@ -94,6 +100,10 @@
 fn main() -> ExitCode {
     let done = match Cli::parse().command {
         Command::Hold { parent, program, args } => return process::hold(parent, &program, &args),
+        Command::Sweep { folder } => {
+            process::sweep_after(&folder);
+            Ok(true)
+        }
         Command::Check { scenario } => Scenario::read(&scenario).map(|_| true),
         Command::Measure { scenarios, seeds, nodes, loads, beside, references } => {
             process::beside("spurdrum").and_then(|program| {
--- a/crates/spurdrum-fleet/src/process.rs
+++ b/crates/spurdrum-fleet/src/process.rs
@@ -1,15 +1,16 @@
 //! One node's process.
 
+use std::ffi::OsString;
 use std::fs::File;
 use std::io::{Read, Write};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, ExitCode, Stdio};
+use std::process::{Child, Command, ExitCode, ExitStatus, Stdio};
 use std::time::{Duration, Instant};
 
 use rustix::process::{getppid, kill_process, set_parent_process_death_signal, Pid, Signal};
-use spurdrum_demo::healthy;
+use spurdrum_harness::healthy;
 
 /// A node has this long until it is healthy.
 const READY_MOST: Duration = Duration::from_secs(30);
@@ -61,24 +62,32 @@
     child: Child,
 }
 
+/// Starts a process that dies with the rig, however that ends. What it says goes to `log`, on both ways.
+///
+/// # Errors
+///
+/// It cannot be started.
+pub fn held(program: &Path, args: &[OsString], folder: &Path, log: &Path) -> Result<Node, String> {
+    let open = || File::options().create(true).append(true).open(log);
+    let (out, err) = (open(), open());
+    let shown = |error| format!("{}: {error}", log.display());
+    let own = std::env::current_exe().map_err(|error| error.to_string())?;
+    let holds = own.file_stem().is_some_and(|name| name == "spurdrum-fleet");
+    // In tests the rig is not the program that holds: the command beside it is.
+    let holder = if holds { own } else { beside("spurdrum-fleet")? };
+    let mut command = Command::new(holder);
+    command.args(["hold", &std::process::id().to_string()]).arg(program).args(args);
+    command.env("TMPDIR", folder).stdin(Stdio::null());
+    command.stdout(out.map_err(shown)?).stderr(err.map_err(shown)?);
+    let child = command.spawn().map_err(|error| format!("{} does not start: {error}", program.display()))?;
+    Ok(Node { child })
+}
+
 impl Start {
     /// Starts the process. It dies with the rig, however that ends.
     pub fn start(&self) -> Result<Node, String> {
-        let log = File::options().create(true).append(true).open(&self.log);
-        let log = log.map_err(|error| format!("{}: {error}", self.log.display()))?;
-        let own = std::env::current_exe().map_err(|error| error.to_string())?;
-        let holds = own.file_stem().is_some_and(|name| name == "spurdrum-fleet");
-        // In tests the rig is not the program that holds: the command beside it is.
-        let holder = if holds { own } else { beside("spurdrum-fleet")? };
-        let mut command = Command::new(holder);
-        command
-            .args(["hold", &std::process::id().to_string()])
-            .arg(&self.program)
-            .arg("--config")
-            .arg(&self.file);
-        command.env("TMPDIR", &self.folder).stdin(Stdio::null()).stdout(Stdio::null()).stderr(log);
-        let child = command.spawn().map_err(|error| format!("{} does not start: {error}", self.name))?;
-        Ok(Node { child })
+        let args = ["--config".into(), self.file.clone().into_os_string()];
+        held(&self.program, &args, &self.folder, &self.log).map_err(|error| format!("{}: {error}", self.name))
     }
 
     /// Waits until it answers that it is healthy.
@@ -135,6 +144,11 @@
         self.signal(Signal::CONT);
     }
 
+    /// How it ended, if it has.
+    pub fn status(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().ok().flatten()
+    }
+
     /// Whether it has ended by itself.
     pub fn ended(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(Some(_)))
@@ -151,7 +165,7 @@
 
 /// A program that has been built beside this one.
 pub fn beside(name: &str) -> Result<PathBuf, String> {
-    let program = spurdrum_demo::beside(name)?;
+    let program = spurdrum_harness::beside(name)?;
     match program.exists() {
         true => Ok(program),
         false => Err(format!("{} is not there: build it first", program.display())),
@@ -171,3 +185,26 @@
     eprintln!("{}: {error}", program.display());
     ExitCode::FAILURE
 }
+
+/// Ends every process whose command line names this folder, but for this one: those that outlive who started them.
+pub fn sweep(folder: &Path) {
+    let name = folder.as_os_str().as_encoded_bytes();
+    let Ok(entries) = std::fs::read_dir("/proc") else { return };
+    let numbers = entries.flatten().filter_map(|entry| entry.file_name().to_str()?.parse::<i32>().ok());
+    for number in numbers.filter(|number| number.cast_unsigned() != std::process::id()) {
+        let line = std::fs::read(format!("/proc/{number}/cmdline")).unwrap_or_default();
+        if let Some(pid) = Pid::from_raw(number).filter(|_| line.windows(name.len()).any(|part| part == name))
+        {
+            // It fails where the process has just ended.
+            let _ = kill_process(pid, Signal::KILL);
+        }
+    }
+}
+
+/// Waits until whoever started this has gone, and then sweeps.
+pub fn sweep_after(folder: &Path) {
+    let mut said = Vec::new();
+    // It says nothing; its end closes the pipe.
+    let _ = std::io::stdin().read_to_end(&mut said);
+    sweep(folder);
+}
--- a/crates/spurdrum-fleet/src/run.rs
+++ b/crates/spurdrum-fleet/src/run.rs
@@ -8,31 +8,23 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use spurdrum_load::plan::{Clients, Effect, Keys, Phase, Plan, Shape};
-use spurdrum_load::schedule::Schedule as Arrivals;
-use spurdrum_load::Arrival;
 use spurdrum_standin::scenario::{Fault as ServerFault, FaultKind};
 use spurdrum_standin::{Fleet, Tally};
 use spurdrum_trace::{Line, Seen, State};
-use tokio::sync::oneshot;
-use tokio::task::LocalSet;
 
-use crate::clients::{self, Deal};
+use crate::clients;
 use crate::disks;
+use crate::files::{node_part, shared_part};
 use crate::history::{Asked, Away, Blind, Chosen, History, Server, Told, Worked};
-use crate::links::Link;
+use crate::links::{Relay, Relays};
 use crate::process::{address, free, Node, Start};
 use crate::scenario::{workers, Fault, Kind, Scenario};
 use crate::schedule::{Schedule, Step};
 
 /// Servers are listening for so long before the run begins, and for so much longer for each node, in seconds.
 const LEAD: (f64, f64) = (2.0, 0.03);
-/// Event loops of the clients.
-const CLIENTS: usize = 4;
 /// What a node's trace may take up, in MiB.
 const TRACE_MB: u64 = 16;
-/// Descriptors that a node may use.
-const SOCKETS: usize = 2048;
 
 /// What a run needs beside its scenario.
 #[derive(Clone, Debug)]
@@ -59,7 +51,7 @@
     let schedule = Schedule::new(scenario, servers.len());
     let mut links_to = servers.clone();
     links_to.push(("catalog".into(), fleet.catalog));
-    let links = Links::start(scenario, &schedule, &links_to)?;
+    let links = Links::start(scenario, &schedule, &links_to);
     let folder = Folder::make(options)?;
     let mut world = World {
         scenario,
@@ -100,7 +92,8 @@
         playing(&world.starts.iter().map(|start| start.listen).collect::<Vec<_>>());
     }
     let stop = Arc::new(AtomicBool::new(false));
-    let clients = world.clients(start, &stop);
+    let nodes: Vec<SocketAddr> = world.starts.iter().map(|start| start.listen).collect();
+    let clients = clients::start(scenario, &nodes, start, &stop);
     let played = world.play(&schedule, start);
     // Where the script failed, nobody is to ask on: the next run has the same addresses.
     stop.store(played.is_err(), Ordering::Relaxed);
@@ -122,14 +115,17 @@
 }
 
 /// A run's folder.
-struct Folder {
-    path: PathBuf,
+pub struct Folder {
+    /// Where it is.
+    pub path: PathBuf,
     keep: bool,
 }
 
 impl Folder {
-    fn make(options: &Options) -> Result<Self, String> {
+    /// Makes it.
+    pub fn make(options: &Options) -> Result<Self, String> {
         let path = options.folder.join(format!("spurdrum-fleet-{}", std::process::id()));
+        let _ = std::fs::remove_dir_all(&path);
         std::fs::create_dir_all(&path).map_err(|error| format!("{}: {error}", path.display()))?;
         Ok(Self { path, keep: options.keep })
     }
@@ -171,52 +167,11 @@
         let (on, name) = (address(me + 1), format!("n{me}"));
         let listen = free(on, 0)?;
         let ops = free(on, listen.port())?;
-        let (zones, zone) = (scenario.zones(), scenario.zone_of(me));
-        let told = scenario.told.unwrap_or(scenario.nodes);
-        let mut file = format!(
-            "[node]\nname = \"{name}\"\nlisten = \"{listen}\"\nops = \"{ops}\"\nseed = {}\nsockets = {SOCKETS}\nnodes = {told}\n\
-             me = {}\nzone = {zone:?}\nzones = {zones:?}\nretry_after_most_ms = 400\n",
-            scenario.seed.wrapping_mul(1000).wrapping_add(me as u64) >> 1,
-            me % told,
-        );
-        for class in &scenario.classes {
-            let (effect, group) = match class.effect {
-                Effect::Safe => ("safe", String::new()),
-                Effect::Unsafe => ("unsafe", String::new()),
-                Effect::Keyed => {
-                    ("keyed", format!("group = \"all\"\nwindow_ms = {:.1}\n", scenario.window_ms))
-                }
-            };
-            let (aim, deadline) = (class.aim_s * 1000.0, class.deadline_s * 1000.0);
-            let _ = write!(
-                file,
-                "[[class]]\nname = {:?}\neffect = \"{effect}\"\n{group}aim_ms = {aim:.1}\ndeadline_ms = {deadline:.1}\n",
-                class.name
-            );
-        }
-        let cold = scenario.servers.iter().map(|spec| (spec.cold_s * 1000.0, spec.cold_from));
-        let (cold_ms, cold_from) = cold.fold((0.0, 1.0), |a: (f64, f64), b| (a.0.max(b.0), a.1.min(b.1)));
-        let _ = write!(file, "[servers]\ncold_ms = {cold_ms:.1}\ncold_from = {cold_from:.3}\n");
-        match &scenario.catalog {
-            Some(_) => {
-                let at = self.links.before(me, servers.len()).unwrap_or(fleet.catalog);
-                let _ = write!(file, "[sources.catalog]\naddress = \"{at}\"\n");
-            }
-            None => {
-                file.push_str("[sources.static]\nservers = [\n");
-                for (n, (name, address)) in servers.iter().enumerate() {
-                    let spec = scenario.spec_of(name);
-                    let weight = spec.map_or(1.0, |spec| workers(spec) as f64 * spec.speed);
-                    let zone = spec.map_or("", |spec| spec.zone.as_str());
-                    let at = self.links.before(me, n).unwrap_or(*address);
-                    let _ = writeln!(
-                        file,
-                        "{{ id = {name:?}, address = \"{at}\", zone = {zone:?}, weight = {weight:.3} }},"
-                    );
-                }
-                file.push_str("]\n");
-            }
-        }
+        let mut file = node_part(scenario, me, listen);
+        let _ = writeln!(file, "ops = \"{ops}\"");
+        let catalog = self.links.before(me, servers.len()).unwrap_or(fleet.catalog);
+        let at = |n: usize| self.links.before(me, n).unwrap_or(servers[n].1);
+        file.push_str(&shared_part(scenario, catalog, servers, at));
         let own = folder.join(&name);
         let (trace, disk) = (folder.join(format!("{name}.trace")), folder.join(format!("{name}.disk")));
         let settings = scenario.settings.replace("{folder}", &own.display().to_string());
@@ -243,54 +198,6 @@
         })
     }
 
-    /// The clients' threads; they begin at once.
-    fn clients(
-        &self,
-        start: Instant,
-        stop: &Arc<AtomicBool>,
-    ) -> Vec<std::thread::JoinHandle<Result<Vec<Asked>, String>>> {
-        let scenario = self.scenario;
-        let rate = scenario.capacity() * scenario.load;
-        let (shape, arrivals) = (Shape::Constant, spurdrum_load::plan::Arrivals::Poisson);
-        let phase = Phase {
-            for_s: scenario.for_s,
-            shape,
-            rate,
-            to: None,
-            swing: None,
-            period_s: None,
-            rates: Vec::new(),
-            burst: None,
-            arrivals,
-        };
-        let (keys, clients) = (Keys::default(), Clients::default());
-        let plan = Plan {
-            phases: vec![phase],
-            classes: scenario.classes.clone(),
-            tenants: Vec::new(),
-            keys,
-            clients,
-        };
-        let mut deal = Deal::new(scenario);
-        let mut shares: Vec<Vec<(Arrival, usize)>> = vec![Vec::new(); CLIENTS];
-        for (n, arrival) in Arrivals::new(&plan, scenario.seed).enumerate() {
-            let node = deal.deal(arrival.due_us as f64 / 1e6);
-            shares[n % CLIENTS].push((arrival, node));
-        }
-        let nodes: Vec<SocketAddr> = self.starts.iter().map(|start| start.listen).collect();
-        let begin = |(n, share): (usize, Vec<(Arrival, usize)>)| {
-            let (nodes, scenario, seed) = (nodes.clone(), scenario.clone(), scenario.seed + n as u64);
-            let stop = Arc::clone(stop);
-            std::thread::spawn(move || {
-                let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-                let runtime = runtime.map_err(|error| error.to_string())?;
-                Ok(LocalSet::new()
-                    .block_on(&runtime, clients::play(share, &nodes, &scenario, start, seed, &stop)))
-            })
-        };
-        shares.into_iter().enumerate().map(begin).collect()
-    }
-
     /// Carries out the script.
     fn play(&mut self, schedule: &Schedule, start: Instant) -> Result<(), String> {
         for step in &schedule.steps {
@@ -376,7 +283,12 @@
                     self.nodes[*me].iter().for_each(Node::reload);
                 }
             }
-            _ => self.links.step(step.fault, fault.kind, step.begins, Duration::from_millis(fault.delay_ms)),
+            _ => self.links.relays.step(
+                step.fault,
+                fault.kind,
+                step.begins,
+                Duration::from_millis(fault.delay_ms),
+            ),
         }
         Ok(())
     }
@@ -446,76 +358,28 @@
     }
 }
 
-/// What stands before a server for some nodes: the server, and the faults that befall the links there.
-type Relay = (usize, Vec<usize>);
-
-/// The relays of a run, in a thread of their own.
+/// The links of a run.
 struct Links {
-    /// Where each listens.
-    at: HashMap<Relay, SocketAddr>,
     befalls: Vec<(Vec<usize>, Vec<usize>)>,
-    tell: Option<tokio::sync::mpsc::UnboundedSender<(usize, Kind, bool, Duration)>>,
-    stop: Option<oneshot::Sender<()>>,
+    relays: Relays,
 }
 
 impl Links {
-    fn start(
-        scenario: &Scenario,
-        schedule: &Schedule,
-        servers: &[(String, SocketAddr)],
-    ) -> Result<Self, String> {
+    fn start(scenario: &Scenario, schedule: &Schedule, servers: &[(String, SocketAddr)]) -> Self {
         let of_links = |(fault, befalls): (&Fault, &(Vec<usize>, Vec<usize>))| match fault.kind.is_of_links()
         {
             true => befalls.clone(),
             false => Default::default(),
         };
         let befalls = scenario.faults.iter().zip(&schedule.befalls).map(of_links).collect();
-        let mut links = Self { at: HashMap::new(), befalls, tell: None, stop: None };
+        let mut links = Self { befalls, relays: Relays::default() };
         let pairs = (0..scenario.nodes).flat_map(|node| (0..servers.len()).map(move |server| (node, server)));
         let wanted: BTreeSet<Relay> = pairs
             .map(|(node, server)| (server, links.faults(node, server)))
             .filter(|(_, faults)| !faults.is_empty())
             .collect();
-        if wanted.is_empty() {
-            return Ok(links);
-        }
-        let wanted: Vec<(Relay, SocketAddr)> =
-            wanted.into_iter().map(|relay| (relay.clone(), servers[relay.0].1)).collect();
-        let (told, at) = std::sync::mpsc::channel();
-        let (tell, mut hear) = tokio::sync::mpsc::unbounded_channel::<(usize, Kind, bool, Duration)>();
-        let (stop, stopped) = oneshot::channel();
-        std::thread::spawn(move || {
-            let Ok(runtime) = tokio::runtime::Builder::new_current_thread().enable_all().build() else {
-                return;
-            };
-            LocalSet::new().block_on(&runtime, async move {
-                let mut relays = Vec::new();
-                for (relay, to) in wanted {
-                    let Ok(link) = Link::start(address(0), to).await else { return };
-                    let _ = told.send((relay.clone(), link.address));
-                    relays.push((relay.1, link));
-                }
-                drop(told);
-                let hears = async {
-                    while let Some((fault, kind, begins, delay)) = hear.recv().await {
-                        for (_, link) in relays.iter_mut().filter(|(faults, _)| faults.contains(&fault)) {
-                            if begins {
-                                link.begins(fault, kind, delay);
-                            } else {
-                                link.ends(fault);
-                            }
-                        }
-                    }
-                };
-                tokio::select! {
-                    () = hears => {}
-                    _ = stopped => {}
-                }
-            });
-        });
-        links.at = at.iter().collect();
-        (links.tell, links.stop) = (Some(tell), Some(stop));
-        Ok(links)
+        links.relays = Relays::start(wanted.into_iter().map(|relay| (relay.clone(), servers[relay.0].1)));
+        links
     }
 
     /// The faults that befall the link between a node and a server.
@@ -529,21 +393,7 @@
 
     /// The relay that stands between a node and a server.
     fn before(&self, node: usize, server: usize) -> Option<SocketAddr> {
-        self.at.get(&(server, self.faults(node, server))).copied()
-    }
-
-    fn step(&self, fault: usize, kind: Kind, begins: bool, delay: Duration) {
-        if let Some(tell) = &self.tell {
-            let _ = tell.send((fault, kind, begins, delay));
-        }
-    }
-}
-
-impl Drop for Links {
-    fn drop(&mut self) {
-        if let Some(stop) = self.stop.take() {
-            let _ = stop.send(());
-        }
+        self.relays.at(&(server, self.faults(node, server)))
     }
 }
 
@@ -614,7 +464,7 @@
 }
 
 /// Joins what all saw.
-fn history(
+pub fn history(
     scenario: &Scenario,
     tally: &Tally,
     begins: f64,
--- a/crates/spurdrum-demo/src/lib.rs
+++ b/crates/spurdrum-harness/src/lib.rs
@@ -1,4 +1,4 @@
-//! A real node before a stand-in fleet: what the demo and the measurements share.
+//! A real node before a stand-in fleet: what the demo, the rig and the measurements share.
 
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
--- a/crates/spurdrum-http/src/client.rs
+++ b/crates/spurdrum-http/src/client.rs
@@ -10,6 +10,7 @@
 use spurdrum_admission::Event;
 use spurdrum_core::{Fate, Figures, Open, Seat};
 use tokio::net::TcpStream;
+use tokio::time::Instant;
 
 use crate::chunks::Chunks;
 use crate::socket;
@@ -175,12 +176,15 @@
     pub class: Option<String>,
     /// It counts as open until then.
     pub open: Option<Open>,
+    /// When its request's head had come.
+    pub came: Instant,
 }
 
 impl Tally {
     fn end(self, fate: Fate) {
         if let Some(class) = &self.class {
             self.figures.ended(class, fate);
+            self.figures.took(class, self.came.elapsed());
         }
         drop(self.open);
     }
--- a/crates/spurdrum-http/src/front.rs
+++ b/crates/spurdrum-http/src/front.rs
@@ -408,6 +408,7 @@
 async fn serve(front: &Rc<Front>, seat: &Rc<Seat>, socket: &Rc<Socket>) -> End {
     let service = service_fn(|request: Request<Incoming>| {
         let framing = socket.take_head();
+        let came = Instant::now();
         async move {
             // Where the next head begins is known only where the body's end is.
             let mut ends = matches!(framing, Framing::Unsound);
@@ -428,12 +429,13 @@
                 Answered::Through(_) => {
                     bytes = LONG_HOLDS;
                     let (figures, class) = (Rc::clone(&front.node.figures), class.map(str::to_owned));
-                    Some(Tally { figures, class, open: open.take() })
+                    Some(Tally { figures, class, open: open.take(), came })
                 }
                 Answered::Whole(_) => {
                     // Who never finished its request has not asked.
                     if let Some(class) = class.filter(|_| open.is_some()) {
                         front.node.figures.ended(class, fate(response.status()));
+                        front.node.figures.took(class, came.elapsed());
                     }
                     None
                 }
--- a/crates/spurdrum-lab/src/lib.rs
+++ b/crates/spurdrum-lab/src/lib.rs
@@ -8,4 +8,5 @@
 pub mod affinity;
 pub mod lists;
 pub mod registry;
+pub mod rollout;
 pub mod spread;
--- a/crates/spurdrum-lab/src/main.rs
+++ b/crates/spurdrum-lab/src/main.rs
@@ -2,6 +2,7 @@
 //!
 //!     cargo run --release -p spurdrum-lab -- affinity  what is won and lost by keys that stay with their servers
 //!     cargo run --release -p spurdrum-lab -- spread    how evenly hundreds of nodes spread their work
+//!     cargo run --release -p spurdrum-lab -- rollout   how often a change is stopped by mistake, and how far a bad one comes
 //!     cargo run --release -p spurdrum-lab -- registry  ... that follow a registry by watches, and what it costs
 //!     cargo run --release -p spurdrum-lab -- lists     how far behind nodes are that follow a list, by fault and way
 
@@ -12,7 +13,9 @@
 use spurdrum_lab::affinity::{self, Trouble};
 use spurdrum_lab::lists::{deploys, play, Fault, Outcome, Plan, Way};
 use spurdrum_lab::registry::{self, Faults};
+use spurdrum_lab::rollout::Went;
 use spurdrum_lab::spread::{self, Figures, Way as Choice};
+use spurdrum_rollout::judge::Settings as JudgeSettings;
 use spurdrum_sources::follower::Settings;
 use spurdrum_sources::registry::follower::{Interface, Settings as Watching};
 
@@ -65,6 +68,18 @@
         #[arg(long)]
         alone: bool,
     },
+    /// Rollouts before a noisy fleet: stopped by mistake, and how far bad ones come, by what they do.
+    Rollout {
+        /// Rollouts of each kind.
+        #[arg(long, default_value_t = 2000)]
+        rollouts: u64,
+        /// Nodes.
+        #[arg(long, default_value_t = 100)]
+        nodes: usize,
+        /// Requests a second and node.
+        #[arg(long, default_value_t = 20.0)]
+        rate: f64,
+    },
     /// From a change of the registry to a node's knowing, by fault; messages and bytes; beside polling.
     Registry {
         /// Drives all that is random.
@@ -80,10 +95,77 @@
             spread(&seeds, &nodes, &loads, report_ms, sizes, alone)
         }
         Command::Registry { seed } => registry(seed),
+        Command::Rollout { rollouts, nodes, rate } => rollout(rollouts, nodes, rate),
         Command::Lists { seed, service_ms, nodes } => lists(seed, service_ms, &nodes),
     }
 }
 
+fn rollout(rollouts: u64, nodes: usize, rate: f64) {
+    use spurdrum_lab::rollout::{fixed_size, play, Does, Site};
+    let (site, settings) = (Site { nodes, rate, ..Site::default() }, JudgeSettings::default());
+    println!(
+        "{rollouts} rollouts of the first two and a tenth of each other, {nodes} nodes, {rate} requests a second and node, {:.1} % fail",
+        100.0 * site.fails
+    );
+    println!("| the change | not done | stopped before a quarter | reached, mean | s to the decision, p50 p95 | requests at changed nodes, p50 p95 | harmed of all |");
+    println!("| --- | --- | --- | --- | --- | --- | --- |");
+    let kinds = [
+        Does::Nothing,
+        Does::Fails(0.02),
+        Does::Fails(0.01),
+        Does::Fails(0.05),
+        Does::FailsOneClass(0.05),
+        Does::Refuses(0.03),
+        Does::Slows(1.3),
+        Does::Repeats(0.2),
+        Does::Crashes(20.0),
+        Does::Crowds(0.05),
+    ];
+    for (n, does) in kinds.into_iter().enumerate() {
+        // The first two are what is promised.
+        let rollouts = if n < 2 { rollouts } else { (rollouts / 10).max(1) };
+        let went: Vec<_> =
+            (0..rollouts).into_par_iter().map(|seed| play(&site, does, &settings, seed)).collect();
+        let count = went.len() as f64;
+        let part =
+            |of: &dyn Fn(&Went) -> bool| 100.0 * went.iter().filter(|went| of(went)).count() as f64 / count;
+        let mean = |of: &dyn Fn(&Went) -> f64| went.iter().map(of).sum::<f64>() / count;
+        let quantile = |of: &dyn Fn(&Went) -> f64, part: f64| {
+            let mut all: Vec<f64> = went.iter().map(of).collect();
+            all.sort_by(f64::total_cmp);
+            all[((all.len() - 1) as f64 * part) as usize]
+        };
+        println!(
+            "| {does:?} | {:.2} % | {:.2} % | {:.2} | {:.0} {:.0} | {:.0} {:.0} | {:.3} % |",
+            part(&|went| !went.done),
+            part(&|went| !went.done && went.reached <= 0.25),
+            mean(&|went| went.reached),
+            quantile(&|went| went.seconds, 0.5),
+            quantile(&|went| went.seconds, 0.95),
+            quantile(&|went| went.requests, 0.5),
+            quantile(&|went| went.requests, 0.95),
+            100.0 * mean(&|went| went.harmed)
+        );
+        let mut reasons: std::collections::BTreeMap<String, u32> = std::collections::BTreeMap::new();
+        for went in went.iter().filter(|went| !went.done) {
+            let kind = went.why.split(':').next().unwrap_or_default().to_owned();
+            *reasons.entry(kind).or_default() += 1;
+        }
+        for (why, count) in
+            reasons.iter().filter(|(_, count)| **count * 50 > rollouts as u32 || does == Does::Nothing)
+        {
+            println!("|   {count} {why} | | | | | | |");
+        }
+    }
+    for more in [0.01, 0.02, 0.05] {
+        let size = fixed_size(site.fails, more, settings.false_stops, 0.95);
+        println!(
+            "a test of fixed size tells {:.0} points more failures from {size:.0} requests",
+            100.0 * more
+        );
+    }
+}
+
 fn lists(seed: u64, service_ms: u64, nodes: &[usize]) {
     let faults = [
         ("none", Fault::None, 1),
--- a/crates/spurdrum-ops/src/desk.rs
+++ b/crates/spurdrum-ops/src/desk.rs
@@ -25,15 +25,6 @@
     }
 }
 
-/// What operators may ask.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Call {
-    /// Whether this process can serve.
-    Ready,
-    /// The figures.
-    Telemetry,
-}
-
 /// What happens to a caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Event<'a> {
@@ -50,10 +41,10 @@
 }
 
 /// What the shell is to do.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Action {
-    /// Answer this call, and close.
-    Answer(CallerId, Call),
+    /// Answer this line, and close.
+    Answer(CallerId, String),
     /// Answer `NO` and this reason, and close.
     Decline(CallerId, &'static str),
     /// Close without a word: it makes room.
@@ -122,7 +113,7 @@
     fn conclude(&mut self, id: CallerId, actions: &mut Vec<Action>) {
         let Some(caller) = self.callers.remove(&id) else { return };
         actions.push(match read(&caller.line) {
-            Ok(call) => Action::Answer(id, call),
+            Ok(line) => Action::Answer(id, line),
             Err(why) => Action::Decline(id, why),
         });
     }
@@ -140,13 +131,11 @@
     }
 }
 
-/// What a line asks, or what is wrong with it.
-fn read(line: &[u8]) -> Result<Call, &'static str> {
-    let line = std::str::from_utf8(line).map_err(|_| "the line is no text")?;
-    match line.trim() {
-        "" => Err("the line is empty"),
-        "readyz" => Ok(Call::Ready),
-        "telemetry" => Ok(Call::Telemetry),
-        _ => Err("there is no such call: readyz, telemetry"),
+/// The text of a line, or what is wrong with it.
+fn read(line: &[u8]) -> Result<String, &'static str> {
+    let line = std::str::from_utf8(line).map_err(|_| "the line is no text")?.trim();
+    match line.is_empty() {
+        true => Err("the line is empty"),
+        false => Ok(line.to_owned()),
     }
 }
--- a/crates/spurdrum-ops/src/figures.rs
+++ b/crates/spurdrum-ops/src/figures.rs
@@ -31,3 +31,11 @@
     });
     format!("{shown}\nEND\n")
 }
+
+/// How long answers took, by class, in one line, then a line `END`; none where that is not kept. Of each class pairs of an upper
+/// bound in microseconds and how many were at most that long and longer than the bound before.
+#[must_use]
+pub fn latencies(figures: &Figures) -> Option<String> {
+    let shown = figures.latencies()?;
+    Some(format!("{}\nEND\n", json!(shown.into_iter().collect::<std::collections::BTreeMap<_, _>>())))
+}
--- a/crates/spurdrum-ops/src/shell.rs
+++ b/crates/spurdrum-ops/src/shell.rs
@@ -11,27 +11,24 @@
 use tokio::sync::{oneshot, Notify};
 use tokio::time::{sleep, sleep_until, timeout, Instant};
 
-use crate::desk::{Action, Call, CallerId, Desk, Event, Settings};
+use crate::desk::{Action, CallerId, Desk, Event, Settings};
 
 /// A caller has so long to take its answer: it fits into the buffers of a socket.
 const READ_MOST: Duration = Duration::from_millis(200);
 /// With no descriptor or no place to be had, accepting rests for so long.
 const REST: Duration = Duration::from_millis(5);
 
-/// What is operated: it answers calls and changes nothing.
-pub trait Operated: 'static {
-    /// Why this process cannot serve, if it cannot.
-    fn ready(&self) -> Result<(), String>;
-
-    /// The figures, whole lines.
-    fn telemetry(&self) -> String;
+/// Who answers lines.
+pub trait Answers: 'static {
+    /// The answer to a line, whole lines. Nothing else goes on meanwhile.
+    fn answer(&self, line: &str) -> String;
 }
 
 /// Callers that are waited for or answered at once.
 const TASKS_MOST: usize = 32;
 
-struct Shell<O> {
-    operated: O,
+struct Shell<A> {
+    answers: A,
     desk: RefCell<Desk>,
     started: Instant,
     /// How each caller that has not said its line is told what becomes of it.
@@ -40,10 +37,10 @@
     last: Cell<u64>,
 }
 
-/// Answers operators for as long as the process runs.
-pub async fn serve(listener: TcpListener, operated: impl Operated, settings: Settings) {
+/// Answers lines for as long as the process runs.
+pub async fn serve(listener: TcpListener, answers: impl Answers, settings: Settings) {
     let shell = Rc::new(Shell {
-        operated,
+        answers,
         desk: RefCell::new(Desk::new(settings)),
         started: Instant::now(),
         waiting: RefCell::default(),
@@ -66,17 +63,13 @@
     }
 }
 
-impl<O: Operated> Shell<O> {
+impl<A: Answers> Shell<A> {
     fn tell(&self, event: Event<'_>) {
         let mut actions = Vec::new();
         self.desk.borrow_mut().handle(self.started.elapsed(), event, &mut actions);
         for action in actions {
             let (id, answer) = match action {
-                Action::Answer(id, Call::Ready) => {
-                    let state = self.operated.ready();
-                    (id, Some(state.map_or_else(|why| format!("NO {why}\n"), |()| "YES ready\n".into())))
-                }
-                Action::Answer(id, Call::Telemetry) => (id, Some(self.operated.telemetry())),
+                Action::Answer(id, line) => (id, Some(self.answers.answer(&line))),
                 Action::Decline(id, why) => (id, Some(format!("NO {why}\n"))),
                 Action::Shed(id) => (id, None),
             };
--- /dev/null
+++ b/crates/spurdrum-rollout/tests/judge.rs
@@ -0,0 +1,182 @@
+//! A judge, told what nodes count.
+
+use std::collections::BTreeMap;
+
+use spurdrum_rollout::conductor::Verdict;
+use spurdrum_rollout::judge::{Judge, Settings};
+use spurdrum_rollout::orders::{Calls, Figures};
+
+/// A fleet that counts as it is told.
+struct Fleet {
+    judge: Judge,
+    figures: Vec<Figures>,
+    crashes: Vec<u64>,
+    now: f64,
+}
+
+/// What ends in a second at a node: served, refused, failed.
+type Second = (u64, u64, u64);
+
+impl Fleet {
+    fn new(nodes: usize) -> Self {
+        let zones: Vec<String> = (0..nodes).map(|n| format!("z{}", n % 2)).collect();
+        let figures = Figures { process: 1, listed: 10, memory: 40 << 20, ..Figures::default() };
+        Self {
+            judge: Judge::new(Settings::default(), &zones),
+            figures: vec![figures; nodes],
+            crashes: vec![0; nodes],
+            now: 0.0,
+        }
+    }
+
+    /// Seconds in which nodes do this; the last verdict, and how many seconds it took to say worse.
+    fn seconds(&mut self, count: usize, of: impl Fn(usize) -> Second) -> (Verdict, usize) {
+        let mut verdict = Verdict::Open;
+        for second in 1..=count {
+            self.now += 1.0;
+            for at in 0..self.figures.len() {
+                let (success, busy, failure) = of(at);
+                let calls: &mut Calls = self.figures[at].calls.entry("update".into()).or_default();
+                calls.success += success;
+                calls.busy += busy;
+                calls.failure += failure;
+                self.figures[at].attempts += success + failure;
+                self.judge.saw(at, &self.figures[at], self.crashes[at], self.now);
+            }
+            verdict = self.judge.look(self.now);
+            if matches!(verdict, Verdict::Worse(_)) {
+                return (verdict, second);
+            }
+        }
+        (verdict, count)
+    }
+
+    fn change(&mut self, at: usize) {
+        self.judge.runs(at, true, self.now);
+        self.figures[at].process += 1;
+        self.figures[at].calls = BTreeMap::new();
+        self.figures[at].attempts = 0;
+    }
+}
+
+const WELL: Second = (30, 0, 0);
+
+#[test]
+fn what_does_as_before_is_fine_once_enough_was_seen() {
+    let mut fleet = Fleet::new(10);
+    assert_eq!(fleet.seconds(20, |_| WELL).0, Verdict::Open, "nothing is changed");
+    fleet.change(0);
+    fleet.judge.watch();
+    assert_eq!(fleet.seconds(8, |_| WELL).0, Verdict::Open, "few requests give no verdict");
+    assert_eq!(fleet.seconds(5, |_| WELL).0, Verdict::Fine);
+}
+
+#[test]
+fn a_node_that_always_did_worse_is_not_held_against_the_change() {
+    let mut fleet = Fleet::new(10);
+    let uneven = |at: usize| if at == 0 { (26, 1, 3) } else { WELL };
+    fleet.seconds(60, uneven);
+    fleet.change(0);
+    fleet.judge.watch();
+    assert_eq!(fleet.seconds(200, uneven).0, Verdict::Fine);
+    // But that it does worse than it did, is.
+    let (verdict, _) = fleet.seconds(200, |at| if at == 0 { (22, 1, 7) } else { WELL });
+    assert!(
+        matches!(&verdict, Verdict::Worse(why) if why.starts_with("failed requests of class update")),
+        "{verdict:?}"
+    );
+}
+
+#[test]
+fn what_is_gross_is_said_within_seconds_and_what_is_not_takes_longer() {
+    for (bad, most) in [((0, 0, 30), 5), ((5, 25, 0), 5), ((28, 0, 2), 90)] {
+        let mut fleet = Fleet::new(10);
+        fleet.seconds(30, |_| WELL);
+        fleet.change(4);
+        let (verdict, took) = fleet.seconds(300, |at| if at == 4 { bad } else { WELL });
+        assert!(
+            matches!(verdict, Verdict::Worse(_)) && took <= most + 3,
+            "{bad:?}: {verdict:?} after {took} s"
+        );
+    }
+}
+
+#[test]
+fn trouble_that_hits_both_condemns_nobody() {
+    let mut fleet = Fleet::new(10);
+    fleet.seconds(30, |_| WELL);
+    fleet.change(0);
+    fleet.judge.watch();
+    let trouble = |_: usize| (24, 3, 3);
+    let (verdict, _) = fleet.seconds(300, trouble);
+    assert!(matches!(verdict, Verdict::Trouble(_)), "{verdict:?}");
+    assert_eq!(fleet.seconds(10, |_| WELL).0, Verdict::Fine, "it has passed");
+    // A zone's trouble is not one of the node that was changed there.
+    let zone = |at: usize| if at.is_multiple_of(2) { (20, 0, 10) } else { WELL };
+    let (verdict, _) = fleet.seconds(300, zone);
+    assert!(!matches!(verdict, Verdict::Worse(_)), "{verdict:?}");
+}
+
+#[test]
+fn trouble_is_looked_for_at_the_nodes_that_were_not_changed() {
+    let mut fleet = Fleet::new(4);
+    fleet.seconds(30, |_| WELL);
+    fleet.change(0);
+    // A quarter of all would look like trouble of all.
+    let (verdict, _) = fleet.seconds(6, |at| if at == 0 { (17, 0, 13) } else { WELL });
+    assert!(!matches!(verdict, Verdict::Trouble(_)), "{verdict:?}");
+    for at in 1..4 {
+        fleet.change(at);
+    }
+    let (verdict, _) = fleet.seconds(20, |_| (20, 0, 10));
+    assert!(
+        matches!(verdict, Verdict::Trouble(_) | Verdict::Worse(_)),
+        "all are changed, and all do worse: {verdict:?}"
+    );
+}
+
+#[test]
+fn who_serves_nobody_who_crashes_and_who_grows_is_found() {
+    let mut mute = Fleet::new(10);
+    mute.seconds(30, |_| WELL);
+    mute.change(0);
+    let (verdict, took) = mute.seconds(60, |at| if at == 0 { (0, 0, 0) } else { (33, 0, 0) });
+    assert!(matches!(&verdict, Verdict::Worse(why) if why.contains("serves nobody")), "{verdict:?}");
+    assert!(took < 15, "{took}");
+
+    let mut crashing = Fleet::new(100);
+    crashing.seconds(30, |_| WELL);
+    crashing.change(0);
+    crashing.seconds(10, |_| WELL);
+    for _ in 0..2 {
+        crashing.crashes[0] += 1;
+        crashing.seconds(1, |_| WELL);
+    }
+    let (verdict, _) = crashing.seconds(1, |_| WELL);
+    assert!(matches!(&verdict, Verdict::Worse(why) if why.starts_with("processes ended")), "{verdict:?}");
+
+    let mut leaking = Fleet::new(10);
+    leaking.seconds(30, |_| WELL);
+    leaking.change(0);
+    leaking.seconds(10, |_| WELL);
+    leaking.figures[0].memory = 400 << 20;
+    let (verdict, _) = leaking.seconds(2, |_| WELL);
+    assert!(matches!(&verdict, Verdict::Worse(why) if why.contains("memory")), "{verdict:?}");
+}
+
+/// A node whose keeper was not heard for a while, or whose process was started again, tells nothing of that while.
+#[test]
+fn counts_that_begin_anew_are_not_taken_for_requests() {
+    let mut fleet = Fleet::new(10);
+    fleet.seconds(30, |_| WELL);
+    fleet.change(0);
+    fleet.seconds(10, |_| WELL);
+    for _ in 0..20 {
+        // Another process, whose first counts are of its whole life.
+        fleet.figures[0].process += 1;
+        fleet.figures[0].calls.insert("update".into(), Calls { success: 0, busy: 0, failure: 50 });
+        fleet.seconds(1, |at| if at == 0 { (0, 0, 0) } else { WELL });
+    }
+    let (verdict, _) = fleet.seconds(1, |_| WELL);
+    assert!(!matches!(&verdict, Verdict::Worse(why) if why.contains("failed")), "{verdict:?}");
+}
--- a/crates/spurdrum-trace/src/lib.rs
+++ b/crates/spurdrum-trace/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! - [`record`]: what is noted, and how it is read again.
 //! - [`bound`]: when a file is full and the next one is begun; no I/O.
-//! - [`file`]: the thread that writes, behind a bounded queue: neither a slow disk nor a full one is felt by those who are
+//! - [`mod@file`]: the thread that writes, behind a bounded queue: neither a slow disk nor a full one is felt by those who are
 //!   served. What finds no room is counted, and the count is noted in its place.
 //!
 //! It is off unless a file is named for it.
--- a/crates/spurdrum/src/config.rs
+++ b/crates/spurdrum/src/config.rs
@@ -25,6 +25,8 @@
     pub listen_key: &'static str,
     /// Where operators call, if they do, and what that is called where it was told.
     pub ops: Option<(SocketAddr, &'static str)>,
+    /// Whether operators may ask how long answers took.
+    pub latencies: bool,
     /// Where the list of servers comes from. What the file says counts over the variable: the file can be replaced.
     pub source: Source,
     /// What the log looks like.
--- a/crates/spurdrum/src/file.rs
+++ b/crates/spurdrum/src/file.rs
@@ -42,6 +42,8 @@
     name: String,
     listen: SocketAddr,
     ops: Option<SocketAddr>,
+    #[serde(default)]
+    latencies: bool,
     seed: Option<u64>,
     #[serde(default = "sockets")]
     sockets: usize,
@@ -491,6 +493,7 @@
             listen_key: "node.listen",
             told: Arc::default(),
             ops: node.ops.map(|address| (address, "node.ops")),
+            latencies: node.latencies,
             source: match (self.catalog_address(), self.fixed()) {
                 (Some(address), _) => Source::Catalog(address),
                 (None, Some(_)) => Source::Static,
@@ -522,7 +525,7 @@
 }
 
 /// Nodes that start together must not choose alike.
-fn random_seed() -> u64 {
+pub fn random_seed() -> u64 {
     use std::hash::{BuildHasher, RandomState};
     RandomState::new().hash_one(std::process::id())
 }
--- a/crates/spurdrum/src/main.rs
+++ b/crates/spurdrum/src/main.rs
@@ -2,6 +2,7 @@
 //! configuration again.
 
 use std::cell::{Cell, RefCell};
+use std::future::Future;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -31,6 +32,7 @@
 mod registry;
 mod replace;
 mod retune;
+mod rollout;
 mod set;
 
 use config::{Config, Source};
@@ -50,6 +52,9 @@
     /// TOML with a table for each subsystem that is to be on.
     #[arg(long, value_name = "FILE")]
     config: Option<PathBuf>,
+    /// Where operators call, in place of what the file or GW_OPS says.
+    #[arg(long, value_name = "ADDRESS")]
+    ops: Option<SocketAddr>,
     #[command(subcommand)]
     command: Option<Command>,
 }
@@ -61,13 +66,25 @@
         /// The file.
         file: PathBuf,
     },
+    /// Keep a node on this machine: start it, replace it when a rollout says so, and start it again when it ends.
+    Keeper {
+        /// TOML with what the keeper is told.
+        file: PathBuf,
+    },
+    /// Carry a change to a fleet in stages.
+    Rollout {
+        #[command(subcommand)]
+        what: rollout::What,
+    },
 }
 
 fn main() -> ExitCode {
     let cli = Cli::parse();
     let done = match cli.command {
         Some(Command::Check { file }) => check(&file),
-        None => start(cli.config),
+        Some(Command::Keeper { file }) => rollout::keep(&file),
+        Some(Command::Rollout { what }) => rollout::carry_out(what),
+        None => start(cli.config, cli.ops),
     };
     match done {
         Ok(()) => ExitCode::SUCCESS,
@@ -106,10 +123,15 @@
     }
 }
 
-fn start(file: Option<PathBuf>) -> Result<(), String> {
+fn start(file: Option<PathBuf>, ops: Option<SocketAddr>) -> Result<(), String> {
+    on_event_loop(serve(file, ops))
+}
+
+/// Runs to its end on an event loop of its own.
+fn on_event_loop<T>(work: impl Future<Output = Result<T, String>>) -> Result<T, String> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|error| format!("cannot start the event loop: {error}"))?;
-    LocalSet::new().block_on(&runtime, serve(file))
+    LocalSet::new().block_on(&runtime, work)
 }
 
 /// Connections that may wait to be accepted.
@@ -136,12 +158,13 @@
     listener.map_err(|error| format!("cannot use the listening socket that was handed over: {error}"))
 }
 
-async fn serve(file: Option<PathBuf>) -> Result<(), String> {
+async fn serve(file: Option<PathBuf>, ops: Option<SocketAddr>) -> Result<(), String> {
     // Before all else: from here on neither signal ends the program by itself.
     let hear = |kind, name| signal(kind).map_err(|error| format!("cannot hear {name}: {error}"));
     let mut stop = hear(SignalKind::terminate(), "SIGTERM")?;
     let mut reload = hear(SignalKind::hangup(), "SIGHUP")?;
     let mut config = platform::read(file.as_deref())?;
+    config.ops = ops.map(|address| (address, "--ops")).or(config.ops);
     if let Some(registry) = &mut config.registry {
         registry.read_files()?;
     }
@@ -189,7 +212,10 @@
     };
     let affinity = bindings.as_ref().map(|(affinity, ..)| Rc::clone(affinity));
     let keys = bindings.as_ref().map(|(_, keys, _)| Rc::clone(keys));
-    let figures = Rc::new(Figures::default());
+    let figures = Rc::new(match config.latencies {
+        true => Figures::with_latencies(),
+        false => Figures::default(),
+    });
     figures.know(&config.names.classes);
     let upstream =
         Upstream::new(Rc::clone(&connections), Rc::clone(&figures), config.conn_idle, config.dial_timeout);
@@ -282,7 +308,8 @@
     let ending = Rc::new(Cell::new(false));
     if let Some(desk) = desk {
         let operated = operated::Process { node: Rc::clone(&node), ending: Rc::clone(&ending) };
-        tokio::task::spawn_local(spurdrum_ops::serve(desk, operated, spurdrum_ops::Settings::default()));
+        let calls = spurdrum_ops::Calls(operated);
+        tokio::task::spawn_local(spurdrum_ops::serve(desk, calls, spurdrum_ops::Settings::default()));
     }
     let status = move || {
         let shown = affinity.as_ref().map(|affinity| {
--- a/crates/spurdrum/src/operated.rs
+++ b/crates/spurdrum/src/operated.rs
@@ -28,4 +28,8 @@
         let (listed, down) = self.node.servers();
         spurdrum_ops::telemetry(&self.node.figures, Servers { listed, down })
     }
+
+    fn latencies(&self) -> Option<String> {
+        spurdrum_ops::latencies(&self.node.figures)
+    }
 }
--- a/crates/spurdrum/src/platform.rs
+++ b/crates/spurdrum/src/platform.rs
@@ -54,6 +54,7 @@
         listen,
         listen_key: "GW_LISTEN",
         ops: ops(&json["ops"])?,
+        latencies: false,
         source: Source::Catalog(discovery),
         log: file.log(),
         seed: seed.ok_or("`seed` is missing or no hexadecimal number")?,
