--- a/crates/spurdrum-bench/src/main.rs
+++ b/crates/spurdrum-bench/src/main.rs
@@ -11,6 +11,7 @@
 //!     cargo run --release -p spurdrum-bench -- streams    memory while long bodies and answers pass through
 //!     cargo run --release -p spurdrum-bench -- choice     what a decision costs, by servers and nodes
 //!     cargo run --release -p spurdrum-bench -- rollout    a hundred nodes changed in stages, by good and bad changes
+//!     cargo run --release -p spurdrum-bench -- chaos      rollouts back to back, with faults drawn from a seed
 //!     cargo run --release -p spurdrum-bench -- fleet      hundreds of nodes, and the hard cases; an hour
 
 use std::net::SocketAddr;
@@ -28,6 +29,7 @@
 use spurdrum_standin::Fleet;
 
 mod affinity;
+mod chaos;
 mod choice;
 mod days;
 mod fleet;
@@ -81,6 +83,19 @@
         #[arg(long, default_value_t = 1)]
         seed: u64,
     },
+    /// Rollouts back to back, good and bad ones, while keepers and conductors die and links between them break. The programs are built
+    /// before.
+    Chaos {
+        /// For so long.
+        #[arg(long, default_value_t = 30.0)]
+        minutes: f64,
+        /// Nodes.
+        #[arg(long, default_value_t = 12)]
+        nodes: usize,
+        /// Seed.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+    },
     /// A stand-in pauses for two seconds under 1,000 requests a second.
     Stall,
     /// An in-process stand-in takes 30,000 requests a second.
@@ -185,6 +200,7 @@
             choice::choice(&servers, &nodes, requests.max(10));
             Ok(())
         }
+        Command::Chaos { minutes, nodes, seed } => chaos::play(minutes, nodes, seed),
         Command::Rollout { nodes, seed } => rollout::play(nodes, seed),
         Command::Fleet { folder, seeds, nodes, beside } => fleet::play(&folder, seeds.max(1), nodes, &beside),
         Command::PlainProxy { listen, servers } => proxy::serve(listen, servers),
--- a/crates/spurdrum-bench/src/rollout.rs
+++ b/crates/spurdrum-bench/src/rollout.rs
@@ -131,8 +131,8 @@
         if line.contains("going back: ") && stopped.is_nan() {
             stopped = kept.at();
         }
-        let changed = line.split(&format!(" of {nodes} changed")).next();
-        let changed = changed.and_then(|line| line.rsplit(' ').next()?.parse().ok());
+        let changed = line.split_once(&format!(" of {nodes} changed"));
+        let changed = changed.and_then(|(line, _)| line.rsplit(' ').next()?.parse().ok());
         reached = reached.max(changed.unwrap_or(0));
     })?;
     let said = conductor.said().lines().last().unwrap_or_default().to_owned();
