--- a/crates/spurdrum-core/src/figures.rs
+++ b/crates/spurdrum-core/src/figures.rs
@@ -3,9 +3,9 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
-use std::time::Duration;
 
 use hdrhistogram::Histogram;
+use tokio::time::Instant;
 
 /// Classes that are counted: those of new settings beyond so many are not.
 const CLASSES_MOST: usize = 1024;
@@ -65,8 +65,8 @@
         Self { latencies: Some(RefCell::default()), ..Self::default() }
     }
 
-    /// A request of a class that is counted took so long to its answer.
-    pub fn took(&self, class: &str, time: Duration) {
+    /// A request of a class that is counted, which came then, has its answer.
+    pub fn took(&self, class: &str, came: Instant) {
         let Some(latencies) = self.latencies.as_ref().filter(|_| self.classes.borrow().contains_key(class))
         else {
             return;
@@ -77,7 +77,7 @@
             latencies.insert(class.to_owned(), empty);
         }
         if let Some(histogram) = latencies.get_mut(class) {
-            histogram.saturating_record(u64::try_from(time.as_micros()).unwrap_or(LONGEST_US));
+            histogram.saturating_record(u64::try_from(came.elapsed().as_micros()).unwrap_or(LONGEST_US));
         }
     }
 
--- a/crates/spurdrum-core/src/node.rs
+++ b/crates/spurdrum-core/src/node.rs
@@ -89,12 +89,26 @@
     attempts: Vec<Option<oneshot::Sender<()>>>,
 }
 
+impl<T: Transport> Held<T> {
+    /// What its client calls it, as traces have it.
+    fn shown(&self) -> String {
+        String::from_utf8_lossy(self.request.name().as_ref()).into_owned()
+    }
+}
+
 /// Where what happens is noted, and what was noted of the servers that are listed.
 struct Traced {
     to: Trace,
     servers: RefCell<HashMap<ServerId, (String, State)>>,
 }
 
+impl Traced {
+    /// A listed server's id; nothing where it is not listed any more.
+    fn name_of(&self, server: ServerId) -> String {
+        self.servers.borrow().get(&server).map_or_else(String::new, |(name, _)| name.clone())
+    }
+}
+
 /// One node; all of its parts hold it.
 pub struct Node<T: Transport> {
     tidy_every: Duration,
@@ -168,10 +182,9 @@
     /// Notes something of a request, where that is on.
     fn saw(&self, id: RequestId, seen: impl FnOnce(String) -> Seen) {
         let Some(trace) = &self.trace else { return };
-        let requests = self.requests.borrow();
-        let Some(held) = requests.get(&id) else { return };
-        let name = String::from_utf8_lossy(held.request.name().as_ref()).into_owned();
-        trace.to.note(self.now(), seen(name));
+        if let Some(held) = self.requests.borrow().get(&id) {
+            trace.to.note(self.now(), seen(held.shown()));
+        }
     }
 
     /// Unix time in milliseconds that never runs backwards: starts of servers are told in it.
@@ -190,11 +203,14 @@
     fn carry_out(self: &Rc<Self>, action: Action) {
         match action {
             Action::Send { request, server } => {
-                self.saw(request, |id| self.placed(id, request, server));
                 let mut requests = self.requests.borrow_mut();
                 let Some(held) = requests.get_mut(&request) else { return };
                 let (give_up, given_up) = oneshot::channel();
                 let attempt = held.attempts.len();
+                if let Some(trace) = &self.trace {
+                    let (id, server) = (held.shown(), trace.name_of(server));
+                    trace.to.note(self.now(), Seen::Placed { id, attempt, server });
+                }
                 held.attempts.push(Some(give_up));
                 let (node, asked) = (Rc::clone(self), Rc::clone(&held.request));
                 tokio::task::spawn_local(async move {
@@ -353,13 +369,6 @@
         self.forget_if_over(id);
     }
 
-    fn placed(&self, id: String, request: RequestId, server: ServerId) -> Seen {
-        let attempt = self.requests.borrow().get(&request).map_or(0, |held| held.attempts.len());
-        let servers = self.trace.as_ref().map(|trace| trace.servers.borrow());
-        let named = servers.as_ref().and_then(|servers| servers.get(&server));
-        Seen::Placed { id, attempt, server: named.map_or_else(String::new, |(name, _)| name.clone()) }
-    }
-
     fn ended(
         self: &Rc<Self>,
         id: RequestId,
--- a/crates/spurdrum-facts/src/lib.rs
+++ b/crates/spurdrum-facts/src/lib.rs
@@ -1,5 +1,7 @@
 //! What the platform states in JSON and text, read the same way wherever it comes from: the settings of a start, and
-//! the names of servers.
+//! the names of servers. And what all files of settings share.
+
+pub mod file;
 
 use std::fmt;
 
--- a/crates/spurdrum-fleet/src/scenario.rs
+++ b/crates/spurdrum-fleet/src/scenario.rs
@@ -3,9 +3,10 @@
 use std::path::{Path, PathBuf};
 
 use serde::Deserialize;
+use spurdrum_facts::file;
 use spurdrum_load::plan::{Class, Effect};
 use spurdrum_standin::scenario::{
-    parse_checked, read_file, CatalogScript, Fault as ServerFault, Scenario as Servers, Spec, Wrong,
+    parse_checked, CatalogScript, Fault as ServerFault, Scenario as Servers, Spec, Wrong,
 };
 
 /// Nodes and servers at most: each node is a process, and addresses are dealt out in 127.0.0.0/8.
@@ -196,7 +197,7 @@
 impl Scenario {
     /// Reads a scenario. The error names the file, the line and the key.
     pub fn read(path: &Path) -> Result<Self, String> {
-        read_file(path, Self::parse)
+        file::read(path, Self::parse)
     }
 
     /// Reads a scenario's text. The error begins with the line.
--- a/crates/spurdrum-http/src/client.rs
+++ b/crates/spurdrum-http/src/client.rs
@@ -184,7 +184,7 @@
     fn end(self, fate: Fate) {
         if let Some(class) = &self.class {
             self.figures.ended(class, fate);
-            self.figures.took(class, self.came.elapsed());
+            self.figures.took(class, self.came);
         }
         drop(self.open);
     }
--- a/crates/spurdrum-http/src/front.rs
+++ b/crates/spurdrum-http/src/front.rs
@@ -435,7 +435,7 @@
                     // Who never finished its request has not asked.
                     if let Some(class) = class.filter(|_| open.is_some()) {
                         front.node.figures.ended(class, fate(response.status()));
-                        front.node.figures.took(class, came.elapsed());
+                        front.node.figures.took(class, came);
                     }
                     None
                 }
--- a/crates/spurdrum-keeper/src/host.rs
+++ b/crates/spurdrum-keeper/src/host.rs
@@ -130,7 +130,7 @@
 
     fn check(&self, version: &Version) -> Result<(), String> {
         let path = self.folder.join("run").join("check.toml");
-        write_whole(&path, &self.file(version)?).map_err(|error| format!("{}: {error}", path.display()))?;
+        written(&path, &self.file(version)?)?;
         let mut command = Command::new(self.program(&version.program));
         command.arg("check").arg(&path).stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped());
         let mut check =
@@ -184,11 +184,12 @@
             left.kill();
             left.wait(CHECK_MOST);
         }
-        let shown = |path: &Path, error: io::Error| format!("{}: {error}", path.display());
-        self.say(slot, version)?;
+        self.offer(slot, version)?;
+        self.is_of(slot, version)?;
         let path = self.run(slot, "toml");
         let log = self.folder.join("node.log");
-        let to = File::options().create(true).append(true).open(&log).map_err(|error| shown(&log, error))?;
+        let to = File::options().create(true).append(true).open(&log);
+        let to = to.map_err(|error| format!("{}: {error}", log.display()))?;
         let mut command = Command::new(self.program(&version.program));
         command.arg("--config").arg(&path).arg("--ops").arg(self.ops[slot].to_string());
         command.env("TMPDIR", self.folder.join("sockets"));
@@ -201,32 +202,23 @@
         Ok(Process { pid, born, child: Some(child) })
     }
 
-    /// Writes the file of a process, and which version it is of.
-    fn say(&self, slot: Slot, version: &Version) -> Result<(), String> {
-        let shown = |path: &Path, error: io::Error| format!("{}: {error}", path.display());
-        let (path, json) = (self.run(slot, "toml"), self.run(slot, "json"));
-        let runs = serde_json::to_vec(&Runs { version: version.clone() }).unwrap_or_default();
-        write_whole(&path, &self.file(version)?).map_err(|error| shown(&path, error))?;
-        write_whole(&json, &runs).map_err(|error| shown(&json, error))
-    }
-
-    /// Gives the process in a slot other settings to read, and says what it has until it has read them.
+    /// Gives the process in a slot a file: it reads it when it starts, or when it is told to.
     ///
     /// # Errors
     ///
-    /// They cannot be written.
+    /// It cannot be written.
     pub fn offer(&self, slot: Slot, version: &Version) -> Result<(), String> {
-        let path = self.run(slot, "toml");
-        write_whole(&path, &self.file(version)?).map_err(|error| format!("{}: {error}", path.display()))
+        written(&self.run(slot, "toml"), &self.file(version)?)
     }
 
-    /// The process in a slot has read the settings of this version.
+    /// Notes which version the process in a slot is of.
     ///
     /// # Errors
     ///
-    /// It cannot be written down.
-    pub fn has_read(&self, slot: Slot, version: &Version) -> Result<(), String> {
-        self.say(slot, version)
+    /// It cannot be written.
+    pub fn is_of(&self, slot: Slot, version: &Version) -> Result<(), String> {
+        let runs = serde_json::to_vec(&Runs { version: version.clone() }).unwrap_or_default();
+        written(&self.run(slot, "json"), &runs)
     }
 
     /// Keeps only the files of these versions.
@@ -255,6 +247,10 @@
     }
 }
 
+fn written(path: &Path, bytes: &[u8]) -> Result<(), String> {
+    write_whole(path, bytes).map_err(|error| format!("{}: {error}", path.display()))
+}
+
 /// A program that has just been written may still be open elsewhere in a process that is about to become another program.
 fn spawn(command: &mut Command) -> io::Result<Child> {
     let mut tries = 0;
--- a/crates/spurdrum-keeper/src/settings.rs
+++ b/crates/spurdrum-keeper/src/settings.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use serde::Deserialize;
+use spurdrum_facts::file;
 
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -90,19 +91,16 @@
     ///
     /// It cannot be read, or makes no sense.
     pub fn read(path: &Path) -> Result<Self, String> {
-        let shown = path.display();
-        let text = std::fs::read_to_string(path).map_err(|e| format!("{shown}: cannot be read: {e}"))?;
-        let file: File = toml::from_str(&text).map_err(|error| {
-            let at = error.span().map_or(0, |span| span.start).min(text.len());
-            let line = text[..at].matches('\n').count() + 1;
-            let key = text.lines().nth(line - 1).unwrap_or_default().split('=').next().unwrap_or_default();
-            format!("{shown}:{line}: `{}`: {}", key.trim(), error.message())
-        })?;
-        let table = file.keeper;
+        file::read(path, Self::parse)
+    }
+
+    /// Reads a file's text. The error begins with the line.
+    fn parse(text: &str) -> Result<Self, String> {
+        let File { keeper: table } = file::from_toml(text)?;
         let line_of = |key: &str| {
             text.lines().position(|line| line.trim_start().starts_with(key)).map_or(1, |line| line + 1)
         };
-        let wrong = |key: &str, why: &str| Err(format!("{shown}:{}: `keeper.{key}`: {why}", line_of(key)));
+        let wrong = |key: &str, why: &str| Err(format!("{}: `keeper.{key}`: {why}", line_of(key)));
         if table.ops[0] == table.ops[1] {
             return wrong("ops", "two processes need two addresses");
         }
@@ -118,7 +116,7 @@
             name: table.name,
             listen: table.listen,
             // Processes are known again by the paths in it.
-            folder: folder.map_err(|error| format!("{shown}: `keeper.folder`: {error}"))?,
+            folder: folder.map_err(|error| format!("{}: `keeper.folder`: {error}", line_of("folder")))?,
             ops: table.ops,
             own: table.own,
             program: table.program,
--- a/crates/spurdrum-keeper/src/shell.rs
+++ b/crates/spurdrum-keeper/src/shell.rs
@@ -1,6 +1,6 @@
 //! Sockets, timers and threads round the hand.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -9,6 +9,7 @@
 use spurdrum_ops::Answers;
 use spurdrum_rollout::orders::{Calls, Figures, Order, LINE_MOST};
 use spurdrum_rollout::shell::call;
+use spurdrum_rollout::timers::Timers;
 use spurdrum_rollout::version::Version;
 use tokio::net::TcpListener;
 use tokio::time::{sleep, Instant};
@@ -31,9 +32,7 @@
     hand: RefCell<Hand>,
     shelf: RefCell<Shelf>,
     processes: RefCell<BTreeMap<Slot, Process>>,
-    /// Times that are kept: each by a number that another setting of it makes old.
-    timers: RefCell<BTreeMap<Timer, u64>>,
-    set: Cell<u64>,
+    timers: Rc<Timers<Timer>>,
     figures: RefCell<Option<(Slot, Figures)>>,
     /// The answer to what is being said.
     answer: RefCell<Option<Option<String>>>,
@@ -63,8 +62,7 @@
         hand: RefCell::new(Hand::new(record, first)),
         shelf: RefCell::new(shelf),
         processes: RefCell::default(),
-        timers: RefCell::default(),
-        set: Cell::new(0),
+        timers: Rc::default(),
         figures: RefCell::default(),
         answer: RefCell::default(),
     });
@@ -147,7 +145,7 @@
                 });
             }
             Action::Set(timer) => self.set(timer),
-            Action::Unset(timer) => drop(self.timers.borrow_mut().remove(&timer)),
+            Action::Unset(timer) => self.timers.unset(timer),
             Action::Prune(versions) => self.host.prune(&versions),
             Action::Note(text) => self.note(&text),
         }
@@ -166,17 +164,8 @@
             Timer::Restart => self.settings.pause(self.hand.borrow().in_a_row()),
             Timer::Stable => self.settings.stable,
         };
-        self.set.set(self.set.get() + 1);
-        let (number, keeper) = (self.set.get(), Rc::clone(self));
-        self.timers.borrow_mut().insert(timer, number);
-        tokio::task::spawn_local(async move {
-            sleep(length).await;
-            let is_set = keeper.timers.borrow().get(&timer) == Some(&number);
-            if is_set {
-                keeper.timers.borrow_mut().remove(&timer);
-                keeper.handle(Event::Timer(timer));
-            }
-        });
+        let keeper = Rc::clone(self);
+        self.timers.set(timer, length, move || keeper.handle(Event::Timer(timer)));
     }
 
     /// Has a process read other settings: whether it took them. One that turns them down has its old ones before it again.
@@ -195,7 +184,7 @@
             }
         };
         match told {
-            Ok(()) => self.host.has_read(slot, version),
+            Ok(()) => self.host.is_of(slot, version),
             Err(why) => {
                 if let Some(old) = old {
                     self.host.offer(slot, &old)?;
--- a/crates/spurdrum-load/src/plan.rs
+++ b/crates/spurdrum-load/src/plan.rs
@@ -3,6 +3,7 @@
 use std::path::Path;
 
 use serde::Deserialize;
+use spurdrum_facts::file;
 
 /// A plan, as a TOML file has it.
 #[derive(Clone, Debug, Deserialize)]
@@ -202,19 +203,12 @@
 impl Plan {
     /// Reads a plan. The error names the file, the line and the key.
     pub fn read(path: &Path) -> Result<Self, String> {
-        let shown = path.display().to_string();
-        let text = std::fs::read_to_string(path).map_err(|e| format!("{shown}: cannot be read: {e}"))?;
-        Self::parse(&text).map_err(|why| format!("{shown}:{why}"))
+        file::read(path, Self::parse)
     }
 
     /// Reads a plan's text. The error begins with the line.
     pub fn parse(text: &str) -> Result<Self, String> {
-        let plan: Self = toml::from_str(text).map_err(|error| {
-            let at = error.span().map_or(0, |span| span.start).min(text.len());
-            let line = text[..at].matches('\n').count();
-            let key = text.lines().nth(line).unwrap_or_default().split('=').next().unwrap_or_default().trim();
-            format!("{}: `{key}`: {}", line + 1, error.message())
-        })?;
+        let plan: Self = file::from_toml(text)?;
         plan.check().map_err(|(key, nth, why)| {
             let named = |line: &&str| line.trim_start().split(['=', ' ']).next() == Some(key);
             let lines = text.lines().enumerate().filter(|(_, line)| named(line)).map(|(n, _)| n + 1);
--- a/crates/spurdrum-rollout/src/conductor.rs
+++ b/crates/spurdrum-rollout/src/conductor.rs
@@ -4,8 +4,6 @@
 //! directed by somebody else counts as out; a step is ordered only while fewer are out than the plan allows. So two conductors
 //! together never have more out than one may: whoever has not claimed a node counts it.
 
-use std::collections::BTreeMap;
-
 use crate::orders::{Generation, Order, Status};
 use crate::version::{Change, How, Version};
 
@@ -174,8 +172,8 @@
     ready: bool,
     runs: Option<Version>,
     good: Option<Version>,
-    /// The step that it was told, until it is known how that ended.
-    ordered: Option<u64>,
+    /// The step that it was told, and the order, until it is known how that ended.
+    ordered: Option<(u64, Order)>,
     /// Whether the judge takes it for a new one.
     new: bool,
     fell_back: bool,
@@ -192,8 +190,6 @@
     generation: Generation,
     nodes: Vec<Node>,
     phase: Phase,
-    /// Orders that are out, by their steps.
-    orders: BTreeMap<u64, (usize, Change)>,
     last_step: u64,
     verdict: Verdict,
     paused: bool,
@@ -212,7 +208,6 @@
             generation,
             nodes,
             phase: Phase::Claiming,
-            orders: BTreeMap::new(),
             last_step: 0,
             verdict: Verdict::Open,
             paused: false,
@@ -249,9 +244,18 @@
         node.runs.as_ref() == Some(&self.settings.change.version)
     }
 
+    /// Whether its keeper is heard, and obeys this conductor.
+    fn is_ours(&self, node: &Node) -> bool {
+        node.heard && node.generation == Some(self.generation)
+    }
+
+    /// Whether it could be told a step.
+    fn is_idle(&self, node: &Node) -> bool {
+        self.is_ours(node) && !node.busy && node.ordered.is_none()
+    }
+
     fn is_out(&self, node: &Node) -> bool {
-        let ours = node.generation == Some(self.generation);
-        !(ours && node.heard && node.ready && !node.busy && node.ordered.is_none())
+        !(self.is_idle(node) && node.ready)
     }
 
     /// Handles what happened.
@@ -301,12 +305,11 @@
         }
         let undone = status.last.as_ref().and_then(|last| last.undone.as_ref());
         node.undone = undone == Some(&self.settings.change.version);
-        if let Some(step) = node.ordered {
+        if let Some((step, order)) = node.ordered.clone() {
             let ended = status.last.filter(|last| (last.generation, last.step) == (self.generation, step));
             match ended {
                 Some(done) => {
                     node.ordered = None;
-                    self.orders.remove(&step);
                     if let Some(why) = done.failed {
                         actions.push(Action::Note(format!("node {at}: the step failed: {why}")));
                         node.balks = true;
@@ -317,11 +320,10 @@
                 }
                 None if status.busy.is_some() => {}
                 // The order, or its answer, was lost.
-                None if asked => self.tell_again(step, actions),
+                None if asked => actions.push(Action::Tell(at, order)),
                 None => {
                     if let Some(why) = status.refused {
                         (node.ordered, node.balks) = (None, true);
-                        self.orders.remove(&step);
                         actions.push(Action::Note(format!("node {at}: its keeper refused: {why}")));
                         self.failed(why, actions);
                     }
@@ -342,14 +344,6 @@
         }
     }
 
-    fn tell_again(&self, step: u64, actions: &mut Vec<Action>) {
-        if let Some((node, change)) = self.orders.get(&step) {
-            let (generation, back) = (self.generation, matches!(self.phase, Phase::Back(_)));
-            let order = Order::Do { generation, step, change: change.clone(), back };
-            actions.push(Action::Tell(*node, order));
-        }
-    }
-
     fn failed(&mut self, why: String, actions: &mut Vec<Action>) {
         self.failures += 1;
         if self.failures > self.settings.failures && !matches!(self.phase, Phase::Back(_)) {
@@ -482,8 +476,7 @@
     fn go_on(&mut self, actions: &mut Vec<Action>) {
         match self.phase.clone() {
             Phase::Claiming => {
-                let claimed = |node: &Node| node.heard && node.generation == Some(self.generation);
-                if self.nodes.iter().all(claimed) {
+                if self.nodes.iter().all(|node| self.is_ours(node)) {
                     actions.push(Action::Unset(Timer::Claims));
                     self.claimed(actions);
                 }
@@ -538,8 +531,7 @@
     }
 
     fn is_back(&self, node: &Node) -> bool {
-        let settled = node.heard && !node.busy && node.ordered.is_none();
-        settled && !self.is_new(node) && node.generation == Some(self.generation)
+        self.is_idle(node) && !self.is_new(node)
     }
 
     /// Those that cannot serve go first: they are out already, and cost nobody.
@@ -548,11 +540,7 @@
         nodes.sort_by_key(|n| self.nodes[*n].ready);
         for at in nodes {
             let node = &self.nodes[at];
-            let idle = node.heard
-                && !node.busy
-                && !node.balks
-                && node.ordered.is_none()
-                && node.generation == Some(self.generation);
+            let idle = self.is_idle(node) && !node.balks;
             let room = !node.ready || self.out().len() < self.settings.back_at_once;
             let old = node.good.clone().filter(|good| *good != self.settings.change.version);
             if let Some(version) = old.filter(|_| idle && room && self.is_new(node)) {
@@ -573,9 +561,8 @@
     fn order(&mut self, at: usize, change: Change, back: bool, actions: &mut Vec<Action>) {
         self.last_step += 1;
         let step = self.last_step;
-        self.nodes[at].ordered = Some(step);
-        self.orders.insert(step, (at, change.clone()));
         let order = Order::Do { generation: self.generation, step, change, back };
+        self.nodes[at].ordered = Some((step, order.clone()));
         actions.push(Action::Tell(at, order));
     }
 }
--- a/crates/spurdrum-rollout/src/lib.rs
+++ b/crates/spurdrum-rollout/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`conductor`]: which node is told what, when a stage is over, when all goes back. Pure: no clock, no I/O.
 //! - [`judge`]: new nodes beside old ones in the same time, and the whole fleet beside the time before. Pure.
 //! - [`orders`]: what is said to the keeper of each node, and what it answers, one line each.
+//! - [`timers`]: the times that a state machine asks for.
 //! - [`shell`]: sockets and timers round the conductor and the judge.
 //!
 //! Nothing is remembered by the conductor alone: what nodes run and which conductor directs them is asked of their keepers,
@@ -15,4 +16,5 @@
 pub mod orders;
 pub mod plan;
 pub mod shell;
+pub mod timers;
 pub mod version;
--- a/crates/spurdrum-rollout/src/plan.rs
+++ b/crates/spurdrum-rollout/src/plan.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use serde::Deserialize;
+use spurdrum_facts::file;
 
 use crate::conductor::{self, Timer, Unjudged};
 use crate::judge;
@@ -211,9 +212,7 @@
     ///
     /// It cannot be read, or makes no sense.
     pub fn read(path: &Path) -> Result<Self, String> {
-        let shown = path.display();
-        let text = std::fs::read_to_string(path).map_err(|e| format!("{shown}: cannot be read: {e}"))?;
-        Self::parse(&text).map_err(|why| format!("{shown}:{why}"))
+        file::read(path, Self::parse)
     }
 
     /// Reads a plan's text. The error begins with the line.
@@ -222,12 +221,7 @@
     ///
     /// It makes no sense.
     pub fn parse(text: &str) -> Result<Self, String> {
-        let file: File = toml::from_str(text).map_err(|error| {
-            let at = error.span().map_or(0, |span| span.start).min(text.len());
-            let line = text[..at].matches('\n').count() + 1;
-            let key = text.lines().nth(line - 1).unwrap_or_default().split('=').next().unwrap_or_default();
-            format!("{line}: `{}`: {}", key.trim(), error.message())
-        })?;
+        let file: File = file::from_toml(text)?;
         Self::of(file).map_err(|(table, key, why)| {
             let begins = text.lines().position(|line| {
                 line.trim_start().trim_start_matches('[').starts_with(table)
--- a/crates/spurdrum-rollout/src/shell.rs
+++ b/crates/spurdrum-rollout/src/shell.rs
@@ -1,7 +1,6 @@
 //! Sockets and timers round the conductor and the judge.
 
-use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::cell::RefCell;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -18,6 +17,7 @@
 use crate::judge::Judge;
 use crate::orders::{Generation, Order, Status, LINE_MOST};
 use crate::plan::Plan;
+use crate::timers::Timers;
 
 /// A keeper has so long to answer.
 const ANSWER_MOST: Duration = Duration::from_secs(2);
@@ -73,9 +73,7 @@
     conductor: RefCell<Conductor>,
     judge: RefCell<Judge>,
     started: Instant,
-    /// Times that are kept: each by a number that another setting of it makes old.
-    timers: RefCell<BTreeMap<Timer, u64>>,
-    set: Cell<u64>,
+    timers: Rc<Timers<Timer>>,
     outcome: RefCell<Option<Outcome>>,
     over: Notify,
     show: Show,
@@ -100,8 +98,7 @@
         conductor: RefCell::new(Conductor::new(settings, generation)),
         judge: RefCell::new(judge),
         started: Instant::now(),
-        timers: RefCell::default(),
-        set: Cell::new(0),
+        timers: Rc::default(),
         outcome: RefCell::default(),
         over: Notify::new(),
         show,
@@ -154,7 +151,7 @@
                     });
                 }
                 Action::Set(timer) => self.set(timer),
-                Action::Unset(timer) => drop(self.timers.borrow_mut().remove(&timer)),
+                Action::Unset(timer) => self.timers.unset(timer),
                 Action::Runs { node, new } => {
                     let now = self.started.elapsed().as_secs_f64();
                     self.judge.borrow_mut().runs(node, new, now);
@@ -213,17 +210,9 @@
     }
 
     fn set(self: &Rc<Self>, timer: Timer) {
-        self.set.set(self.set.get() + 1);
-        let (number, running) = (self.set.get(), Rc::clone(self));
-        self.timers.borrow_mut().insert(timer, number);
-        tokio::task::spawn_local(async move {
-            sleep(running.plan.length(timer)).await;
-            let is_set = running.timers.borrow().get(&timer) == Some(&number);
-            if is_set {
-                running.timers.borrow_mut().remove(&timer);
-                running.handle(Event::Timer(timer));
-            }
-        });
+        let running = Rc::clone(self);
+        let over = move || running.handle(Event::Timer(timer));
+        self.timers.set(timer, self.plan.length(timer), over);
     }
 
     fn progress(&self, note: String) -> Progress {
--- a/crates/spurdrum-standin/src/scenario.rs
+++ b/crates/spurdrum-standin/src/scenario.rs
@@ -4,6 +4,7 @@
 
 use serde::de::DeserializeOwned;
 use serde::Deserialize;
+use spurdrum_facts::file;
 
 /// A fleet and its script.
 #[derive(Clone, Debug, Deserialize)]
@@ -204,17 +205,6 @@
 /// What makes no sense: the key, which of the lines that begin with it, and why.
 pub type Wrong = (&'static str, usize, String);
 
-/// Reads a file that `parse` understands. The error names the file, the line and the key.
-///
-/// # Errors
-///
-/// The file cannot be read, or makes no sense.
-pub fn read_file<T>(path: &Path, parse: impl Fn(&str) -> Result<T, String>) -> Result<T, String> {
-    let shown = path.display();
-    let text = std::fs::read_to_string(path).map_err(|e| format!("{shown}: cannot be read: {e}"))?;
-    parse(&text).map_err(|why| format!("{shown}:{why}"))
-}
-
 /// Reads TOML and checks what it says. The error begins with the line, and names the key.
 ///
 /// # Errors
@@ -224,12 +214,7 @@
     text: &str,
     check: impl Fn(&T) -> Result<(), Wrong>,
 ) -> Result<T, String> {
-    let read: T = toml::from_str(text).map_err(|error| {
-        let at = error.span().map_or(0, |span| span.start).min(text.len());
-        let line = text[..at].matches('\n').count();
-        let key = text.lines().nth(line).unwrap_or_default().split('=').next().unwrap_or_default().trim();
-        format!("{}: `{key}`: {}", line + 1, error.message())
-    })?;
+    let read: T = file::from_toml(text)?;
     check(&read).map_err(|(key, nth, why)| {
         let named = |line: &str| line.trim_start().split(['=', ' ']).next() == Some(key);
         let mut lines = text.lines().enumerate().filter(|(_, line)| named(line)).map(|(n, _)| n + 1);
@@ -242,7 +227,7 @@
 impl Scenario {
     /// Reads a scenario. The error names the file, the line and the key.
     pub fn read(path: &Path) -> Result<Self, String> {
-        read_file(path, Self::parse)
+        file::read(path, Self::parse)
     }
 
     /// Reads a scenario's text. The error begins with the line.
--- a/crates/spurdrum/src/file.rs
+++ b/crates/spurdrum/src/file.rs
@@ -8,6 +8,7 @@
 
 use serde::Deserialize;
 use spurdrum_admission::{Limits, Pace, Settings};
+use spurdrum_facts::file;
 use spurdrum_http::Names;
 use spurdrum_policy::{Class, Effect, Group, Weights};
 use spurdrum_sources::{follower, List, Static};
@@ -225,19 +226,12 @@
 /// Reads the file; none means that everything is off. The error names the file, the line and the key.
 pub fn read(path: Option<&Path>) -> Result<File, String> {
     let Some(path) = path else { return Ok(File::default()) };
-    let shown = path.display();
-    let text = std::fs::read_to_string(path).map_err(|e| format!("{shown}: cannot be read: {e}"))?;
-    parse(&text).map_err(|why| format!("{shown}:{why}"))
+    file::read(path, parse)
 }
 
 /// Reads the file's text. The error begins with the line.
 fn parse(text: &str) -> Result<File, String> {
-    let file: File = toml::from_str(text).map_err(|error| {
-        let at = error.span().map_or(0, |span| span.start);
-        let line = text[..at.min(text.len())].matches('\n').count() + 1;
-        let key = text.lines().nth(line - 1).unwrap_or_default().split('=').next().unwrap_or_default().trim();
-        format!("{line}: `{key}`: {}", error.message())
-    })?;
+    let file: File = file::from_toml(text)?;
     let line_of = |table: &str, key: &str| {
         let (of_table, of_key) = (format!("[{table}"), format!("{table}."));
         let begins = text.lines().position(|line| line.trim_start().starts_with(&of_table)).unwrap_or(0);
--- a/crates/spurdrum/src/rollout.rs
+++ b/crates/spurdrum/src/rollout.rs
@@ -72,27 +72,15 @@
         What::Start { plan, json } => start(Plan::read(&plan)?, false, json),
         What::Back { plan, json } => {
             let plan = Plan::read(&plan)?;
-            match say(&plan, "back") {
-                Ok(answer) => {
-                    println!("{answer}");
-                    Ok(())
-                }
-                Err(_) => start(plan, true, json),
-            }
+            say(&plan, "back").or_else(|_| start(plan, true, json))
         }
         What::Status { plan } => {
             let plan = Plan::read(&plan)?;
-            match say(&plan, "status") {
-                Ok(answer) => {
-                    println!("{answer}");
-                    Ok(())
-                }
-                Err(_) => keepers(&plan),
-            }
+            say(&plan, "status").or_else(|_| keepers(&plan))
         }
-        What::Pause { plan } => command(&plan, "pause"),
-        What::Resume { plan } => command(&plan, "resume"),
-        What::Stop { plan } => command(&plan, "stop"),
+        What::Pause { plan } => say(&Plan::read(&plan)?, "pause"),
+        What::Resume { plan } => say(&Plan::read(&plan)?, "resume"),
+        What::Stop { plan } => say(&Plan::read(&plan)?, "stop"),
     }
 }
 
@@ -117,13 +105,11 @@
     Ok(())
 }
 
-fn say(plan: &Plan, line: &str) -> Result<String, String> {
+/// Tells the conductor of a plan something, and shows its answer.
+fn say(plan: &Plan, line: &str) -> Result<(), String> {
     let called = async { call(plan.listen, line).await.map_err(|error| error.to_string()) };
-    on_event_loop(called).map_err(|error| format!("no conductor answers at {}: {error}", plan.listen))
-}
-
-fn command(path: &Path, line: &str) -> Result<(), String> {
-    let answer = say(&Plan::read(path)?, line)?;
+    let answer = on_event_loop(called);
+    let answer = answer.map_err(|error| format!("no conductor answers at {}: {error}", plan.listen))?;
     println!("{answer}");
     Ok(())
 }
