A node that always answered slowly is not held against a change

Answers by time are now kept for each node until the bound is known, and their past is made of them. The test fails without it. What was usual for all is summed once and not each second.

--- a/crates/spurdrum-lab/src/rollout.rs
+++ b/crates/spurdrum-lab/src/rollout.rs
@@ -320,7 +320,7 @@
                 judge.watch();
             }
         }
-        let verdict = judge.look(now as f64);
+        let verdict = judge.look();
         if let (Verdict::Worse(why), false) = (&verdict, decided) {
             (decided, went.why) = (true, why.clone());
         }
--- a/crates/spurdrum-rollout/src/judge/mod.rs
+++ b/crates/spurdrum-rollout/src/judge/mod.rs
@@ -153,6 +153,8 @@
     fresh: BTreeMap<Key, Part>,
     /// What it did before any was changed.
     before: BTreeMap<Key, Part>,
+    /// Answers by time, then, by class.
+    times: BTreeMap<String, BTreeMap<u64, u64>>,
     /// Seconds of that, and requests.
     before_s: f64,
     before_requests: f64,
@@ -169,8 +171,8 @@
     zones: usize,
     /// Bounds in microseconds that slow answers are told by, by class; once there is a first node that is changed.
     slow: BTreeMap<String, u64>,
-    /// Answers by time, before.
-    times: BTreeMap<String, BTreeMap<u64, u64>>,
+    /// What was usual for all together, before.
+    usual: BTreeMap<Key, f64>,
     evidence: BTreeMap<Key, Evidence>,
     crashes: Crashes,
     /// Sums that were too few to be compared, by zone: new, old, and what both would have done by their past.
@@ -181,7 +183,6 @@
     troubled: bool,
     /// A node was changed: what came until then is the time before, for all of them alike.
     begun: bool,
-    last: Option<f64>,
     /// Requests at changed nodes since the stage was watched.
     seen: f64,
 }
@@ -230,7 +231,7 @@
             nodes,
             zones: names.len(),
             slow: BTreeMap::new(),
-            times: BTreeMap::new(),
+            usual: BTreeMap::new(),
             evidence: BTreeMap::new(),
             crashes: Crashes::default(),
             waiting: BTreeMap::new(),
@@ -238,7 +239,6 @@
             recent: Vec::new(),
             troubled: false,
             begun: false,
-            last: None,
             seen: 0.0,
         }
     }
@@ -246,7 +246,7 @@
     /// From now on this node runs the change, or the old version again.
     pub fn runs(&mut self, at: usize, new: bool, now: f64) {
         if new && !std::mem::replace(&mut self.begun, true) {
-            self.bound_slow();
+            self.end_of_before();
         }
         let node = &mut self.nodes[at];
         (node.new, node.since) = (new, Some(now));
@@ -260,17 +260,39 @@
         self.seen = 0.0;
     }
 
-    /// The bound that slow answers are told by: nine in ten took no longer, before.
+    /// The time before is over: what was usual then stands.
+    fn end_of_before(&mut self) {
+        self.bound_slow();
+        let mut usual: BTreeMap<Key, Part> = BTreeMap::new();
+        for (key, part) in self.nodes.iter().flat_map(|node| &node.before) {
+            usual.entry(key.clone()).or_default().add(*part);
+        }
+        self.usual = usual.into_iter().map(|(key, part)| (key, part.rate())).collect();
+    }
+
+    /// The bounds that slow answers are told by: nine in ten of all took no longer. And how many were slow at each node.
     fn bound_slow(&mut self) {
-        for (class, times) in &self.times {
-            let all: u64 = times.values().sum();
+        let mut all: BTreeMap<&String, BTreeMap<u64, u64>> = BTreeMap::new();
+        for (class, times) in self.nodes.iter().flat_map(|node| &node.times) {
+            let all = all.entry(class).or_default();
+            times.iter().for_each(|(upper, count)| *all.entry(*upper).or_default() += count);
+        }
+        for (class, times) in all {
+            let count: u64 = times.values().sum();
             let mut sum = 0;
-            let bound = times.iter().find(|(_, count)| {
-                sum += **count;
-                sum as f64 >= (1.0 - SLOW_PART) * all as f64
+            let bound = times.iter().find(|(_, more)| {
+                sum += **more;
+                sum as f64 >= (1.0 - SLOW_PART) * count as f64
             });
             self.slow.extend(bound.map(|(bound, _)| (class.clone(), *bound)));
         }
+        for node in &mut self.nodes {
+            for (class, times) in std::mem::take(&mut node.times) {
+                let Some(bound) = self.slow.get(&class) else { continue };
+                let part = slow_part(times, *bound);
+                node.before.insert((class, Measure::Slow), part);
+            }
+        }
     }
 
     /// What a node's keeper told of it.
@@ -323,18 +345,14 @@
             let was = was.latencies.get(class).map_or(&[][..], Vec::as_slice);
             let counted =
                 |upper: u64| was.binary_search_by_key(&upper, |step| step.0).map_or(0, |at| was[at].1);
-            let bound = self.slow.get(class).copied();
-            let mut part = Part::default();
-            for (upper, count) in steps {
-                let count = count.saturating_sub(counted(*upper));
-                part.all += count as f64;
-                part.bad += if bound.is_some_and(|bound| *upper > bound) { count as f64 } else { 0.0 };
-                if before && bound.is_none() && count > 0 {
-                    *self.times.entry(class.clone()).or_default().entry(*upper).or_default() += count;
+            let more = steps.iter().map(|(upper, count)| (*upper, count.saturating_sub(counted(*upper))));
+            match self.slow.get(class) {
+                Some(bound) => found.push(((class.clone(), Measure::Slow), slow_part(more, *bound))),
+                None if before => {
+                    let times = self.nodes[at].times.entry(class.clone()).or_default();
+                    more.for_each(|(upper, count)| *times.entry(upper).or_default() += count);
                 }
-            }
-            if bound.is_some() {
-                found.push(((class.clone(), Measure::Slow), part));
+                None => {}
             }
         }
         let extra = (more(is.attempts, was.attempts) - requests).clamp(0.0, requests);
@@ -343,16 +361,14 @@
         // A node's list counts as one request a second and server, so that zones are weighed alike.
         found.push(((String::new(), Measure::Down), Part { bad: is.down as f64, all: listed }));
         let node = &mut self.nodes[at];
+        let of_node = if before { &mut node.before } else { &mut node.fresh };
         for (key, part) in found {
-            node.fresh.entry(key.clone()).or_default().add(part);
-            if before {
-                node.before.entry(key).or_default().add(part);
-            }
+            of_node.entry(key).or_default().add(part);
         }
+        let new = node.new;
         if before {
             self.all_before.add(overall);
         }
-        let new = self.nodes[at].new;
         if let Some(last) = self.recent.last_mut() {
             let of = if new { &mut last.new } else { &mut last.old };
             of.add(overall);
@@ -361,11 +377,8 @@
     }
 
     /// Looks at what came in the last second. What can be said now.
-    pub fn look(&mut self, now: f64) -> Verdict {
-        let seconds = self.last.replace(now).map_or(0.0, |last| now - last);
-        if seconds > 0.0 {
-            self.compare();
-        }
+    pub fn look(&mut self) -> Verdict {
+        self.compare();
         let trouble = self.trouble();
         self.recent.push(Second::default());
         if self.recent.len() > RECENT {
@@ -393,13 +406,11 @@
         keys.sort();
         keys.dedup();
         for key in keys {
-            let before = self.nodes.iter().filter_map(|node| node.before.get(&key));
-            let mut fleet = Part::default();
-            before.for_each(|part| fleet.add(*part));
+            let usual = self.usual.get(&key).copied().unwrap_or(0.0);
             let mut sums = self.waiting.remove(&key).unwrap_or_else(|| vec![Sums::default(); self.zones]);
             for node in &mut self.nodes {
                 let Some(part) = node.fresh.remove(&key) else { continue };
-                let past = node.before.get(&key).copied().unwrap_or_default().shrunk(fleet.rate());
+                let past = node.before.get(&key).copied().unwrap_or_default().shrunk(usual);
                 let sum = &mut sums[node.zone];
                 let mut one = Sums::default();
                 if node.new {
@@ -459,11 +470,12 @@
                 None => self.crashes.to_string(),
             });
         }
+        let load = self.load();
         for (at, node) in self.nodes.iter().enumerate().filter(|(_, node)| node.new) {
             if let Some(what) = node.resources.grown(self.settings.growth) {
                 return Some(format!("node {at}: {what}"));
             }
-            if node.expected >= EXPECTED && node.requests < NOBODY * node.expected * self.load() {
+            if node.expected >= EXPECTED && node.requests < NOBODY * node.expected * load {
                 let (requests, expected) = (node.requests, node.expected);
                 return Some(format!(
                     "node {at} serves nobody: {requests:.0} requests, {expected:.0} expected"
@@ -522,6 +534,16 @@
     }
 }
 
+/// Of these answers by time, those that took longer than the bound.
+fn slow_part(times: impl IntoIterator<Item = (u64, u64)>, bound: u64) -> Part {
+    let mut part = Part::default();
+    for (upper, count) in times {
+        let bad = if upper > bound { count as f64 } else { 0.0 };
+        part.add(Part { bad, all: count as f64 });
+    }
+    part
+}
+
 /// How much more often requests end badly at new nodes than at old ones of their zones, beyond what either did before. A zone
 /// with too few old ones is compared with all old ones; none where there are too few at all.
 fn difference(sums: &[Sums]) -> Option<f64> {
--- a/crates/spurdrum-rollout/src/shell.rs
+++ b/crates/spurdrum-rollout/src/shell.rs
@@ -204,7 +204,7 @@
                     self.judge.borrow_mut().watch();
                 }
             }
-            let verdict = self.judge.borrow_mut().look(self.started.elapsed().as_secs_f64());
+            let verdict = self.judge.borrow_mut().look();
             self.handle(Event::Judged(verdict));
         }
     }
--- a/crates/spurdrum-rollout/tests/judge.rs
+++ b/crates/spurdrum-rollout/tests/judge.rs
@@ -43,7 +43,7 @@
                 self.figures[at].attempts += success + failure;
                 self.judge.saw(at, &self.figures[at], self.crashes[at], self.now);
             }
-            verdict = self.judge.look(self.now);
+            verdict = self.judge.look();
             if matches!(verdict, Verdict::Worse(_)) {
                 return (verdict, second);
             }
@@ -51,10 +51,29 @@
         (verdict, count)
     }
 
+    /// Seconds in which nodes answer 30 requests each, so many of them slowly.
+    fn answers(&mut self, count: usize, slow: impl Fn(usize) -> u64) -> Verdict {
+        let mut verdict = Verdict::Open;
+        for _ in 0..count {
+            for at in 0..self.figures.len() {
+                let times = self.figures[at].latencies.entry("update".into());
+                let times = times.or_insert_with(|| vec![(10_000, 0), (20_000, 0)]);
+                times[0].1 += 30 - slow(at);
+                times[1].1 += slow(at);
+            }
+            (verdict, _) = self.seconds(1, |_| WELL);
+            if matches!(verdict, Verdict::Worse(_)) {
+                break;
+            }
+        }
+        verdict
+    }
+
     fn change(&mut self, at: usize) {
         self.judge.runs(at, true, self.now);
         self.figures[at].process += 1;
         self.figures[at].calls = BTreeMap::new();
+        self.figures[at].latencies = BTreeMap::new();
         self.figures[at].attempts = 0;
     }
 }
@@ -87,6 +106,25 @@
     );
 }
 
+/// Some zones are farther from the servers: what a node always did is not the change's doing, what it does since is.
+#[test]
+fn a_node_that_always_answered_slowly_is_not_held_against_the_change() {
+    let slow = |at: usize| if at == 0 { 6 } else { 1 };
+    let after = |then: fn(usize) -> u64| {
+        let mut fleet = Fleet::new(10);
+        fleet.answers(60, slow);
+        fleet.change(0);
+        fleet.judge.watch();
+        fleet.answers(200, then)
+    };
+    assert_eq!(after(slow), Verdict::Fine);
+    let verdict = after(|at| if at == 0 { 12 } else { 1 });
+    assert!(
+        matches!(&verdict, Verdict::Worse(why) if why.starts_with("slow answers of class update")),
+        "{verdict:?}"
+    );
+}
+
 #[test]
 fn what_is_gross_is_said_within_seconds_and_what_is_not_takes_longer() {
     for (bad, most) in [((0, 0, 30), 5), ((5, 25, 0), 5), ((28, 0, 2), 90)] {
