Tools: one draw of each distribution, one agenda of simulated time, one call; plans read as they are

Twins that the change had added: the normal draw stood five times and the stand-ins' work twice (spurdrum_standin::draw), steps in the order of time in two experiments (spurdrum-lab's agenda), a line said to an address in three places, clients waited for in two, the rig's options in seven, the bad settings of demo, measurement, chaos and test in four, walks of the model in two. A plan's tables were copied field by field into others of the same shape.

--- a/crates/spurdrum-bench/src/chaos.rs
+++ b/crates/spurdrum-bench/src/chaos.rs
@@ -1,13 +1,11 @@
 //! Rollouts back to back, good and bad ones, with faults drawn from a seed between them.
 
 use std::collections::BTreeMap;
-use std::io::{Read, Write};
-use std::net::TcpStream;
 use std::path::Path;
 use std::time::{Duration, Instant};
 
 use spurdrum_fleet::history::End;
-use spurdrum_fleet::kept::{play as played, Kept};
+use spurdrum_fleet::kept::{hasty, play as played, Kept};
 use spurdrum_fleet::run::Options;
 use spurdrum_fleet::scenario::{Kind, Scenario};
 use spurdrum_fleet::verdict;
@@ -41,7 +39,7 @@
          [[servers]]\nname = 's'\ncount = 8\ncores = 2\nslots = 2\nqueue = 200\nwork_ms = 20\nwork = 'exponential'\n",
         for_s + 600.0
     );
-    let options = Options { program: program()?, folder: std::env::temp_dir(), keep: false, playing: None };
+    let options = Options::new(program()?);
     let (history, counts) = played(&Scenario::parse(&scenario)?, &options, |kept| {
         let mut rng = fastrand::Rng::with_seed(seed);
         let mut counts = Counts::default();
@@ -73,13 +71,8 @@
     // Another content each time.
     let text = format!("# {}\nexec {{program}} \"$@\"", counts.rollouts);
     let build = kept.build(&format!("build{}", counts.rollouts), &text)?;
-    let spoil = move |text: String| match good {
-        true => text,
-        false => {
-            text.replace("aim_ms = 400.0", "aim_ms = 4.0").replace("deadline_ms = 800.0", "deadline_ms = 5.0")
-        }
-    };
-    let settings = kept.settings(&format!("settings{}", counts.rollouts), spoil)?;
+    let settings =
+        kept.settings(&format!("settings{}", counts.rollouts), if good { |text| text } else { hasty })?;
     let plan = kept.plan(&build, &settings, "replace", TIMES, STAGES)?;
     let mut conductor = kept.conduct(&plan)?;
     let began = Instant::now();
@@ -160,11 +153,7 @@
 
 /// The program that a node's keeper says it runs.
 fn runs(kept: &Kept, node: usize) -> Option<String> {
-    let mut stream = TcpStream::connect_timeout(&kept.keeper(node), Duration::from_secs(1)).ok()?;
-    stream.set_read_timeout(Some(Duration::from_secs(2))).ok()?;
-    stream.write_all(b"\"ask\"\n").ok()?;
-    let mut said = String::new();
-    stream.read_to_string(&mut said).ok()?;
-    let status: spurdrum_rollout::orders::Status = serde_json::from_str(said.trim()).ok()?;
-    status.runs.filter(|_| status.busy.is_none() && status.ready).map(|runs| runs.program.text().to_owned())
+    let status = kept.status(node)?;
+    let settled = status["busy"].is_null() && status["ready"] == true;
+    status["runs"]["program"].as_str().filter(|_| settled).map(str::to_owned)
 }
--- a/crates/spurdrum-bench/src/rollout.rs
+++ b/crates/spurdrum-bench/src/rollout.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use spurdrum_fleet::history::{End, History};
-use spurdrum_fleet::kept::{play as played, Kept};
+use spurdrum_fleet::kept::{hasty, play as played, Kept};
 use spurdrum_fleet::run::Options;
 use spurdrum_fleet::scenario::Scenario;
 use spurdrum_fleet::verdict;
@@ -66,9 +66,7 @@
                      exec {program} --config \"$2.elsewhere\" --ops \"$4\"";
     vec![
         build("a good build", format!("# another\n{SOUND}")),
-        settings("settings with a deadline of 5 ms", |text| {
-            text.replace("aim_ms = 400.0", "aim_ms = 4.0").replace("deadline_ms = 800.0", "deadline_ms = 5.0")
-        }),
+        settings("settings with a deadline of 5 ms", hasty),
         settings("settings with two servers of forty", |text| keep_servers(&text, 2)),
         build("a build that ends after 20 s", format!("{CHECKED}exec timeout -s KILL 20 {{program}} \"$@\"")),
         build("a build that is ready and listens elsewhere", format!("{CHECKED}{elsewhere}")),
@@ -97,7 +95,7 @@
          [[servers]]\nname = 's'\ncount = 40\ncores = 2\nslots = 2\nqueue = 1000\nwork_ms = 40\nwork = 'exponential'\n\
          [[server_fault]]\non = 's9'\nkind = 'die'\nat_s = 60\nfor_s = 20\n"
     );
-    let options = Options { program: program()?, folder: std::env::temp_dir(), keep: false, playing: None };
+    let options = Options::new(program()?);
     let (history, did) = played(&Scenario::parse(&scenario)?, &options, |kept| {
         let mut did = Vec::new();
         for (n, change) in changes().into_iter().enumerate() {
--- a/crates/spurdrum-demo/src/rollout.rs
+++ b/crates/spurdrum-demo/src/rollout.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use spurdrum_fleet::history::End;
-use spurdrum_fleet::kept::{play as played, Kept};
+use spurdrum_fleet::kept::{hasty, play as played, Kept};
 use spurdrum_fleet::run::Options;
 use spurdrum_fleet::scenario::Scenario;
 
@@ -50,7 +50,7 @@
 /// Shows a good change and a bad one.
 pub fn play() -> Result<(), String> {
     let program = spurdrum_harness::program()?;
-    let options = Options { program, folder: std::env::temp_dir(), keep: false, playing: None };
+    let options = Options::new(program);
     println!("six nodes with a keeper each, before four servers, under load");
     let (history, (from, to)) = played(&Scenario::parse(FLEET)?, &options, |kept| {
         println!("\na new build, as good as the old one:\n");
@@ -59,10 +59,7 @@
         change(kept, &good, &same, "replace")?;
         println!("\nnew settings, legal and bad: a deadline of 5 ms:\n");
         let from = kept.at();
-        let bad = |text: String| {
-            text.replace("aim_ms = 400.0", "aim_ms = 4.0").replace("deadline_ms = 800.0", "deadline_ms = 5.0")
-        };
-        let bad = kept.settings("bad", bad)?;
+        let bad = kept.settings("bad", hasty)?;
         change(kept, &good, &bad, "reload")?;
         Ok((from, kept.at()))
     })?;
--- a/crates/spurdrum-fleet/src/clients.rs
+++ b/crates/spurdrum-fleet/src/clients.rs
@@ -15,6 +15,7 @@
 use spurdrum_load::schedule::Schedule as Arrivals;
 use spurdrum_load::transport::Pool;
 use spurdrum_load::Arrival;
+use spurdrum_standin::draw::normal;
 use tokio::task::LocalSet;
 use tokio::time::{sleep_until, timeout};
 
@@ -41,12 +42,7 @@
     pub fn new(scenario: &Scenario) -> Self {
         let mut rng = fastrand::Rng::with_seed(scenario.seed ^ 0x5eed);
         let nodes = scenario.nodes;
-        let parts: Vec<f64> = (0..nodes)
-            .map(|_| {
-                let (a, b) = (1.0 - rng.f64(), rng.f64());
-                (scenario.sigma * (-2.0 * a.ln()).sqrt() * (std::f64::consts::TAU * b).cos()).exp()
-            })
-            .collect();
+        let parts: Vec<f64> = (0..nodes).map(|_| (scenario.sigma * normal(&mut rng)).exp()).collect();
         let mut all = vec![(0.0, parts.clone())];
         for lean in &scenario.leans {
             let mut drawn: Vec<usize> = (0..nodes).collect();
@@ -126,6 +122,20 @@
     shares.into_iter().enumerate().map(begin).collect()
 }
 
+/// Waits for all clients: what became of their requests, in the order in which they were due.
+///
+/// # Errors
+///
+/// A client's thread could not play.
+pub fn gather(clients: Vec<Client>) -> Result<Vec<Asked>, String> {
+    let mut asked = Vec::new();
+    for client in clients {
+        asked.extend(client.join().map_err(|_| "a client's thread died".to_owned())??);
+    }
+    asked.sort_by(|a, b| a.due.total_cmp(&b.due));
+    Ok(asked)
+}
+
 /// Plays a share of the arrivals, on one event loop: sends each at its time, and returns what became of it.
 pub async fn play(
     arrivals: Vec<(Arrival, usize)>,
--- a/crates/spurdrum-fleet/src/kept.rs
+++ b/crates/spurdrum-fleet/src/kept.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use serde_json::Value;
 use spurdrum_harness::healthy;
 use spurdrum_standin::Fleet;
 
@@ -15,7 +16,7 @@
 use crate::files::{node_part, shared_part};
 use crate::history::{Away, History};
 use crate::links::Relays;
-use crate::process::{address, beside, free, held, sweep, Node};
+use crate::process::{address, beside, call, free, held, sweep, Node};
 use crate::run::{history, Folder, Options};
 use crate::scenario::{Kind, Scenario};
 
@@ -24,6 +25,17 @@
 /// How often is looked whether something has come.
 const LOOK: Duration = Duration::from_millis(20);
 
+/// Settings that are legal and bad: aims of 4 ms and deadlines of 5 ms, in which no server can answer.
+#[must_use]
+pub fn hasty(settings: String) -> String {
+    let line = |line: &str| match line.split_once(" = ") {
+        Some(("aim_ms", _)) => "aim_ms = 4.0\n".to_owned(),
+        Some(("deadline_ms", _)) => "deadline_ms = 5.0\n".to_owned(),
+        _ => format!("{line}\n"),
+    };
+    settings.lines().map(line).collect()
+}
+
 /// A fleet that is being played.
 pub struct Kept {
     scenario: Scenario,
@@ -97,7 +109,7 @@
             shown = whole;
             match status {
                 Some(status) => return Ok(status.success()),
-                None if since.elapsed() > most => return Err("it does not end".into()),
+                None if since.elapsed() > most => return Err(format!("it does not end:\n{said}")),
                 None => std::thread::sleep(LOOK),
             }
         }
@@ -109,16 +121,8 @@
     ///
     /// The time is up.
     pub fn ended(&mut self, most: Duration) -> Result<(bool, String), String> {
-        let since = Instant::now();
-        loop {
-            if let Some(status) = self.process.status() {
-                return Ok((status.success(), self.said()));
-            }
-            if since.elapsed() > most {
-                return Err(format!("it does not end:\n{}", self.said()));
-            }
-            std::thread::sleep(LOOK);
-        }
+        let done = self.follow(most, |_| {})?;
+        Ok((done, self.said()))
     }
 
     /// Stops it in the middle of whatever it does, or lets it go on.
@@ -149,12 +153,8 @@
     let playing = clients::start(scenario, &kept.nodes, kept.start, &stop);
     let said = script(&mut kept);
     stop.store(true, Ordering::Relaxed);
-    let mut asked = Vec::new();
-    for client in playing {
-        asked.extend(client.join().map_err(|_| "a client's thread died".to_owned())??);
-    }
+    let asked = clients::gather(playing)?;
     let said = said.map_err(|why| format!("{why}\n{}", kept.logs()))?;
-    asked.sort_by(|a, b| a.due.total_cmp(&b.due));
     let length = kept.at();
     let away = std::mem::take(&mut kept.away);
     drop(kept);
@@ -355,10 +355,10 @@
         &self.keepers[me].folder
     }
 
-    /// Where a keeper listens, past all relays.
+    /// What a keeper says of its node, asked past all relays; none where it does not answer.
     #[must_use]
-    pub fn keeper(&self, me: usize) -> SocketAddr {
-        self.keepers[me].address
+    pub fn status(&self, me: usize) -> Option<Value> {
+        serde_json::from_str(&call(self.keepers[me].address, "\"ask\"")?).ok()
     }
 
     /// Links between conductors and these keepers break so, or are mended.
--- a/crates/spurdrum-fleet/src/main.rs
+++ b/crates/spurdrum-fleet/src/main.rs
@@ -130,7 +130,7 @@
                         self::chaos(scenario.seed, count, scenario.for_s, scenario.catalog.is_none());
                 }
                 let program = program.map_or_else(|| process::beside("spurdrum"), Ok)?;
-                let options = Options { program, folder: std::env::temp_dir(), keep, playing: Some(playing) };
+                let options = Options { keep, playing: Some(playing), ..Options::new(program) };
                 let again = format!(
                     "spurdrum-fleet run {} --seed {} --nodes {} --load {}{}",
                     file.display(),
--- a/crates/spurdrum-fleet/src/measure.rs
+++ b/crates/spurdrum-fleet/src/measure.rs
@@ -54,8 +54,7 @@
             for seed in &measure.seeds {
                 let scenario = Scenario { seed: *seed, nodes, load, ..scenario.clone() };
                 for (n, (name, program)) in measure.builds.iter().enumerate() {
-                    let folder = std::env::temp_dir();
-                    let options = Options { program: program.clone(), folder, keep: false, playing: None };
+                    let options = Options::new(program.clone());
                     let history = run(&scenario, &options)?;
                     let broken = verdict::judge(&history);
                     kept &= n > 0 || broken.is_empty();
--- a/crates/spurdrum-fleet/src/process.rs
+++ b/crates/spurdrum-fleet/src/process.rs
@@ -106,15 +106,21 @@
 
     /// Its figures, where it answers.
     pub fn telemetry(&self) -> Option<serde_json::Value> {
-        let mut stream = TcpStream::connect_timeout(&self.ops, Duration::from_secs(1)).ok()?;
-        stream.set_read_timeout(Some(Duration::from_secs(1))).ok()?;
-        stream.write_all(b"telemetry\n").ok()?;
-        let mut answer = String::new();
-        stream.read_to_string(&mut answer).ok()?;
-        serde_json::from_str(answer.lines().next()?).ok()
+        serde_json::from_str(&call(self.ops, "telemetry")?).ok()
     }
 }
 
+/// Says a line to an address, and hears one; none where nobody answers within a second.
+#[must_use]
+pub fn call(at: SocketAddr, line: &str) -> Option<String> {
+    let mut stream = TcpStream::connect_timeout(&at, Duration::from_secs(1)).ok()?;
+    stream.set_read_timeout(Some(Duration::from_secs(1))).ok()?;
+    stream.write_all(format!("{line}\n").as_bytes()).ok()?;
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).ok()?;
+    answer.lines().next().map(str::to_owned)
+}
+
 fn tail(path: &Path) -> String {
     let text = std::fs::read_to_string(path).unwrap_or_default();
     let lines: Vec<&str> = text.lines().collect();
--- a/crates/spurdrum-fleet/src/references.rs
+++ b/crates/spurdrum-fleet/src/references.rs
@@ -183,17 +183,7 @@
 /// Work of a request there, in seconds.
 fn draw(server: &Server, scenario: &Scenario, rng: &mut fastrand::Rng) -> f64 {
     let kind = scenario.spec_of(&server.name).map_or(Distribution::Constant, |spec| spec.work);
-    match kind {
-        Distribution::Constant => server.work,
-        Distribution::Exponential => -server.work * (1.0 - rng.f64()).ln(),
-        Distribution::Lognormal => {
-            // A deviation of the mean's size: sigma squared is ln 2.
-            let sigma = std::f64::consts::LN_2.sqrt();
-            let (a, b) = (1.0 - rng.f64(), rng.f64());
-            let normal = (-2.0 * a.ln()).sqrt() * (std::f64::consts::TAU * b).cos();
-            server.work * (sigma * normal - sigma * sigma / 2.0).exp()
-        }
-    }
+    kind.draw(rng, server.work)
 }
 
 #[cfg(test)]
--- a/crates/spurdrum-fleet/src/run.rs
+++ b/crates/spurdrum-fleet/src/run.rs
@@ -39,6 +39,14 @@
     pub playing: Option<fn(&[SocketAddr])>,
 }
 
+impl Options {
+    /// With this program, in the system's folder for such files, of which nothing stays.
+    #[must_use]
+    pub fn new(program: PathBuf) -> Self {
+        Self { program, folder: std::env::temp_dir(), keep: false, playing: None }
+    }
+}
+
 /// Plays it. Returns when all processes have ended.
 pub fn run(scenario: &Scenario, options: &Options) -> Result<History, String> {
     let lead = LEAD.0 + LEAD.1 * scenario.nodes as f64;
@@ -88,21 +96,17 @@
     let start = Instant::now();
     let unix = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
     let began_ms = unix.map_err(|error| format!("the clock: {error}"))?.as_secs_f64() * 1000.0;
+    let nodes: Vec<SocketAddr> = world.starts.iter().map(|start| start.listen).collect();
     if let Some(playing) = options.playing {
-        playing(&world.starts.iter().map(|start| start.listen).collect::<Vec<_>>());
+        playing(&nodes);
     }
     let stop = Arc::new(AtomicBool::new(false));
-    let nodes: Vec<SocketAddr> = world.starts.iter().map(|start| start.listen).collect();
     let clients = clients::start(scenario, &nodes, start, &stop);
     let played = world.play(&schedule, start);
     // Where the script failed, nobody is to ask on: the next run has the same addresses.
     stop.store(played.is_err(), Ordering::Relaxed);
-    let mut asked = Vec::new();
-    for client in clients {
-        asked.extend(client.join().map_err(|_| "a client's thread died".to_owned())??);
-    }
+    let asked = clients::gather(clients)?;
     played?;
-    asked.sort_by(|a, b| a.due.total_cmp(&b.due));
     let telemetry = world.telemetry();
     let traces: Vec<PathBuf> = world.starts.iter().map(|start| start.trace.clone()).collect();
     let away = world.end(&schedule)?;
@@ -218,10 +222,7 @@
         let nodes = &schedule.befalls[step.fault].0;
         match (fault.kind, step.begins) {
             (Kind::Kill | Kind::Torn, true) => {
-                for me in nodes {
-                    self.nodes[*me] = None;
-                    self.leaves(*me, start);
-                }
+                self.kill(nodes, start);
                 if fault.kind == Kind::Torn {
                     let mut rng = fastrand::Rng::with_seed(self.scenario.seed ^ step.fault as u64);
                     for me in nodes {
@@ -240,9 +241,8 @@
                 }
             }
             (Kind::Older, false) => {
+                self.kill(nodes, start);
                 for me in nodes {
-                    self.nodes[*me] = None;
-                    self.leaves(*me, start);
                     if let Some(copy) = self.copies.remove(&(step.fault, *me)) {
                         copy.put(&self.starts[*me].folder).map_err(|error| self.spoilt(*me, &error))?;
                     }
@@ -260,18 +260,16 @@
             (Kind::Kill | Kind::Torn, false) | (Kind::Late, true) => self.start_again(nodes, start)?,
             (Kind::Late, false) => {}
             (Kind::DiskFull | Kind::DiskSlow | Kind::DiskUnsynced | Kind::DiskForgets, begins) => {
-                if fault.kind == Kind::DiskForgets && !begins {
-                    for me in nodes {
-                        self.nodes[*me] = None;
-                        self.leaves(*me, start);
-                    }
+                let forgets = fault.kind == Kind::DiskForgets && !begins;
+                if forgets {
+                    self.kill(nodes, start);
                 }
                 let says = fault.kind.of_disk(fault.delay_ms).filter(|_| begins).unwrap_or_default();
                 for me in nodes {
                     std::fs::write(&self.starts[*me].disk, &says)
                         .map_err(|error| self.spoilt(*me, &error))?;
                 }
-                if fault.kind == Kind::DiskForgets && !begins {
+                if forgets {
                     self.start_again(nodes, start)?;
                 }
             }
@@ -301,6 +299,13 @@
         std::fs::write(&self.starts[me].file, lines.collect::<Vec<_>>().join("\n"))
     }
 
+    fn kill(&mut self, nodes: &[usize], start: Instant) {
+        for me in nodes {
+            self.nodes[*me] = None;
+            self.leaves(*me, start);
+        }
+    }
+
     fn leaves(&mut self, me: usize, start: Instant) {
         self.away.push(Away { node: me, from: start.elapsed().as_secs_f64(), to: f64::INFINITY });
     }
@@ -512,9 +517,6 @@
         telemetry,
         window: scenario.window_ms / 1000.0,
         slack: scenario.slack_s,
-        blind: Vec::new(),
-        told: Vec::new(),
-        chosen: Vec::new(),
-        lost: 0,
+        ..History::default()
     }
 }
--- a/crates/spurdrum-fleet/tests/faults.rs
+++ b/crates/spurdrum-fleet/tests/faults.rs
@@ -34,7 +34,7 @@
 
 fn options() -> Options {
     let program = spurdrum_harness::program().expect("the program is built");
-    Options { program, folder: std::env::temp_dir(), keep: false, playing: None }
+    Options::new(program)
 }
 
 /// Plays it; no rule may be broken, whatever happened.
--- a/crates/spurdrum-fleet/tests/rollout.rs
+++ b/crates/spurdrum-fleet/tests/rollout.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use spurdrum_fleet::history::{End, History};
-use spurdrum_fleet::kept::{play, Kept};
+use spurdrum_fleet::kept::{hasty, play, Kept};
 use spurdrum_fleet::run::Options;
 use spurdrum_fleet::scenario::{Kind, Scenario};
 use spurdrum_fleet::verdict;
@@ -29,7 +29,7 @@
 fn rollout<T>(script: impl FnOnce(&mut Kept) -> Result<T, String>) -> (History, T) {
     let _alone = ALONE.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
     let program = spurdrum_harness::program().expect("the program is built");
-    let options = Options { program, folder: std::env::temp_dir(), keep: false, playing: None };
+    let options = Options::new(program);
     let scenario = Scenario::parse(FLEET).expect("sound");
     let played = play(&scenario, &options, script).unwrap_or_else(|why| panic!("{why}"));
     let broken: Vec<String> = verdict::judge(&played.0).iter().map(ToString::to_string).collect();
@@ -47,15 +47,13 @@
     kept.plan(program, settings, how, TIMES, STAGES)
 }
 
-/// Whether each node's keeper says this of what runs.
+/// Waits until each node's keeper says that this runs, and that it is at no step.
 fn all_run(kept: &Kept, what: &str) -> Result<(), String> {
     let since = Instant::now();
-    let mut said = String::new();
     for me in 0..kept.nodes.len() {
         loop {
-            said = ask(kept, me).unwrap_or_default();
-            let key = format!("\"runs\":{{\"program\":\"{what}");
-            if said.contains(&key) && said.contains("\"busy\":null") {
+            let said = kept.status(me).unwrap_or_default();
+            if said["runs"]["program"] == what && said["busy"].is_null() {
                 break;
             }
             if since.elapsed() > Duration::from_secs(30) {
@@ -64,20 +62,9 @@
             std::thread::sleep(Duration::from_millis(100));
         }
     }
-    drop(said);
     Ok(())
 }
 
-fn ask(kept: &Kept, me: usize) -> std::io::Result<String> {
-    use std::io::{Read, Write};
-    let mut stream = std::net::TcpStream::connect_timeout(&kept.keeper(me), Duration::from_secs(1))?;
-    stream.set_read_timeout(Some(Duration::from_secs(2)))?;
-    stream.write_all(b"\"ask\"\n")?;
-    let mut said = String::new();
-    stream.read_to_string(&mut said)?;
-    Ok(said)
-}
-
 fn hash(path: &Path) -> String {
     let bytes = std::fs::read(path).expect("there");
     spurdrum_rollout::version::Hash::of(&bytes).text().to_owned()
@@ -135,10 +122,7 @@
         let wrong = kept.settings("wrong", |text| text + "\n[unknown]\nkey = 1\n")?;
         stopped(kept, &first, &wrong, "reload", "turns the settings down")?;
         // Legal, and bad: no server can answer in 5 ms.
-        let hasty = kept.settings("hasty", |text| {
-            text.replace("aim_ms = 400.0", "aim_ms = 4.0")
-                .replace("deadline_ms = 3000.0", "deadline_ms = 5.0")
-        })?;
+        let hasty = kept.settings("hasty", hasty)?;
         stopped(kept, &first, &hasty, "reload", "at changed nodes")?;
         stopped(kept, &first, &hasty, "replace", "at changed nodes")?;
         // It ends by itself after a while.
--- a/crates/spurdrum-keeper/tests/model.rs
+++ b/crates/spurdrum-keeper/tests/model.rs
@@ -462,6 +462,28 @@
     check("two", Fleet { whole: true, polls: 0, ..fleet(1, 2, 0, 0, 0) });
 }
 
+/// Steps drawn at random, so many at most; after each, `sees` looks at the world.
+fn walk(
+    fleet: &Fleet,
+    world: &mut World,
+    rng: &mut fastrand::Rng,
+    most: usize,
+    mut sees: impl FnMut(&World),
+) {
+    for _ in 0..most {
+        let mut steps = Vec::new();
+        fleet.actions(world, &mut steps);
+        if steps.is_empty() {
+            return;
+        }
+        let step = steps.swap_remove(rng.usize(..steps.len()));
+        if let Some(next) = fleet.next_state(world, step) {
+            *world = next;
+        }
+        sees(world);
+    }
+}
+
 /// What always holds, holds along walks drawn at random: they go deeper than what can be looked at whole.
 #[test]
 fn walks_break_nothing() {
@@ -473,19 +495,12 @@
         let (losses, deaths) = (some(&mut rng), some(&mut rng));
         let fleet = Fleet { polls: 20, ..fleet(at_once, 2, losses, deaths, 1) };
         let mut world = fleet.init_states().remove(0);
-        for _ in 0..150 {
-            let mut steps = Vec::new();
-            fleet.actions(&world, &mut steps);
-            if steps.is_empty() {
-                break;
-            }
-            let step = steps.swap_remove(rng.usize(..steps.len()));
-            world = fleet.next_state(&world, step).unwrap_or(world);
+        walk(&fleet, &mut world, &mut rng, 150, |world| {
             steps_made += 1;
             for property in fleet.properties() {
-                assert!((property.condition)(&fleet, &world), "seed {seed}: {}: {world:#?}", property.name);
+                assert!((property.condition)(&fleet, world), "seed {seed}: {}: {world:#?}", property.name);
             }
-        }
+        });
     }
     println!("walks: {steps_made} steps");
     assert!(steps_made > 100_000);
@@ -499,15 +514,8 @@
         let mut rng = fastrand::Rng::with_seed(seed);
         let fleet = Fleet { polls: 40, ..fleet(1, 2, 3, 3, 1) };
         let mut world = fleet.init_states().remove(0);
-        for _ in 0..rng.usize(..120) {
-            let mut steps = Vec::new();
-            fleet.actions(&world, &mut steps);
-            if steps.is_empty() {
-                break;
-            }
-            let step = steps.swap_remove(rng.usize(..steps.len()));
-            world = fleet.next_state(&world, step).unwrap_or(world);
-        }
+        let most = rng.usize(..120);
+        walk(&fleet, &mut world, &mut rng, most, |_| {});
         (world.losses, world.deaths, world.worse) = (0, 0, 0);
         let mut turns = 0;
         while world.outcomes.iter().any(Option::is_none) {
--- a/crates/spurdrum-lab/src/lib.rs
+++ b/crates/spurdrum-lab/src/lib.rs
@@ -6,6 +6,7 @@
 //! nodes before the same servers.
 
 pub mod affinity;
+mod agenda;
 pub mod lists;
 pub mod registry;
 pub mod rollout;
--- a/crates/spurdrum-lab/src/registry.rs
+++ b/crates/spurdrum-lab/src/registry.rs
@@ -4,8 +4,7 @@
 //! their way (a message takes the same time whatever its length), connections (a call is either heard or not), the time
 //! that a node or an endpoint takes for its work.
 
-use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::Duration;
 
@@ -19,6 +18,8 @@
 use spurdrum_sources::Phase;
 use spurdrum_standin::registry::model::Registry;
 
+use crate::agenda::Agenda;
+
 /// The longest time that is told apart, in microseconds.
 const HOUR_US: u64 = 3_600_000_000;
 /// One way through the network, and by how much it varies.
@@ -154,26 +155,6 @@
     Replace,
 }
 
-struct Timed(Duration, u64, What);
-
-impl PartialEq for Timed {
-    fn eq(&self, other: &Self) -> bool {
-        self.1 == other.1
-    }
-}
-impl Eq for Timed {}
-impl PartialOrd for Timed {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-impl Ord for Timed {
-    /// By time; of two at one instant, the one that was planned first.
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        (self.0, self.1).cmp(&(other.0, other.1))
-    }
-}
-
 /// A call as its endpoint has it.
 struct Stream {
     endpoint: usize,
@@ -201,8 +182,7 @@
 struct World {
     plan: Plan,
     now: Duration,
-    queue: BinaryHeap<Reverse<Timed>>,
-    planned: u64,
+    queue: Agenda<Duration, What>,
     random: fastrand::Rng,
     registry: Registry,
     /// How often the registry was put back or replaced.
@@ -232,8 +212,7 @@
     let histogram = || Histogram::new_with_max(HOUR_US, 3).expect("three digits");
     let mut world = World {
         now: Duration::ZERO,
-        queue: BinaryHeap::new(),
-        planned: 0,
+        queue: Agenda::default(),
         random: fastrand::Rng::with_seed(plan.seed),
         registry: Registry::new(7),
         epoch: 0,
@@ -328,7 +307,7 @@
         if let Some(at) = plan.faults.replaced {
             self.after(at, What::Replace);
         }
-        while let Some(Reverse(Timed(at, _, what))) = self.queue.pop() {
+        while let Some((at, what)) = self.queue.take() {
             if at > plan.length {
                 break;
             }
@@ -339,8 +318,7 @@
     }
 
     fn after(&mut self, time: Duration, what: What) {
-        self.planned += 1;
-        self.queue.push(Reverse(Timed(self.now + time, self.planned, what)));
+        self.queue.plan(self.now + time, what);
     }
 
     /// As a Poisson process of so many a second has its next.
--- a/crates/spurdrum-lab/src/rollout.rs
+++ b/crates/spurdrum-lab/src/rollout.rs
@@ -9,6 +9,7 @@
 use spurdrum_rollout::judge::{self, Judge};
 use spurdrum_rollout::orders::{Calls, Done, Figures, Generation, Order, Status};
 use spurdrum_rollout::version::{Change, Hash, How, Version};
+use spurdrum_standin::draw::{exponential, lognormal};
 use statrs::distribution::{ContinuousCDF, Normal};
 
 /// What a change does to the nodes that run it. Parts are of all requests.
@@ -110,13 +111,6 @@
     Version { program: Hash::of(name.as_bytes()), settings: Hash::of(b"") }
 }
 
-fn lognormal(rng: &mut fastrand::Rng, sigma: f64) -> f64 {
-    let (a, b) = (1.0 - rng.f64(), rng.f64());
-    let normal = (-2.0 * a.ln()).sqrt() * (std::f64::consts::TAU * b).cos();
-    // Its mean is 1.
-    (sigma * normal - sigma * sigma / 2.0).exp()
-}
-
 fn poisson(rng: &mut fastrand::Rng, mean: f64) -> u64 {
     let (least, mut product, mut count) = ((-mean).exp(), rng.f64(), 0);
     while product > least {
@@ -248,7 +242,7 @@
                     } else {
                         calls.success += 1;
                     }
-                    let took = -(1.0 - self.rng.f64()).ln() * node.answer_us * slower;
+                    let took = exponential(&mut self.rng, node.answer_us * slower);
                     let bucket = (took as u64 / BUCKET_US + 1).min(50) as usize;
                     if times.len() < bucket {
                         times.extend((times.len() as u64..bucket as u64).map(|n| ((n + 1) * BUCKET_US, 0)));
--- a/crates/spurdrum-lab/src/spread.rs
+++ b/crates/spurdrum-lab/src/spread.rs
@@ -3,14 +3,16 @@
 //!
 //! What the figures mean stands in `docs/design/spread.md`.
 
-use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap, VecDeque};
+use std::collections::{HashMap, VecDeque};
 
 use spurdrum_fleet::figures::poisson;
 use spurdrum_policy::{
     Action, Availability, Balancer, Class, Effect, Ending, Event, Listing, Outcome, Report, Request,
     RequestId, ServerEntry, ServerId, Settings,
 };
+use spurdrum_standin::draw::{exponential, normal};
+
+use crate::agenda::{Agenda, Ms};
 
 /// How servers are chosen.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -138,25 +140,6 @@
     Fault(bool),
 }
 
-struct At(f64, u64, Step);
-
-impl PartialEq for At {
-    fn eq(&self, other: &Self) -> bool {
-        self.1 == other.1
-    }
-}
-impl Eq for At {}
-impl PartialOrd for At {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-impl Ord for At {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        self.0.total_cmp(&other.0).then(self.1.cmp(&other.1))
-    }
-}
-
 /// A client waits this long in all.
 const DEADLINE_MS: f64 = 800.0;
 const AIM_MS: f64 = 400.0;
@@ -201,8 +184,7 @@
 struct World<'a> {
     plan: &'a Plan,
     now: f64,
-    order: u64,
-    steps: BinaryHeap<Reverse<At>>,
+    steps: Agenda<Ms, Step>,
     entries: Vec<ServerEntry>,
     nodes: Vec<Option<Balancer>>,
     known: Vec<Known>,
@@ -231,8 +213,7 @@
     let mut world = World {
         plan,
         now: START,
-        order: 0,
-        steps: BinaryHeap::new(),
+        steps: Agenda::default(),
         entries: entries.collect(),
         nodes: Vec::new(),
         known: vec![
@@ -272,10 +253,6 @@
     /// All arrivals and their work: the same for every way.
     fn draw(&mut self) {
         let mut rng = fastrand::Rng::with_seed(self.plan.seed);
-        let normal = |rng: &mut fastrand::Rng| {
-            let (a, b) = (1.0 - rng.f64(), rng.f64());
-            (-2.0 * a.ln()).sqrt() * (std::f64::consts::TAU * b).cos()
-        };
         let parts: Vec<f64> =
             (0..self.plan.nodes).map(|_| (self.plan.sigma * normal(&mut rng)).exp()).collect();
         let alive: Vec<usize> = (0..self.plan.nodes).collect();
@@ -283,13 +260,13 @@
         let gap = 1.0 / (self.capacity() * self.plan.load);
         let mut at = 0.0;
         while at < self.plan.length_ms {
-            at += -gap * (1.0 - rng.f64()).ln();
+            at += exponential(&mut rng, gap);
             let mut draw = rng.f64() * sum;
             let node = alive.iter().copied().find(|n| {
                 draw -= parts[*n];
                 draw <= 0.0
             });
-            let work = -self.plan.work_ms * (1.0 - rng.f64()).ln();
+            let work = exponential(&mut rng, self.plan.work_ms);
             self.arrivals.push((START + at, node.unwrap_or(0), work));
         }
         if let Some(Fault::Die(part, from)) = self.plan.fault {
@@ -315,8 +292,7 @@
     }
 
     fn at(&mut self, at: f64, step: Step) {
-        self.order += 1;
-        self.steps.push(Reverse(At(at, self.order, step)));
+        self.steps.plan(Ms(at), step);
     }
 
     fn run(&mut self) {
@@ -332,7 +308,7 @@
             Some(Fault::Restart(_, from)) => self.at(START + from, Step::Fault(true)),
             Some(Fault::Die(..)) | None => {}
         }
-        while let Some(Reverse(At(at, _, step))) = self.steps.pop() {
+        while let Some((Ms(at), step)) = self.steps.take() {
             self.account(at);
             self.now = at;
             match step {
--- a/crates/spurdrum-rollout/src/judge/mod.rs
+++ b/crates/spurdrum-rollout/src/judge/mod.rs
@@ -10,13 +10,16 @@
 
 use std::collections::BTreeMap;
 
+use serde::Deserialize;
+
 use crate::conductor::Verdict;
 use crate::orders::Figures;
 use evidence::Evidence;
 use rules::{Crashes, Resources};
 
 /// What is compared, and how much worse is too much.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields, default)]
 pub struct Settings {
     /// Rollouts of a version that is no worse than allowed that may be stopped by mistake, as a part.
     pub false_stops: f64,
--- a/crates/spurdrum-rollout/src/plan.rs
+++ b/crates/spurdrum-rollout/src/plan.rs
@@ -21,11 +21,11 @@
     rollout: RolloutTable,
     change: ChangeTable,
     #[serde(default)]
-    node: Vec<NodeTable>,
+    node: Vec<Node>,
     #[serde(default)]
     stage: Vec<StageTable>,
     #[serde(default)]
-    judge: JudgeTable,
+    judge: judge::Settings,
 }
 
 #[derive(Deserialize)]
@@ -51,7 +51,7 @@
     back_s: f64,
 }
 
-#[derive(Deserialize)]
+#[derive(Clone, Debug, Deserialize, PartialEq)]
 #[serde(deny_unknown_fields)]
 struct ChangeTable {
     program: PathBuf,
@@ -62,17 +62,6 @@
     how: How,
 }
 
-#[derive(Deserialize)]
-#[serde(deny_unknown_fields)]
-struct NodeTable {
-    name: String,
-    keeper: SocketAddr,
-    #[serde(default)]
-    zone: String,
-    #[serde(default)]
-    last: bool,
-}
-
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 struct StageTable {
@@ -86,21 +75,6 @@
     most_s: f64,
 }
 
-#[derive(Default, Deserialize)]
-#[serde(deny_unknown_fields, default)]
-struct JudgeTable {
-    false_stops: Option<f64>,
-    least_requests: Option<u64>,
-    settle_s: Option<f64>,
-    failed: Option<f64>,
-    refused: Option<f64>,
-    slow: Option<f64>,
-    attempts: Option<f64>,
-    down: Option<f64>,
-    growth: Option<f64>,
-    trouble: Option<f64>,
-}
-
 fn one() -> usize {
     1
 }
@@ -130,15 +104,18 @@
 }
 
 /// A node, and where its keeper is called.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Eq)]
+#[serde(deny_unknown_fields)]
 pub struct Node {
     /// Its name, as its keeper has it.
     pub name: String,
     /// Where its keeper listens.
     pub keeper: SocketAddr,
     /// Its zone.
+    #[serde(default)]
     pub zone: String,
     /// It is changed in the last stage only.
+    #[serde(default)]
     pub last: bool,
 }
 
@@ -175,7 +152,7 @@
     pub stages: Vec<Stage>,
     /// What is compared.
     pub judge: judge::Settings,
-    change: ChangeOf,
+    change: ChangeTable,
     at_once: usize,
     back_at_once: usize,
     least_left: usize,
@@ -187,15 +164,6 @@
     back: Duration,
 }
 
-#[derive(Clone, Debug, PartialEq)]
-struct ChangeOf {
-    program: PathBuf,
-    settings: PathBuf,
-    program_sha256: Option<Hash>,
-    settings_sha256: Option<Hash>,
-    how: How,
-}
-
 /// What is wrong: the table, the key, and why.
 type Wrong = (&'static str, &'static str, String);
 
@@ -284,21 +252,13 @@
         if stages.is_empty() {
             return Err(("stage", "nodes", "there is no stage".into()));
         }
+        check(&judge)?;
         let plan = Self {
             listen: rollout.listen,
-            nodes: node
-                .into_iter()
-                .map(|NodeTable { name, keeper, zone, last }| Node { name, keeper, zone, last })
-                .collect(),
+            nodes: node,
             stages,
-            judge: judge_of(&judge)?,
-            change: ChangeOf {
-                program: change.program,
-                settings: change.settings,
-                program_sha256: change.program_sha256,
-                settings_sha256: change.settings_sha256,
-                how: change.how,
-            },
+            judge,
+            change,
             at_once: rollout.at_once,
             back_at_once: rollout.back_at_once.unwrap_or(4 * rollout.at_once),
             least_left: rollout.least_left,
@@ -404,29 +364,23 @@
     }
 }
 
-fn judge_of(table: &JudgeTable) -> Result<judge::Settings, Wrong> {
-    let mut settings = judge::Settings::default();
-    let part = |to: &mut f64, from: Option<f64>, key: &'static str, most: f64| match from {
-        Some(value) if !(value > 0.0 && value <= most) => {
-            Err(("judge", key, format!("is not above 0 and up to {most}")))
-        }
-        Some(value) => {
-            *to = value;
-            Ok(())
-        }
+/// Whether what is compared makes sense.
+fn check(judge: &judge::Settings) -> Result<(), Wrong> {
+    let bounds = [
+        ("false_stops", judge.false_stops, 0.5),
+        ("failed", judge.failed, 1.0),
+        ("refused", judge.refused, 1.0),
+        ("slow", judge.slow, 1.0),
+        ("attempts", judge.attempts, 1.0),
+        ("down", judge.down, 1.0),
+        ("trouble", judge.trouble, 1.0),
+        ("settle_s", judge.settle_s, 3600.0),
+        ("growth", judge.growth, 1000.0),
+    ];
+    match bounds.into_iter().find(|(_, value, most)| !(*value > 0.0 && value <= most)) {
+        Some((key, _, most)) => Err(("judge", key, format!("is not above 0 and up to {most}"))),
         None => Ok(()),
-    };
-    part(&mut settings.false_stops, table.false_stops, "false_stops", 0.5)?;
-    part(&mut settings.failed, table.failed, "failed", 1.0)?;
-    part(&mut settings.refused, table.refused, "refused", 1.0)?;
-    part(&mut settings.slow, table.slow, "slow", 1.0)?;
-    part(&mut settings.attempts, table.attempts, "attempts", 1.0)?;
-    part(&mut settings.down, table.down, "down", 1.0)?;
-    part(&mut settings.trouble, table.trouble, "trouble", 1.0)?;
-    part(&mut settings.settle_s, table.settle_s, "settle_s", 3600.0)?;
-    part(&mut settings.growth, table.growth, "growth", 1000.0)?;
-    settings.least_requests = table.least_requests.unwrap_or(settings.least_requests);
-    Ok(settings)
+    }
 }
 
 #[cfg(test)]
--- a/crates/spurdrum-standin/src/lib.rs
+++ b/crates/spurdrum-standin/src/lib.rs
@@ -5,6 +5,7 @@
 //! counts what it began, so that a test can ask whether a request ran twice, or twice at once.
 
 mod catalog;
+pub mod draw;
 mod fleet;
 pub mod manual;
 pub mod model;
--- a/crates/spurdrum-standin/src/model.rs
+++ b/crates/spurdrum-standin/src/model.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use crate::scenario::{Distribution, Fault, FaultKind, Spec};
+use crate::scenario::{Fault, FaultKind, Spec};
 
 /// What is to come of a request that has arrived.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -188,18 +188,7 @@
     }
 
     fn draw_work(&mut self) -> f64 {
-        let mean = self.spec.work_ms;
-        match self.spec.work {
-            Distribution::Constant => mean,
-            Distribution::Exponential => -mean * (1.0 - self.rng.f64()).ln(),
-            // Of deviation 1 against its mean: sigma squared is ln 2.
-            Distribution::Lognormal => {
-                let sigma = std::f64::consts::LN_2.sqrt();
-                let (a, b) = (1.0 - self.rng.f64(), self.rng.f64());
-                let normal = (-2.0 * a.ln()).sqrt() * (std::f64::consts::TAU * b).cos();
-                mean * (sigma * normal - sigma * sigma / 2.0).exp()
-            }
-        }
+        self.spec.work.draw(&mut self.rng, self.spec.work_ms)
     }
 
     /// Whether this much more work pushes a cold one over: what was sent within the stated time is above the multiple
@@ -250,6 +239,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::scenario::Distribution;
 
     fn fault(kind: FaultKind, at_s: f64, for_s: f64) -> Fault {
         Fault { on: "s0".into(), kind, at_s, for_s: Some(for_s), part: 1.0, factor: 4.0, delay_ms: 7 }
