A watch that falls silent is given up before its news counts as told

50 watches had fallen silent. It was given up 3.5 s after its wait (`Follower::patience`: a call of a crowd waits for its turn that long), at 13.6 to 15.2 s. Of 983 sends to leaving servers all were made behind such a watch; no late connection, no kept one and no list dropped as old was among them.

A longer `patience_ms` of the settings stays in force.

--- a/crates/spurdrum-sources/src/follower.rs
+++ b/crates/spurdrum-sources/src/follower.rs
@@ -31,6 +31,11 @@
 /// However many nodes ask, a call follows after this at the latest on one that failed, or that was answered early without news:
 /// what is not asked for may count as told after 6 s, of which an answer may wait its turn for two and more.
 const PAUSE_MOST: Duration = Duration::from_millis(3_500);
+/// What a call that says nothing would have told counts as told so long after it fell silent, or so long after the wait that it
+/// asked for, if that is later. By then the next call must have answered, for which so much is left.
+const TOLD_AFTER: Duration = Duration::from_secs(6);
+const TOLD_AFTER_WAIT: Duration = Duration::from_secs(2);
+const ANSWER_SPARE: Duration = Duration::from_secs(1);
 /// Many nodes wait this long for news at once, where discovery may be given half of its time for it.
 const CROWD_WAIT: Duration = Duration::from_secs(10);
 /// Two calls begin at least this far apart.
@@ -162,7 +167,9 @@
 }
 
 impl Ask {
-    fn wait(self) -> Duration {
+    /// How long discovery may let it wait for news.
+    #[must_use]
+    pub fn wait(self) -> Duration {
         match self {
             Self::Watch { wait, .. } => wait,
             Self::Poll { .. } | Self::Read => Duration::ZERO,
@@ -436,6 +443,11 @@
     }
 }
 
+/// How long after its wait a call that was silent from the start counts as having told its news.
+fn told_after(wait: Duration) -> Duration {
+    TOLD_AFTER.saturating_sub(wait).max(TOLD_AFTER_WAIT)
+}
+
 /// Follows one list. See the [module](self) page.
 pub struct Follower {
     settings: Settings,
@@ -701,7 +713,8 @@
         self.last_call += 1;
         let id = CallId(self.last_call);
         let timing = self.timing(ask);
-        let patience = self.patience(timing);
+        let most = (told_after(ask.wait()) - ANSWER_SPARE).max(self.settings.patience);
+        let patience = self.patience(timing).min(most);
         let ends = now + ask.wait();
         let bound = if self.is_crowded() { patience } else { timing.bound(OVERDUE_LEAST, patience / 2) };
         let overdue_at = ends + bound;
--- a/crates/spurdrum-sources/tests/follower.rs
+++ b/crates/spurdrum-sources/tests/follower.rs
@@ -409,3 +409,28 @@
         ended = node.now;
     }
 }
+
+/// Full fleet, join+mass: of the watches that fall silent, those of a crowd were given up 3.5 s after their wait; what such a
+/// watch would have told counts as told 6 s after it fell silent, or 2 s after its wait if that is later.
+#[test]
+fn a_watch_that_falls_silent_is_followed_by_another_call_before_its_news_counts_as_told() {
+    let alone = Node::new(Settings { nodes: 3, ..Settings::default() });
+    let agent = Node::new(Settings { nodes: 300, pushed: true, ..Settings::default() });
+    for mut node in [crowded(), alone, agent] {
+        for turn in 0..30 {
+            let (call, ask, since) = node.out[0];
+            let counts = since + ms(6_000).max(ask.wait() + ms(2_000));
+            node.pass_until(|node| node.out.iter().any(|(id, ..)| *id != call));
+            assert!(node.now + ms(900) <= counts, "turn {turn}: {:?} for {ask:?} of {since:?}", node.now);
+            // Each answer comes late, and now and then a call fails.
+            node.pass(ms(700));
+            node.out.retain(|(id, ..)| *id != call);
+            node.answer(list(41, false, &[]));
+            node.pass_until(|node| !node.out.is_empty());
+            if turn % 3 == 0 {
+                node.fail(Failure::Broke);
+                node.pass_until(|node| !node.out.is_empty());
+            }
+        }
+    }
+}
