An older list does not undo what a node was told of a leaving server

After SIGHUP the versions of the old discovery are forgotten, so a new one that lags behind could list a leaving server as active and have it sent to again; so could a discovery that is back with an older copy, whose version is believed when it is read twice.

`leaving.rs` notes with which version a server was told as leaving, also from the list of an earlier run, and takes back what a lower one says of it, for 20 s; released then, as versions may have begun anew, or at once for a server that was started again. Bounded by the list and what left within 20 s.

--- a/crates/spurdrum-sources/src/catalog.rs
+++ b/crates/spurdrum-sources/src/catalog.rs
@@ -80,6 +80,11 @@
         }))
     }
 
+    /// Servers that leave by the list of an earlier run.
+    pub fn remember(&self, known: List) {
+        self.follower.borrow_mut().remember(known);
+    }
+
     /// Follows it for as long as this is awaited; each piece of news is handed over as it comes.
     pub async fn follow(self: Rc<Self>, news: impl Fn(News) + 'static) {
         *self.news.borrow_mut() = Some(Box::new(news));
--- a/crates/spurdrum-sources/src/follower.rs
+++ b/crates/spurdrum-sources/src/follower.rs
@@ -24,6 +24,7 @@
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::Duration;
 
+use crate::leaving::Leaving;
 use crate::{back_off, List, Phase};
 
 /// Calls out at once, at most: one that is overdue or deaf, and one beside it.
@@ -479,6 +480,7 @@
     /// A call begun later has already answered with an older version.
     backwards: bool,
     members: HashSet<u64>,
+    leaving: Leaving,
     calls: Vec<Call>,
     last_call: u64,
     begun_at: Option<Duration>,
@@ -531,6 +533,7 @@
             learned_at: Duration::ZERO,
             backwards: false,
             members: HashSet::new(),
+            leaving: Leaving::default(),
             calls: Vec::new(),
             last_call: 0,
             begun_at: None,
@@ -559,6 +562,11 @@
         })
     }
 
+    /// Servers that leave by the list of an earlier run.
+    pub fn remember(&mut self, mut known: List) {
+        self.leaving.heed(Duration::ZERO, &mut known);
+    }
+
     /// Takes one event that happened at `now`, which never runs backwards, and appends what is to be done.
     pub fn handle(&mut self, now: Duration, event: Event, actions: &mut Vec<Action>) {
         if !self.started {
@@ -583,7 +591,7 @@
     pub fn next_wake(&self) -> Option<Duration> {
         let call = |call: &Call| if call.overdue { call.give_up_at } else { call.overdue_at };
         let blind = self.trouble_since.filter(|_| self.view != View::Blind);
-        let times = self.calls.iter().map(call).chain(self.due);
+        let times = self.calls.iter().map(call).chain(self.due).chain(self.leaving.due());
         times.chain(blind.map(|since| since + self.settings.blind_after)).min()
     }
 
@@ -839,6 +847,9 @@
                 }
             }
         }
+        if let Some(list) = self.leaving.release(now, self.revision.unwrap_or_default()) {
+            actions.push(Action::Apply(list));
+        }
         let blind = self.trouble_since.is_some_and(|since| now >= since + self.settings.blind_after);
         match self.view {
             View::Fresh | View::Doubtful if blind => self.show(View::Blind, Cause::Unproved, actions),
@@ -1018,7 +1029,8 @@
         }
     }
 
-    fn accept(&mut self, now: Duration, call: &Call, list: List, actions: &mut Vec<Action>) {
+    fn accept(&mut self, now: Duration, call: &Call, mut list: List, actions: &mut Vec<Action>) {
+        self.leaving.heed(now, &mut list);
         let newer = self.revision != Some(list.revision);
         let news = newer && !list.members.is_empty();
         self.revision = Some(list.revision);
@@ -1061,8 +1073,9 @@
             // Guards against a discovery that answers watches at once though it has no news.
             let early = !news && now < call.started + call.ask.wait() / 2;
             let early = early && call.is_watch();
-            let least =
-                if early { self.settings.wait_least.max(self.crowded(PAUSE_MOST)) } else { Duration::ZERO };
+            let pause = self.settings.wait_least.max(self.crowded(PAUSE_MOST));
+            let pause = self.agent_time().unwrap_or(pause);
+            let least = if early { pause } else { Duration::ZERO };
             // However many ask: a watch goes on for a moment after its answer, and what changes in that moment counts as told,
             // whether or not the next call fetches it.
             self.due = Some(now.max(call.started + least));
--- a/crates/spurdrum-sources/src/lib.rs
+++ b/crates/spurdrum-sources/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod catalog;
 mod fixed;
 pub mod follower;
+mod leaving;
 mod list;
 pub mod reconciler;
 pub mod registry;
--- a/crates/spurdrum-sources/tests/follower.rs
+++ b/crates/spurdrum-sources/tests/follower.rs
@@ -1,5 +1,6 @@
 //! Each trouble of a list as the follower meets it, in simulated time.
 
+use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
@@ -36,6 +37,8 @@
     /// Calls that are out.
     out: Vec<(CallId, Ask, Duration)>,
     applied: Vec<u64>,
+    /// The servers as they were last applied.
+    listed: BTreeMap<String, Phase>,
     states: Vec<(View, Cause)>,
     shorter: Vec<(usize, usize)>,
     calls: usize,
@@ -49,6 +52,7 @@
             now: ms(0),
             out: Vec::new(),
             applied: Vec::new(),
+            listed: BTreeMap::new(),
             states: Vec::new(),
             shorter: Vec::new(),
             calls: 0,
@@ -78,7 +82,13 @@
                     self.out.push((call, ask, self.now));
                 }
                 Action::Abort(call) => self.out.retain(|(id, ..)| *id != call),
-                Action::Apply(list) => self.applied.push(list.revision),
+                Action::Apply(list) => {
+                    self.applied.push(list.revision);
+                    if list.complete {
+                        self.listed.clear();
+                    }
+                    self.listed.extend(list.members.into_iter().map(|member| (member.id, member.phase)));
+                }
                 Action::State { to, cause, .. } => self.states.push((to, cause)),
                 Action::Shorter(before, now) => self.shorter.push((before, now)),
             }
@@ -262,6 +272,50 @@
     assert_eq!(node.applied.last(), Some(&2));
 }
 
+/// After SIGHUP, or at discovery's return, a list may be older than the one held.
+#[test]
+fn an_older_list_does_not_undo_what_was_told_of_leaving_servers() {
+    let phased = |revision, complete, phases: &[(&str, Phase)]| {
+        let members = phases.iter().map(|(id, phase)| Member { phase: *phase, ..member(id) });
+        List { revision, complete, members: members.collect() }
+    };
+    let leaving =
+        [("s1", Phase::Leaving), ("s2", Phase::Leaving), ("s3", Phase::Left), ("s4", Phase::Active)];
+    let active = leaving.map(|(id, _)| (id, Phase::Active));
+    let held = |node: &Node| node.listed.iter().filter(|(_, p)| **p == Phase::Active).count();
+    for newer in [true, false] {
+        let mut node = Node::proved();
+        node.answer(phased(50, true, &leaving.map(|(id, _)| (id, Phase::Active))));
+        node.pass(ms(20));
+        node.answer(phased(51, false, &leaving));
+        node.feed(Event::Moved);
+        node.pass_until(|node| !node.out.is_empty());
+        let mut older = phased(42, true, &active);
+        // A server that was started again is another one.
+        older.members[1].up_since_ms = 1.0;
+        node.answer(older);
+        assert_eq!(held(&node), 2, "s2 and s4: {:?}", node.listed);
+        node.pass(ms(20));
+        if newer {
+            node.answer(phased(52, false, &[("s1", Phase::Left), ("s3", Phase::Left)]));
+            node.pass(ms(30_000));
+            assert_eq!(held(&node), 2, "s2 and s4: {:?}", node.listed);
+        } else {
+            node.pass(ms(19_000));
+            assert_eq!(held(&node), 2, "s2 and s4: {:?}", node.listed);
+            node.pass(ms(2_000));
+            assert_eq!(held(&node), 4, "nothing newer came: its versions have begun anew: {:?}", node.listed);
+        }
+    }
+    // Told by the list of an earlier run.
+    let mut node = Node::new(Settings::default());
+    node.follower.remember(phased(41, true, &leaving[..2]));
+    node.feed(Event::Moved);
+    node.pass_until(|node| !node.out.is_empty());
+    node.answer(phased(7, true, &active));
+    assert_eq!(held(&node), 2, "s3 and s4: {:?}", node.listed);
+}
+
 #[test]
 fn a_body_that_does_not_come_is_not_waited_for_but_a_long_one_is() {
     let mut node = Node::proved();
@@ -426,6 +480,13 @@
         node.answer(list(41, false, &[]));
         node.pass_until(|node| !node.out.is_empty());
     }
+    // Nor does one that does not wait make it ask less often, or in a loop.
+    for _ in 0..20 {
+        let answered = node.now;
+        node.answer(list(41, false, &[]));
+        node.pass_until(|node| !node.out.is_empty());
+        assert!((ms(50)..ms(200)).contains(&(node.now - answered)), "{:?}", node.now - answered);
+    }
     // One that refuses connections is no reason for a loop without a pause, nor for a long one.
     let (calls, from) = (node.calls, node.now);
     while node.now < from + ms(10_000) {
--- a/crates/spurdrum/src/main.rs
+++ b/crates/spurdrum/src/main.rs
@@ -198,7 +198,9 @@
             let known = &config.known;
             let known = (known.revision > 0 || !known.members.is_empty()).then_some(known.revision);
             let catalog = Catalog::new(address, config.following.clone(), config.seed, known);
-            Some(catalog.map_err(|(key, why)| format!("`sources.catalog.{key}`: {why}"))?)
+            let catalog = catalog.map_err(|(key, why)| format!("`sources.catalog.{key}`: {why}"))?;
+            catalog.remember(config.known.clone());
+            Some(catalog)
         }
     };
     let bindings = match &config.affinity {
--- a/crates/spurdrum/tests/node.rs
+++ b/crates/spurdrum/tests/node.rs
@@ -292,6 +292,35 @@
     silent.await_end();
 }
 
+/// What changes right after an answer counts as told, so a node of many must not leave its watch either. A client whose head is
+/// half sent has 2.5 s for the rest: it is served, so the watches came sooner. The list is indented, and comes as a whole once.
+#[test]
+fn a_node_of_many_goes_on_watching_after_news_and_sends_nothing_to_what_leaves() {
+    let (leaving, staying) = (Server::start(), Server::start());
+    let mut config = config(&members(&[&leaving, &staying]));
+    (config["settings"]["n_instances"], config["settings"]["me"]) = (json!(300), json!(0));
+    let node = Node::start(&config);
+    let watch = node.discovery.request();
+    let whole = request("read", 20.0);
+    let (begun, rest) = whole.split_at(40);
+    let mut client = node.client();
+    client.send(begun);
+    let indented = |list: Value| serde_json::to_string_pretty(&list).expect("JSON").into_bytes();
+    let news = list(2, false, &[member("s0", leaving.address, "active")]);
+    watch.answer(OK, "", &indented(news));
+    let watch = node.discovery.request();
+    assert!(watch.request.first.contains("since=2&"), "{}", watch.request.first);
+    let news =
+        list(3, true, &[member("s0", leaving.address, "leaving"), member("s1", staying.address, "active")]);
+    watch.answer(OK, "", &indented(news));
+    assert!(node.discovery.request().request.first.contains("since=3&"));
+    client.send(rest);
+    staying.request().answer(OK, "", b"");
+    assert_eq!(client.answer().status(), 200);
+    (0..8).for_each(|_| served_by(&node, &staying));
+    assert!(!leaving.has_request());
+}
+
 /// A lost watch, a malformed list and a break must each lead to another call, from the version held.
 #[test]
 fn the_list_is_followed_through_failures() {
