--- a/crates/spurdrum-sources/src/leaving.rs
+++ b/crates/spurdrum-sources/src/leaving.rs
@@ -48,7 +48,9 @@
                     self.withheld.insert(member.id.clone(), member.clone());
                     member.phase = Phase::Leaving;
                 }
-                Phase::Active => drop(self.told.remove(&member.id)),
+                Phase::Active => {
+                    self.told.remove(&member.id);
+                }
                 Phase::Leaving | Phase::Left if older => {}
                 Phase::Leaving | Phase::Left => {
                     let gone_at = (member.phase == Phase::Left).then_some(now);
@@ -70,7 +72,7 @@
         self.until.take_if(|until| *until <= now)?;
         let mut members: Vec<Member> = self.withheld.drain().map(|(_, member)| member).collect();
         members.sort_by(|a, b| a.id.cmp(&b.id));
-        members.iter().for_each(|member| drop(self.told.remove(&member.id)));
+        self.told.retain(|id, _| members.binary_search_by(|member| member.id.cmp(id)).is_err());
         Some(List { revision, complete: false, members })
     }
 }
