A new process asks in half of the time after which its old list counts

The spread of first calls grew by 20 ms a node, up to 20 s with 1,000 nodes and more, while a node that has not asked counts as told 10 s after a change (`ask_within_ms`), or whatever the settings say. Both follow the settings now: first calls within half of that time, pauses after failed calls within twice of it, as a failed call counts four times as long.

The test fails without it (5,000 nodes, 4 s).

--- a/crates/spurdrum-sources/src/follower.rs
+++ b/crates/spurdrum-sources/src/follower.rs
@@ -64,8 +64,10 @@
 const PATIENCE_GROWS: u32 = 3;
 /// While calls fail, each node leaves the others at least this much of discovery's time, in the long run.
 const NODE_MOST: Duration = Duration::from_millis(20);
-/// ... but no more than this, however many they are.
-const RETRY_LONGEST: Duration = Duration::from_secs(20);
+/// ... but no more than this part of the time after which a node that has not asked counts as told, which is four times as long
+/// after a call that failed; and the first call of a process goes out within this.
+const RETRY_PART: f64 = 2.0;
+const FIRST_PART: f64 = 0.5;
 /// Points of evidence that make a call due; doubled with each such call that brings nothing, up to the most.
 const EVIDENCE: f64 = 2.0;
 const EVIDENCE_MOST: f64 = 32.0;
@@ -92,6 +94,8 @@
     pub pushed: bool,
     /// So soon after the agent has a change the node has to heed it, whatever became of its calls.
     pub grace: Duration,
+    /// Where discovery is asked: a change counts as told so long after it was made to a node that has not asked since.
+    pub ask_within: Duration,
     /// The wait that a watch asks for while the view is doubtful...
     pub wait_least: Duration,
     /// ...and once it has proved good.
@@ -117,6 +121,7 @@
             me: 0,
             pushed: false,
             grace: Duration::from_millis(250),
+            ask_within: Duration::from_secs(10),
             wait_least: Duration::from_millis(500),
             wait_most: Duration::from_secs(5),
             patience: Duration::from_secs(1),
@@ -653,7 +658,8 @@
 
     /// The longest pause after calls that fail: many nodes that all fail may fail for being many.
     fn retry_most(&self) -> Duration {
-        self.settings.retry_most.max((NODE_MOST * self.settings.nodes.min(1 << 16) as u32).min(RETRY_LONGEST))
+        let crowd = NODE_MOST * self.settings.nodes.min(1 << 16) as u32;
+        self.settings.retry_most.max(crowd.min(self.settings.ask_within.mul_f64(RETRY_PART)))
     }
 
     /// What times such a call.
@@ -667,7 +673,8 @@
 
     /// The nodes' first calls after a start or a break are spread over this time.
     fn spread(&self) -> Duration {
-        (self.round(&self.service) / 2).clamp(Duration::from_millis(20), self.retry_most())
+        let most = self.retry_most().min(self.settings.ask_within.mul_f64(FIRST_PART));
+        (self.round(&self.service) / 2).min(most).max(Duration::from_millis(20))
     }
 
     /// Between 0 and 1: the node's own part of a spread, with some jitter.
--- a/crates/spurdrum-sources/tests/follower.rs
+++ b/crates/spurdrum-sources/tests/follower.rs
@@ -464,6 +464,16 @@
     }
 }
 
+/// A process that has never asked counts as told like one that asked long ago, however many nodes there are to spare.
+#[test]
+fn a_new_process_asks_in_half_of_the_time_that_the_settings_give() {
+    for (nodes, ask_within) in [(350, 10_000), (1_024, 10_000), (5_000, 4_000), (300, 100)] {
+        let settings = Settings { nodes, me: nodes - 1, ask_within: ms(ask_within), ..Settings::default() };
+        let node = Node::new(settings);
+        assert!(node.now <= ms(ask_within / 2), "{nodes} nodes, {ask_within} ms: {:?}", node.now);
+    }
+}
+
 /// Full fleet with lists that are pushed, herd+mass: what the agent got while it said nothing to anyone counts as told as soon as
 /// it is back, and a call that was out before may never be answered.
 #[test]
