An agent that is always slow is heard: its oldest call keeps its time

Seen in the lab (`versions_never_fall_the_end_is_known_and_calls_are_bounded`, pushed, five nodes before an agent that takes 40 ms for each): 1,189 calls given up, 8 answered. Calls to an agent were given up 75 ms after their wait, so one that takes longer never brought a list. A late call now stays out for `patience_ms`, while others are begun and dropped beside it each 150 ms, so a silent agent is still asked again within the grace.

--- a/crates/spurdrum-sources/src/follower.rs
+++ b/crates/spurdrum-sources/src/follower.rs
@@ -37,8 +37,8 @@
 const TOLD_AFTER: Duration = Duration::from_secs(6);
 const TOLD_AFTER_WAIT: Duration = Duration::from_secs(2);
 const ANSWER_SPARE: Duration = Duration::from_secs(1);
-/// An agent on the own machine is asked anew after this part of the grace, and given up as silent after as much again: what it has
-/// counts as told, also to a node whose call it never answers.
+/// A call to an agent on the own machine waits for this part of the grace, and after as much again another one is begun beside it: what
+/// the agent has counts as told, also to a node whose call it never answers.
 const AGENT_PART: f64 = 0.3;
 /// Many nodes wait this long for news at once, where discovery may be given half of its time for it.
 const CROWD_WAIT: Duration = Duration::from_secs(10);
@@ -636,8 +636,8 @@
         }
     }
 
-    /// Whether a call stands alone. In a crowd a second one would take the turn of another node, and discovery may end the first
-    /// for it; an agent answers the next one as soon.
+    /// Whether a call stands alone while it may be answered in time. In a crowd a second one would take the turn of another node, and
+    /// discovery may end the first for it; an agent answers the next one as soon.
     fn is_alone(&self) -> bool {
         self.settings.pushed || self.is_crowded()
     }
@@ -683,7 +683,7 @@
         (place + self.random.f64() / self.settings.nodes as f64).fract()
     }
 
-    /// Where an agent answers: how long a call waits there, and how long it may be silent after that.
+    /// Where an agent answers: how long a call waits there, and how long it stands alone after that.
     fn agent_time(&self) -> Option<Duration> {
         let time = self.settings.grace.mul_f64(AGENT_PART).max(Duration::from_millis(1));
         self.settings.pushed.then_some(time)
@@ -729,8 +729,8 @@
 
     /// How long a call may be silent after its wait. Guards against giving up, over and over, what only waits its turn.
     fn patience(&self, timing: &Timing) -> Duration {
-        if let Some(time) = self.agent_time() {
-            return time;
+        if self.settings.pushed {
+            return self.settings.patience;
         }
         let least = self.settings.patience;
         let grown = timing.bound(least, PATIENCE_GROWS * least);
@@ -763,7 +763,12 @@
 
     fn begin(&mut self, now: Duration, ask: Ask, by_evidence: bool, actions: &mut Vec<Action>) {
         while self.calls.len() >= CALLS_MOST {
-            let least = self.calls.iter().position(|call| call.overdue).unwrap_or(0);
+            // An agent that is slow must have the time to answer one of them.
+            let least = match self.settings.pushed {
+                true => self.calls.iter().rposition(|call| call.overdue),
+                false => self.calls.iter().position(|call| call.overdue),
+            };
+            let least = least.unwrap_or(0);
             actions.push(Action::Abort(self.calls.remove(least).id));
         }
         self.last_call += 1;
@@ -772,7 +777,11 @@
         let most = (told_after(ask.wait()) - ANSWER_SPARE).max(self.settings.patience);
         let patience = self.patience(timing).min(most);
         let ends = now + ask.wait();
-        let bound = if self.is_alone() { patience } else { timing.bound(OVERDUE_LEAST, patience / 2) };
+        let bound = match self.agent_time() {
+            Some(time) => time,
+            None if self.is_crowded() => patience,
+            None => timing.bound(OVERDUE_LEAST, patience / 2),
+        };
         let overdue_at = ends + bound;
         self.counts.calls[ask.kind()] += 1;
         let give_up_at = ends + patience;
@@ -823,8 +832,12 @@
                 self.hung(now, &call);
             } else if now >= call.overdue_at && !call.overdue {
                 call.overdue = true;
-                let by_evidence = call.by_evidence;
+                let (by_evidence, ask) = (call.by_evidence, call.ask);
                 self.overdue(now, by_evidence);
+                if self.settings.pushed {
+                    self.silent = Some(ask);
+                    self.due_by(now);
+                }
             }
         }
         if self.calls.is_empty() && self.due.is_none() {
@@ -840,7 +853,7 @@
             let soonest = self.begun_at.map_or(due, |at| at + APART);
             if soonest > now {
                 self.due = Some(soonest);
-            } else if self.is_alone() && !self.calls.is_empty() {
+            } else if self.is_alone() && self.is_waited_for() {
                 // Its end makes the next one due.
                 self.due = None;
             } else {
@@ -868,6 +881,11 @@
         }
     }
 
+    /// Whether a call is out for which the next one has to wait.
+    fn is_waited_for(&self) -> bool {
+        self.calls.iter().any(|call| !call.overdue || !self.settings.pushed)
+    }
+
     /// A call should have answered: another one beside it, while there is hope that one does.
     fn overdue(&mut self, now: Duration, by_evidence: bool) {
         self.good = 0;
@@ -903,11 +921,10 @@
     fn allow_for_standstill(&mut self, now: Duration) {
         let Some(late) = self.next_wake().and_then(|wake| now.checked_sub(wake)) else { return };
         if let Some(turn) = self.agent_time().map(|time| time / 4).filter(|turn| late > *turn) {
-            // An agent is given up so soon that a busy moment is enough; once for each call, or silence would never be seen.
+            // An agent is overdue so soon that a busy moment is enough; once for each call, or silence would never be seen.
             for call in self.calls.iter_mut().filter(|call| call.timed) {
                 call.timed = false;
                 call.overdue_at = call.overdue_at.max(now + turn);
-                call.give_up_at = call.give_up_at.max(now + turn);
             }
         }
         if late <= JUMP {
@@ -1068,7 +1085,7 @@
                 let silent = self.calls.remove(n);
                 actions.push(Action::Abort(silent.id));
                 self.count_hang(&silent);
-            } else if newer && out.is_watch() {
+            } else if newer && out.is_watch() && !self.settings.pushed {
                 // It should have told this too: its answer is on its way, or it is deaf.
                 out.overdue = true;
                 let grace = self.service.bound(OVERDUE_LEAST, self.settings.patience);
--- a/crates/spurdrum-sources/tests/follower.rs
+++ b/crates/spurdrum-sources/tests/follower.rs
@@ -513,10 +513,24 @@
     let (call, ..) = node.out[0];
     node.now += ms(170);
     node.feed(Event::Tick);
-    assert_eq!(node.out[0].0, call);
+    assert_eq!((node.out.len(), node.out[0].0), (1, call));
     node.pass_until(|node| node.out.iter().any(|(id, ..)| *id != call));
 }
 
+/// Calls that are given up before a slow agent answers them would never bring a list.
+#[test]
+fn an_agent_that_is_always_slow_is_heard() {
+    let mut node = Node::new(Settings { pushed: true, ..Settings::default() });
+    for revision in 42..60 {
+        let (oldest, _, since) = node.out[0];
+        node.pass(since + ms(700) - node.now);
+        assert_eq!(node.out[0].0, oldest, "it had no time to answer");
+        node.answer(list(revision, false, &["a"]));
+        node.pass_until(|node| !node.out.is_empty());
+    }
+    assert_eq!(node.applied.len(), 18);
+}
+
 /// Full fleet, join+mass: of the watches that fall silent, those of a crowd were given up 3.5 s after their wait; what such a
 /// watch would have told counts as told 6 s after it fell silent, or 2 s after its wait if that is later.
 #[test]
