Servers that no list names any more are forgotten, also by versions that begin anew

Found in a reading of the change: what was told of leaving servers was kept for good where a discovery began anew with lower versions and no longer knew them; the table had no bound then.

--- a/crates/spurdrum-sources/src/follower.rs
+++ b/crates/spurdrum-sources/src/follower.rs
@@ -833,11 +833,7 @@
             } else if now >= call.overdue_at && !call.overdue {
                 call.overdue = true;
                 let (by_evidence, ask) = (call.by_evidence, call.ask);
-                self.overdue(now, by_evidence);
-                if self.settings.pushed {
-                    self.silent = Some(ask);
-                    self.due_by(now);
-                }
+                self.overdue(now, by_evidence, ask);
             }
         }
         if self.calls.is_empty() && self.due.is_none() {
@@ -887,10 +883,13 @@
     }
 
     /// A call should have answered: another one beside it, while there is hope that one does.
-    fn overdue(&mut self, now: Duration, by_evidence: bool) {
+    fn overdue(&mut self, now: Duration, by_evidence: bool, ask: Ask) {
         self.good = 0;
         self.doubt(now, Cause::Overdue);
-        if !self.is_alone()
+        if self.settings.pushed {
+            self.silent = Some(ask);
+            self.due_by(now);
+        } else if !self.is_crowded()
             && self.failures < BESIDE_UNTIL
             && self.due.is_none()
             && (by_evidence || !self.is_followed())
--- a/crates/spurdrum-sources/src/leaving.rs
+++ b/crates/spurdrum-sources/src/leaving.rs
@@ -35,8 +35,8 @@
         self.told.retain(|_, told| told.gone_at.is_none_or(|at| now < at + WITHHELD));
         if list.complete {
             self.withheld.clear();
-            let told = self.told.values_mut().filter(|told| told.revision < list.revision);
-            told.for_each(|told| told.gone_at = told.gone_at.or(Some(now)));
+            // Whoever is not in it is gone, also by the lower versions of a discovery that begins anew.
+            self.told.values_mut().for_each(|told| told.gone_at = told.gone_at.or(Some(now)));
         }
         for member in &mut list.members {
             self.withheld.remove(&member.id);
@@ -76,3 +76,34 @@
         Some(List { revision, complete: false, members })
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// A discovery whose versions begin anew does not know those that were leaving before.
+    #[test]
+    fn servers_that_no_list_names_any_more_are_forgotten() {
+        let member = |id: usize| Member {
+            id: format!("s{id}"),
+            host_port: ([127, 0, 0, 1], 1).into(),
+            locality: "a".into(),
+            flavor: "m".into(),
+            cell: 0,
+            phase: Phase::Leaving,
+            size: 1.0,
+            up_since_ms: 0.0,
+        };
+        let mut leaving = Leaving::default();
+        leaving.heed(
+            Duration::ZERO,
+            &mut List { revision: 41, complete: false, members: (0..500).map(member).collect() },
+        );
+        for revision in 1..3 {
+            let now = Duration::from_secs(30) * revision as u32;
+            leaving
+                .heed(now, &mut List { revision, complete: true, members: (500..503).map(member).collect() });
+        }
+        assert_eq!(leaving.told.len(), 3);
+    }
+}
