A dozen processes of a crowd hear of each of eight drains while a third is killed

The mend of the left watch had a test by one real process only. Twelve nodes that are told of 20,000, one server that drains eight times in six seconds, four nodes killed and started again; each that stayed hears of at least six.

--- a/crates/spurdrum-fleet/tests/faults.rs
+++ b/crates/spurdrum-fleet/tests/faults.rs
@@ -194,6 +194,28 @@
     assert!(history.chosen.iter().any(|c| c.at > 4.0) && served(&history, 3.0, 6.0) > 0.9);
 }
 
+/// Nodes that are told of so many that a catalog could not answer all at once, while one server drains eight times within six seconds
+/// and a third of the nodes is killed and started again. Who leaves its watch for some seconds after news hears of a few of them.
+#[test]
+fn nodes_of_a_crowd_hear_of_each_drain_while_others_are_killed() {
+    let mut more =
+        "[catalog]\ndelay_ms = 20\n[[fault]]\nkind = 'kill'\nnodes = 0.34\nat_s = 4.3\nfor_s = 0.3\n"
+            .to_owned();
+    for n in 0..8 {
+        let at = 2.0 + 0.7 * f64::from(n);
+        more += &format!("[[server_fault]]\non = 's0'\nkind = 'drain'\nat_s = {at:.1}\nfor_s = 0.35\n");
+    }
+    let crowd = Scenario { told: Some(20_000), for_s: 8.0, ..scenario(&more) };
+    let history = kept(&traced(crowd));
+    let killed: BTreeSet<_> = history.away.iter().map(|away| away.node).collect();
+    assert_eq!(killed.len(), 4);
+    for node in (0..12).filter(|node| !killed.contains(node)) {
+        let heard = history.told.iter().filter(|told| told.node == node && !told.ready).count();
+        assert!(heard >= 6, "n{node} heard of {heard} of 8");
+    }
+    assert!(served(&history, 2.0, 8.0) > 0.9, "{}", figures::of(&history));
+}
+
 #[test]
 fn a_node_that_does_not_come_up_ends_the_run_with_its_name_and_last_lines() {
     let _alone = ALONE.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
