A client that leaves behind a part of its next request is noticed

Ruled out: a close or a reset with nothing behind the request (seen at once), bodies that are still coming (hyper reads).

Now the connection's task reads on while an answer is owed and hyper does not: up to 16 KiB are held and handed to hyper when it asks; behind that the event loop is asked every 25 ms. Memory is held only where something came.

--- a/crates/spurdrum-http/src/client.rs
+++ b/crates/spurdrum-http/src/client.rs
@@ -1,16 +1,20 @@
 //! One client's socket: what comes and goes on it, and the answers that are written to it.
 
 use std::cell::{Cell, RefCell};
+use std::future::poll_fn;
+use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{ready, Context, Poll};
+use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Buf, BufMut, Bytes, BytesMut};
 use hyper::body::{Body, Frame, SizeHint};
 use spurdrum_admission::Event;
 use spurdrum_core::{Fate, Figures, Open, Seat};
+use tokio::io::{Interest, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::time::Instant;
+use tokio::time::{sleep, Instant};
 
 use crate::chunks::Chunks;
 use crate::socket;
@@ -19,6 +23,13 @@
 /// Fields of a head, as hyper limits them.
 pub const FIELDS_MOST: usize = 100;
 
+/// So much is read behind a request that waits for its answer, to see whether its client is still there.
+const UNASKED_MOST: usize = 16 * 1024;
+/// In pieces of this size.
+const READ_AT_ONCE: usize = 4 * 1024;
+/// Where more has come than that, the event loop is asked this often whether the client has left.
+const LOOK: Duration = Duration::from_millis(25);
+
 /// A client's socket, with what hyper has read of the head that is coming. hyper drops fields that contradict
 /// others before a request is seen, so the head is looked at as it came.
 pub struct Socket {
@@ -29,6 +40,10 @@
     /// What of the last body is still to come.
     body: Cell<Left>,
     ahead: RefCell<Vec<u8>>,
+    /// What has been read of the socket that hyper has not asked for yet.
+    unasked: RefCell<BytesMut>,
+    /// Whether a request has been taken whose answer is not there yet.
+    pub owes: Cell<bool>,
     /// Whether an answer has been begun and not all written.
     answering: Cell<bool>,
     /// Whether hyper has all of the answer.
@@ -62,6 +77,8 @@
             seat,
             body: Cell::new(Left::Length(0)),
             ahead: RefCell::default(),
+            unasked: RefCell::default(),
+            owes: Cell::new(false),
             answering: Cell::new(false),
             given: Cell::new(false),
             last: Cell::new(false),
@@ -70,7 +87,46 @@
 
     /// Whether bytes beyond the present request have been read.
     pub fn has_ahead(&self) -> bool {
-        !self.ahead.borrow().is_empty()
+        !self.ahead.borrow().is_empty() || !self.unasked.borrow().is_empty()
+    }
+
+    /// Waits until the client has closed its side of the connection, or reset it, while it is owed an answer. hyper sees that
+    /// itself as long as it reads; once it holds a part of the next request it reads no more before the answer, and what the
+    /// socket holds is read here instead, for hyper to have later. For the task that drives hyper alone.
+    pub async fn departed(&self) {
+        loop {
+            poll_fn(|cx| self.poll_departed(cx)).await;
+            if self.unasked.borrow().len() < UNASKED_MOST {
+                return;
+            }
+            // Too much comes for all of it to be held: the event loop alone can tell of what is behind that.
+            let ready = self.stream.ready(Interest::READABLE).await;
+            if ready.map_or(true, |ready| ready.is_read_closed()) {
+                return;
+            }
+            sleep(LOOK).await;
+        }
+    }
+
+    /// Ready also where as much is held as may be.
+    fn poll_departed(&self, cx: &mut Context<'_>) -> Poll<()> {
+        while self.owes.get() && self.is_whole() && !self.ahead.borrow().is_empty() {
+            let mut unasked = self.unasked.borrow_mut();
+            if unasked.len() >= UNASKED_MOST {
+                return Poll::Ready(());
+            }
+            if ready!(self.stream.poll_read_ready(cx)).is_err() {
+                return Poll::Ready(());
+            }
+            let room = UNASKED_MOST - unasked.len();
+            unasked.reserve(room.min(READ_AT_ONCE));
+            match self.stream.try_read_buf(&mut (&mut *unasked).limit(room)) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Ok(n) if n > 0 => {}
+                _ => return Poll::Ready(()),
+            }
+        }
+        Poll::Pending
     }
 
     /// Whether anything has come that is not part of the present request.
@@ -145,6 +201,18 @@
         &self.stream
     }
 
+    fn take_kept(&self, buf: &mut ReadBuf<'_>) -> bool {
+        let mut unasked = self.unasked.borrow_mut();
+        let bytes = unasked.len().min(buf.remaining());
+        buf.put_slice(&unasked[..bytes]);
+        unasked.advance(bytes);
+        if unasked.is_empty() {
+            // Its memory goes with it.
+            *unasked = BytesMut::new();
+        }
+        bytes > 0
+    }
+
     fn came(&self, bytes: &[u8]) {
         self.split(bytes);
         self.seat.tell(Event::Received { id: self.seat.id, bytes: bytes.len() as u64 });
--- a/crates/spurdrum-http/src/front.rs
+++ b/crates/spurdrum-http/src/front.rs
@@ -417,9 +417,9 @@
             let mut response = match framing {
                 Framing::Unsound => plain(StatusCode::BAD_REQUEST, "the length is unclear\n"),
                 Framing::Length(length) => {
-                    answer(front, seat, request, Some(length), (&mut ends, &mut open)).await
+                    answer(front, socket, request, Some(length), (&mut ends, &mut open)).await
                 }
-                Framing::Chunked => answer(front, seat, request, None, (&mut ends, &mut open)).await,
+                Framing::Chunked => answer(front, socket, request, None, (&mut ends, &mut open)).await,
             };
             ends |= !socket.is_whole();
             let class = class.as_ref().and_then(|class| class.to_str().ok());
@@ -469,6 +469,7 @@
             result = served.as_mut() => {
                 return ended(result.is_ok());
             }
+            () = socket.departed() => return End::Over,
             () = seat.ordered.notified() => {}
         }
         let Some(order) = seat.take_order() else { continue };
@@ -502,11 +503,12 @@
 
 async fn answer(
     front: &Front,
-    seat: &Rc<Seat>,
+    socket: &Socket,
     request: Request<Incoming>,
     length: Option<u64>,
     (ends, open): (&mut bool, &mut Option<Open>),
 ) -> Response<Answered> {
+    let seat = &socket.seat;
     let body = length.map_or(BODY_MOST as u64, |length| length.min(LONG_HOLDS));
     let place = seat.tell(Event::Head { id: seat.id, body });
     match request.uri().path() {
@@ -517,7 +519,7 @@
             *open = Some(front.node.figures.open());
             refusal(front.node.connections.retry_after_ms())
         }
-        "/api" => api(front, seat, request, length, (ends, open)).await,
+        "/api" => api(front, socket, request, length, (ends, open)).await,
         _ => plain(StatusCode::NOT_FOUND, "no such path\n"),
     }
 }
@@ -547,13 +549,15 @@
 }
 
 /// Tells the node that the client has left, unless it has been answered: hyper drops what it waits for then.
-struct Waiting {
+struct Waiting<'a> {
     node: Rc<Node>,
     id: RequestId,
+    owes: &'a Cell<bool>,
 }
 
-impl Drop for Waiting {
+impl Drop for Waiting<'_> {
     fn drop(&mut self) {
+        self.owes.set(false);
         self.node.client_gone(self.id);
     }
 }
@@ -586,12 +590,12 @@
 
 async fn api(
     front: &Front,
-    seat: &Rc<Seat>,
+    socket: &Socket,
     request: Request<Incoming>,
     length: Option<u64>,
     (ends, open): (&mut bool, &mut Option<Open>),
 ) -> Response<Answered> {
-    let node = &front.node;
+    let (node, seat) = (&front.node, &socket.seat);
     let (head, body) = request.into_parts();
     let names = Rc::clone(&front.names.borrow());
     let mut asked = read_head(front, &head.method, &head.headers);
@@ -687,7 +691,8 @@
         Err(NotTaken::Full) => return refusal(node.settings().retry_after_most_ms),
         Err(NotTaken::Known) => return plain(StatusCode::CONFLICT, "X-Request-Id is in use\n"),
     };
-    let _waiting = Waiting { node: Rc::clone(node), id };
+    socket.owes.set(true);
+    let _waiting = Waiting { node: Rc::clone(node), id, owes: &socket.owes };
     let coming = source.map(|source| {
         let (seat, node, whole) = (Rc::clone(seat), Rc::clone(node), Cell::new(false));
         let coming = Rc::new(Coming { seat, node, id, deadline: Rc::clone(&deadline), whole });
--- a/crates/spurdrum-http/src/socket.rs
+++ b/crates/spurdrum-http/src/socket.rs
@@ -15,6 +15,11 @@
     /// The socket itself.
     fn stream(&self) -> &TcpStream;
 
+    /// Moves into `buf` what was read of the socket before hyper asked for it. Whether there was any.
+    fn take_kept(&self, _buf: &mut ReadBuf<'_>) -> bool {
+        false
+    }
+
     /// These bytes have come and go to hyper next.
     fn came(&self, _bytes: &[u8]) {}
 
@@ -39,6 +44,11 @@
 impl<S: Socket> AsyncRead for Io<S> {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let stream = self.0.stream();
+        let filled = buf.filled().len();
+        if self.0.take_kept(buf) {
+            self.0.came(&buf.filled()[filled..]);
+            return Poll::Ready(Ok(()));
+        }
         loop {
             ready!(stream.poll_read_ready(cx))?;
             let unfilled = buf.initialize_unfilled();
