An attempt that has not begun never does once its client has left, whatever may be cancelled

Where the settings forbid to cancel, the decisions leave a departed client's attempt alone, and the core had only one way to end it: give up everything. One that still dialled, or let a kept connection rest, then went out long after its client had left (client_gone in node.rs; attempt in upstream.rs). Found by reading; ruled out: repeats (no further attempt is chosen for who has left), and what the settings let cancel (ended at once).

An attempt now shares a Cancellation with the core, which can also be raised for what has not begun: it is heeded while dialling and looked at once more before the first byte. What has begun goes on. A cancelled attempt's request id stays taken until the attempt is over.

--- a/crates/spurdrum-core/src/lib.rs
+++ b/crates/spurdrum-core/src/lib.rs
@@ -13,4 +13,4 @@
 pub use connections::{is_starved, Connections, Order, Seat, ServerSlot};
 pub use figures::{ClassCounts, Fate, Figures, Open, Times};
 pub use node::{unix_ms, Answer, Config, Listed, Node, NotTaken, Sign};
-pub use transport::{Asked, Reply, Transport};
+pub use transport::{Asked, Cancellation, Reply, Transport};
--- a/crates/spurdrum-core/src/node.rs
+++ b/crates/spurdrum-core/src/node.rs
@@ -16,7 +16,7 @@
 use tokio::time::{sleep, Instant};
 
 use crate::figures::Figures;
-use crate::transport::{Asked, Reply, Transport};
+use crate::transport::{Asked, Cancellation, Reply, Transport};
 use crate::Connections;
 
 /// What a node is told before its first event.
@@ -85,8 +85,8 @@
     request: Rc<T::Request>,
     /// Taken by the final answer, or when the client leaves.
     answer: Option<oneshot::Sender<Answer<T::Body>>>,
-    /// How to give each attempt up, while it is out.
-    attempts: Vec<Option<oneshot::Sender<()>>>,
+    /// How each attempt is cancelled, while it is out.
+    attempts: Vec<Option<Rc<Cancellation>>>,
 }
 
 impl<T: Transport> Held<T> {
@@ -205,17 +205,17 @@
             Action::Send { request, server } => {
                 let mut requests = self.requests.borrow_mut();
                 let Some(held) = requests.get_mut(&request) else { return };
-                let (give_up, given_up) = oneshot::channel();
+                let cancellation = Rc::new(Cancellation::default());
                 let attempt = held.attempts.len();
                 if let Some(trace) = &self.trace {
                     let (id, server) = (held.shown(), trace.name_of(server));
                     trace.to.note(self.now(), Seen::Placed { id, attempt, server });
                 }
-                held.attempts.push(Some(give_up));
+                held.attempts.push(Some(Rc::clone(&cancellation)));
                 let (node, asked) = (Rc::clone(self), Rc::clone(&held.request));
                 tokio::task::spawn_local(async move {
                     let begun = Instant::now();
-                    let mut reply = node.transport.attempt(server, &asked, given_up).await;
+                    let mut reply = node.transport.attempt(server, &asked, &cancellation).await;
                     let took = reply.took.unwrap_or_else(|| begun.elapsed());
                     if let Some(rest) = reply.rest.take() {
                         node.handle(Event::StreamStarted { request, attempt });
@@ -237,11 +237,10 @@
             }
             Action::Cancel { request, attempt } => {
                 self.saw(request, |id| Seen::GivenUp { id, attempt });
-                let mut requests = self.requests.borrow_mut();
-                let out = requests.get_mut(&request).and_then(|held| held.attempts.get_mut(attempt));
-                if let Some(give_up) = out.and_then(Option::take) {
-                    // It fails where the attempt has just ended by itself.
-                    let _ = give_up.send(());
+                let requests = self.requests.borrow();
+                let out = requests.get(&request).and_then(|held| held.attempts.get(attempt));
+                if let Some(Some(cancellation)) = out {
+                    cancellation.cancel();
                 }
             }
             Action::Refuse { request, retry_after_ms } => {
@@ -335,6 +334,10 @@
         if owed.is_some() {
             self.saw(id, |id| Seen::Left { id });
             self.handle(Event::ClientGone(id));
+            // Guards against an attempt that begins for nobody where the settings forbid to cancel one that has begun.
+            if let Some(held) = self.requests.borrow().get(&id) {
+                held.attempts.iter().flatten().for_each(|cancellation| cancellation.cancel_unsent());
+            }
             self.forget_if_over(id);
         }
     }
--- a/crates/spurdrum-core/src/transport.rs
+++ b/crates/spurdrum-core/src/transport.rs
@@ -1,5 +1,6 @@
 //! What the core wants of a protocol towards servers.
 
+use std::cell::Cell;
 use std::future::Future;
 use std::hash::Hash;
 use std::net::SocketAddr;
@@ -7,7 +8,7 @@
 
 use spurdrum_affinity::Ask;
 use spurdrum_policy::{Ending, Report, ServerId};
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, Notify};
 
 /// A request as its transport sends it.
 pub trait Asked {
@@ -23,6 +24,60 @@
     }
 }
 
+/// How far an attempt is cancelled; the later goes further.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+enum Cancelled {
+    /// It is wanted.
+    #[default]
+    No,
+    /// Nobody waits for it: it must not begin, but what has begun may go on.
+    Unsent,
+    /// It ends, whatever has gone out of it.
+    Whole,
+}
+
+/// The cancellation of one attempt, as the core, which raises it, and the transport, which heeds it, share it.
+#[derive(Debug, Default)]
+pub struct Cancellation {
+    state: Cell<Cancelled>,
+    raised: Notify,
+}
+
+impl Cancellation {
+    /// The attempt must not begin any more. What has begun goes on.
+    pub fn cancel_unsent(&self) {
+        self.raise(Cancelled::Unsent);
+    }
+
+    /// The attempt ends.
+    pub fn cancel(&self) {
+        self.raise(Cancelled::Whole);
+    }
+
+    fn raise(&self, to: Cancelled) {
+        if to > self.state.get() {
+            self.state.set(to);
+            self.raised.notify_one();
+        }
+    }
+
+    /// Whether it is cancelled, at least unless it has begun.
+    pub fn is_raised(&self) -> bool {
+        self.state.get() != Cancelled::No
+    }
+
+    /// Waits until the attempt has to end. `sent` tells whether a byte of it may have gone out. For one waiter.
+    pub async fn cancelled(&self, sent: &Cell<bool>) {
+        loop {
+            match self.state.get() {
+                Cancelled::Whole => return,
+                Cancelled::Unsent if !sent.get() => return,
+                Cancelled::No | Cancelled::Unsent => self.raised.notified().await,
+            }
+        }
+    }
+}
+
 /// How an attempt or a probe ended.
 pub struct Reply<B> {
     /// The outcome.
@@ -67,12 +122,12 @@
     /// Closes the connection that stood idle longest. Whether there was one.
     fn close_oldest(&self) -> bool;
 
-    /// One attempt of a request. When it is over, nothing of it is out any more, also where it was given up.
+    /// One attempt of a request. When it is over, nothing of it is out any more, also where it was cancelled.
     fn attempt(
         &self,
         server: ServerId,
         request: &Self::Request,
-        given_up: oneshot::Receiver<()>,
+        cancellation: &Cancellation,
     ) -> impl Future<Output = Reply<Self::Body>>;
 
     /// Asks a server for its load report.
--- a/crates/spurdrum-http/src/upstream.rs
+++ b/crates/spurdrum-http/src/upstream.rs
@@ -18,7 +18,7 @@
 use socket2::SockRef;
 use spurdrum_admission::Event as ConnectionEvent;
 use spurdrum_affinity::Ask;
-use spurdrum_core::{is_starved, Asked, Connections, Figures, Reply, ServerSlot, Transport};
+use spurdrum_core::{is_starved, Asked, Cancellation, Connections, Figures, Reply, ServerSlot, Transport};
 use spurdrum_policy::{Ending, Report, ServerId};
 use tokio::net::TcpStream;
 use tokio::sync::oneshot;
@@ -254,7 +254,13 @@
 impl Upstream {
     /// Sends a request, or a probe where there is none, and reads the answer. `sent` is set while all of it may have gone
     /// out.
-    async fn exchange(&self, server: ServerId, forward: Option<&Forward>, sent: &Rc<Cell<bool>>) -> Ended {
+    async fn exchange(
+        &self,
+        server: ServerId,
+        attempt: Option<(&Forward, &Cancellation)>,
+        sent: &Rc<Cell<bool>>,
+    ) -> Ended {
+        let forward = attempt.map(|(forward, _)| forward);
         // It may have gone since the decision.
         let Some(server) = self.servers.borrow().get(&server).cloned() else {
             return Reply::none(Ending::NotSent);
@@ -276,8 +282,9 @@
                 }
                 return Reply::none(Ending::Unreachable);
             }
-            // Time has passed since the decision: a server that drains by now gets nothing new.
-            if forward.is_some() && !server.ready.get() {
+            // Time has passed since the decision: a server that drains by now gets nothing new, and nothing begins for a client
+            // that has left.
+            if attempt.is_some_and(|(_, cancellation)| !server.ready.get() || cancellation.is_raised()) {
                 return Reply::none(Ending::NotSent);
             }
             let request = match forward {
@@ -369,14 +376,14 @@
         closed.is_some()
     }
 
-    async fn attempt(&self, server: ServerId, forward: &Forward, given_up: oneshot::Receiver<()>) -> Ended {
+    async fn attempt(&self, server: ServerId, forward: &Forward, cancellation: &Cancellation) -> Ended {
         let sent = Rc::new(Cell::new(false));
         let unless_sent = |ending| Reply::none(if sent.get() { ending } else { Ending::NotSent });
         // The exchange holds the connection; it is dropped, and that closed, before this returns.
         tokio::select! {
             biased;
-            reply = self.exchange(server, Some(forward), &sent) => reply,
-            Ok(()) = given_up => unless_sent(Ending::Cancelled),
+            reply = self.exchange(server, Some((forward, cancellation)), &sent) => reply,
+            () = cancellation.cancelled(&sent) => unless_sent(Ending::Cancelled),
             () = forward.deadline.passed(Duration::ZERO) => unless_sent(Ending::TimedOut),
         }
     }
--- a/crates/spurdrum/tests/node/endings.rs
+++ b/crates/spurdrum/tests/node/endings.rs
@@ -2,6 +2,28 @@
 
 use super::*;
 
+/// A configuration whose settings forbid to cancel what has begun.
+fn without_cancelling(members: &[Value]) -> Value {
+    let mut config = config(members);
+    config["settings"]["allowed"]["cancel"] = json!(false);
+    config
+}
+
+/// Whether somebody waits for a connection to this address: the kernel shows it as 02, SYN sent.
+fn is_dialled(address: SocketAddr) -> bool {
+    let SocketAddr::V4(v4) = address else { panic!("IPv4") };
+    let remote = format!("{:08X}:{:04X} 02", u32::from_ne_bytes(v4.ip().octets()), v4.port());
+    std::fs::read_to_string("/proc/net/tcp").expect("Linux").contains(&remote)
+}
+
+fn until(what: &str, mut done: impl FnMut() -> bool) {
+    let since = Instant::now();
+    while !done() {
+        assert!(since.elapsed() < LONG, "{what}");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
 /// Ends a connection with a reset.
 fn reset(client: Client) {
     let stream = client.stream.into_inner();
@@ -52,3 +74,46 @@
         assert_eq!(client.answer().body, id.as_bytes());
     }
 }
+
+/// An attempt that still waits for its connection must not begin once its client has left, though the settings forbid to cancel.
+#[test]
+fn what_has_not_begun_for_a_client_that_left_never_does_where_nothing_is_cancelled() {
+    let (_slow, address, _filler) = full_listener();
+    let mut config = without_cancelling(&[member("slow", address, "active")]);
+    config["settings"]["allowed"]["dial_timeout_ms"] = json!(600_000.0);
+    let node = Node::start(&config);
+    let mut client = node.client();
+    client.send(&request("pay", 3600.0));
+    until("the node connects", || is_dialled(address));
+    drop(client);
+    until("the node gives the connection up", || !is_dialled(address));
+}
+
+/// What has begun goes on where the settings forbid to cancel, and its connection is used again.
+#[test]
+fn what_has_begun_for_a_client_that_left_goes_on_where_nothing_is_cancelled() {
+    let server = Server::start();
+    let node = Node::start(&without_cancelling(&members(&[&server])));
+    let mut client = node.client();
+    client.send(&request("pay", 60.0));
+    let mut got = server.request();
+    drop(client);
+    // Whoever comes after it shows that the node has seen it go.
+    let mut next = node.client();
+    next.send(&request("pay", 60.0));
+    let other = server.request();
+    assert!(!got.has_ended(), "it was cancelled");
+    other.answer(OK, "", b"");
+    assert_eq!(next.answer().status(), 200);
+    assert!(!got.has_ended(), "it was cancelled");
+    got.answer(OK, "", b"");
+    // Its connection came last to rest, so it is the next one's.
+    until("both are kept", || {
+        next.send(&request("pay", 60.0));
+        let got = server.request();
+        let connection = got.connection;
+        got.answer(OK, "", b"");
+        assert_eq!(next.answer().status(), 200);
+        connection == 0
+    });
+}
