A call to discovery that told nothing is followed by another within the 6 s of its news

The follower paused for 20 ms a node after failures, up to twice ask_within_ms (retry_most: 6 s with 300 nodes, 7 s with 350), after a silent poll for as long again on top of its patience of 3 s and more, and after a silent read it watched with a long wait, as lost as the rest (ordinary). A process's first call came within 5 s.

Now no pause is over 3.5 s; a call that waited its turn or was silent is followed 5 s after it began at the latest; the watch after a silent read waits shortly; a first call comes within 3.5 s.

Test: a property over random ends of calls for 1 to 1,024 nodes; without the change it fails (a silent watch of 1.6 s was followed after 5.5 s).

--- a/crates/spurdrum-sources/src/follower.rs
+++ b/crates/spurdrum-sources/src/follower.rs
@@ -64,9 +64,8 @@
 const PATIENCE_GROWS: u32 = 3;
 /// While calls fail, each node leaves the others at least this much of discovery's time, in the long run.
 const NODE_MOST: Duration = Duration::from_millis(20);
-/// ... but no more than this part of the time after which a node that has not asked counts as told, which is four times as long
-/// after a call that failed; and the first call of a process goes out within this.
-const RETRY_PART: f64 = 2.0;
+/// The first call of a process goes out within this part of the time after which a node that has not asked counts as told, and
+/// within the longest pause.
 const FIRST_PART: f64 = 0.5;
 /// Points of evidence that make a call due; doubled with each such call that brings nothing, up to the most.
 const EVIDENCE: f64 = 2.0;
@@ -475,6 +474,12 @@
     TOLD_AFTER.saturating_sub(wait).max(TOLD_AFTER_WAIT)
 }
 
+/// For how long the next call may be put off. Discovery may have had news, and been there to be asked, since right after a call went
+/// out that told nothing: that counts as told 6 s after.
+fn spare_after(call: &Call, now: Duration) -> Duration {
+    (TOLD_AFTER - ANSWER_SPARE).saturating_sub(now.saturating_sub(call.started))
+}
+
 /// Follows one list. See the [module](self) page.
 pub struct Follower {
     settings: Settings,
@@ -656,10 +661,11 @@
         }
     }
 
-    /// The longest pause after calls that fail: many nodes that all fail may fail for being many.
+    /// The longest pause after calls that fail: many nodes that all fail may fail for being many. However many they are, what
+    /// discovery has counts as told 6 s after it could have been asked, whatever became of the call before.
     fn retry_most(&self) -> Duration {
         let crowd = NODE_MOST * self.settings.nodes.min(1 << 16) as u32;
-        self.settings.retry_most.max(crowd.min(self.settings.ask_within.mul_f64(RETRY_PART)))
+        self.settings.retry_most.max(crowd).min(PAUSE_MOST)
     }
 
     /// What times such a call.
@@ -806,7 +812,11 @@
             _ if self.backwards => Ask::Read,
             (Some(since), Some(Ask::Watch { .. })) => Ask::Poll { since },
             (Some(_), Some(Ask::Poll { .. })) => Ask::Read,
-            (Some(since), Some(Ask::Read) | None) => Ask::Watch { since, wait: self.wait(now) },
+            // Guards against a long wait for an answer that is as lost as those before it.
+            (Some(since), Some(Ask::Read)) => {
+                Ask::Watch { since, wait: self.agent_time().unwrap_or(self.settings.wait_least) }
+            }
+            (Some(since), None) => Ask::Watch { since, wait: self.wait(now) },
         }
     }
 
@@ -960,7 +970,7 @@
             // An agent has been waited for already.
             let at_once = self.failures < BESIDE_UNTIL || self.settings.pushed;
             let after = if at_once { Duration::ZERO } else { self.retry_after() };
-            self.due_by(now + after);
+            self.due_by(now + after.min(spare_after(call, now)));
         }
     }
 
@@ -995,7 +1005,9 @@
         self.doubt(now, Cause::Failed(why));
         if !self.is_followed() || call.by_evidence {
             let after = self.retry_after();
-            self.due_by(now + after);
+            // A watch that broke was one until then.
+            let most = if call.is_watch() { after } else { spare_after(&call, now) };
+            self.due_by(now + after.min(most));
         }
     }
 
--- a/crates/spurdrum-sources/tests/follower.rs
+++ b/crates/spurdrum-sources/tests/follower.rs
@@ -4,6 +4,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
+use proptest::prelude::*;
 use spurdrum_sources::follower::{
     Action, Ask, CallId, Cause, Event, Evidence, Failure, Follower, Settings, View, CALLS_MOST,
 };
@@ -555,3 +556,53 @@
         }
     }
 }
+
+/// What becomes of a call.
+#[derive(Clone, Copy, Debug)]
+enum End {
+    /// It fails after so many milliseconds.
+    Fails(Failure, u64),
+    /// Nothing is heard of it.
+    Silent,
+}
+
+fn ends() -> impl Strategy<Value = End> {
+    let failure = prop_oneof![Just(Failure::Unreachable), Just(Failure::Broke), Just(Failure::NoList)];
+    prop_oneof![(failure, 0_u64..3_000).prop_map(|(why, after)| End::Fails(why, after)), Just(End::Silent)]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Whatever became of the calls before, and however many nodes ask: what discovery has counts as told 6 s after it could be
+    /// asked, and a second of these is for the answer.
+    #[test]
+    fn after_calls_that_tell_nothing_another_follows_before_their_news_counts_as_told(
+        nodes in prop_oneof![Just(1_usize), Just(3), Just(12), Just(100), Just(350), Just(1_024)],
+        ends in proptest::collection::vec(ends(), 1..40),
+    ) {
+        let mut node = Node::new(Settings { nodes, me: nodes / 2, ..Settings::default() });
+        prop_assert!(node.now <= ms(3_500), "the first call: {:?}", node.now);
+        for end in ends {
+            // One that was begun beside it: where the other goes on, nothing is owed.
+            while node.out.len() > 1 {
+                node.fail(Failure::Broke);
+            }
+            let (call, ask, begun) = node.out[0];
+            let before = node.calls;
+            let mut latest = begun + ms(5_000).max(ask.wait() + ms(1_000));
+            if let End::Fails(why, after) = end {
+                node.pass((begun + ms(after)).saturating_sub(node.now));
+                if let Some(at) = node.out.iter().position(|(id, ..)| *id == call) {
+                    node.out.remove(at);
+                    node.feed(Event::Failed { call, why });
+                    if !ask.wait().is_zero() {
+                        latest = node.now + ms(3_500);
+                    }
+                }
+            }
+            node.pass_until(|node| node.calls > before && !node.out.is_empty());
+            prop_assert!(node.now <= latest, "{end:?} of {ask:?} of {begun:?}: {:?}", node.now);
+        }
+    }
+}
