--- a/crates/spurdrum-policy/tests/common/fleet.rs
+++ b/crates/spurdrum-policy/tests/common/fleet.rs
@@ -249,7 +249,7 @@
     }
 
     fn next_arrival(&mut self, node: usize) {
-        let busy = |node: usize| if node % 10 == 0 { self.plan.busiest } else { 1.0 };
+        let busy = |node: usize| if node.is_multiple_of(10) { self.plan.busiest } else { 1.0 };
         let all: f64 = (0..self.plan.nodes).map(busy).sum();
         let gap = self.exp(1000.0 * all / busy(node) / self.plan.rate);
         self.at(gap, Step::Arrives(node));
@@ -339,8 +339,8 @@
         if self.random.f64() < self.plan.servers[server].errors {
             return self.at(2.0, Step::Fails(server, node, id, attempt));
         }
-        if self.restarted.is_some() && self.plan.restart.servers.contains(&server) {
-            self.out.cold.push((server, self.now - self.restarted.expect("checked")));
+        if let Some(at) = self.restarted.filter(|_| self.plan.restart.servers.contains(&server)) {
+            self.out.cold.push((server, self.now - at));
         }
         if self.plan.queue_most > 0 && self.queue[server].len() >= self.plan.queue_most {
             return self.at(1.0, Step::Full(server, node, id, attempt));
