Nothing that is owed an answer goes with the process: a last call before its end

A process that ends gave clients the settings' longest deadline and 0.6 s. One that was told to wait longer (X-Deadline is the client's) lost its request when the process returned from serve, its connection closed without an answer; so did one whose head or body was half sent, and what came in the last moment was taken and lost (run in front.rs). Found by reading the path of SIGTERM; ruled out: a second SIGTERM and one during the start (both only noted), idle connections (closed 0.65 s after it, bytes that cross are read away before the close), answers half written (flushed, then half-closed).

150 ms before its end the process calls last: what waits for an answer gets 504, half requests 503, resting connections are closed, and what is accepted then is turned away. What the settings allow was taken earlier and is not touched.

Tests: two over loopback, both without an answer before the change, one of admission.

--- a/crates/spurdrum-admission/src/admission.rs
+++ b/crates/spurdrum-admission/src/admission.rs
@@ -197,6 +197,12 @@
                 self.total = self.whole();
             }
             Event::NoneComes => self.none_comes(actions),
+            Event::LastCall => {
+                self.none_comes(actions);
+                for id in self.in_state(|state| matches!(state, State::Head | State::Body)) {
+                    self.expire(id, Reason::Ending, actions);
+                }
+            }
             Event::Tick => {
                 self.tick(actions);
                 self.keep_shares(actions);
@@ -940,11 +946,14 @@
 
     /// Those that owe nothing and have not begun to ask, also where they came only to be refused.
     fn resting(&self) -> Vec<ConnId> {
-        let rests = |conn: &Conn| matches!(conn.state, State::New | State::Silent | State::Idle);
-        let resting = self.conns.iter().filter(|(_, conn)| !conn.gone && rests(conn));
-        let mut resting: Vec<ConnId> = resting.map(|(id, _)| *id).collect();
-        resting.sort_unstable();
-        resting
+        self.in_state(|state| matches!(state, State::New | State::Silent | State::Idle))
+    }
+
+    fn in_state(&self, is: impl Fn(State) -> bool) -> Vec<ConnId> {
+        let found = self.conns.iter().filter(|(_, conn)| !conn.gone && is(conn.state));
+        let mut found: Vec<ConnId> = found.map(|(id, _)| *id).collect();
+        found.sort_unstable();
+        found
     }
 
     /// Bytes that may be promised: another process of this node has its part of them, too.
--- a/crates/spurdrum-admission/src/lib.rs
+++ b/crates/spurdrum-admission/src/lib.rs
@@ -169,6 +169,8 @@
     },
     /// The node is ending and none comes any more: what owes nothing is closed.
     NoneComes,
+    /// The node ends in a moment: what has not been taken by now is answered or closed.
+    LastCall,
     /// The time that [`Admission::next_wake`] told has come.
     Tick,
 }
@@ -197,7 +199,7 @@
     Close(ConnId),
     /// Pass it on to the process that takes over, unless something has come.
     Pass(ConnId),
-    /// Answer what is half sent, 408 for one that is too slow and 503 for one that makes room; then close.
+    /// Answer what is half sent, 408 for one that is too slow and 503 for one that makes room or that the end cuts off; then close.
     Expire(ConnId, Reason),
     /// Close it at once, whatever is unsent.
     Abort(ConnId, Reason),
--- a/crates/spurdrum-admission/tests/properties.rs
+++ b/crates/spurdrum-admission/tests/properties.rs
@@ -198,6 +198,10 @@
                     front.tell(Event::Ending);
                     front.tell(Event::NoneComes);
                 }
+                (13, _) if way == 7 => {
+                    front.tell(Event::Ending);
+                    front.tell(Event::LastCall);
+                }
                 (13 | 14, _) => {
                     if front.tell(Event::ServerWanted) == Verdict::Serve {
                         front.servers += 1;
--- a/crates/spurdrum-admission/tests/world.rs
+++ b/crates/spurdrum-admission/tests/world.rs
@@ -510,6 +510,31 @@
     assert_eq!(world.admission.counts().open(), 0, "{}", world.admission.counts());
 }
 
+/// Whoever has not sent its request whole when the node ends is told so, and is not left with half a request.
+#[test]
+fn at_the_last_call_what_is_half_sent_is_answered_and_what_is_owed_is_left_alone() {
+    let mut admission = Admission::new(Settings::default(), LIMITS).expect("sound");
+    let mut actions = Vec::new();
+    let mut tell = |event, actions: &mut Vec<Action>| admission.handle(SECOND, event, actions);
+    let ids: Vec<ConnId> = (1..=4).map(ConnId).collect();
+    for id in &ids {
+        tell(Event::Accepted { id: *id, peer: peer(1) }, &mut actions);
+    }
+    let (resting, head, body, taken) = (ids[0], ids[1], ids[2], ids[3]);
+    for id in [head, body, taken] {
+        tell(Event::Received { id, bytes: 20 }, &mut actions);
+    }
+    for id in [body, taken] {
+        tell(Event::Head { id, body: 100 }, &mut actions);
+    }
+    tell(Event::Taken { id: taken }, &mut actions);
+    tell(Event::Ending, &mut actions);
+    assert!(actions.is_empty(), "{actions:?}");
+    tell(Event::LastCall, &mut actions);
+    let expired = |id| Action::Expire(id, Reason::Ending);
+    assert_eq!(actions, [Action::Close(resting), expired(head), expired(body)]);
+}
+
 #[test]
 fn budgets_hold_from_32_descriptors_to_100_000() {
     for sockets in [1, 16, 32, 64, 256, 384, 1024, 10_000, 100_000] {
--- a/crates/spurdrum-http/src/front.rs
+++ b/crates/spurdrum-http/src/front.rs
@@ -24,7 +24,7 @@
 use spurdrum_core::{is_starved, Answer, Fate, NotTaken, Open, Order, Seat};
 use spurdrum_policy::{Effect, RequestId};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, Notify};
 use tokio::task::yield_now;
 use tokio::time::{sleep, sleep_until, Instant};
 
@@ -44,6 +44,8 @@
 const QUIET: Duration = Duration::from_millis(200);
 /// Past the longest deadline, the node has this long to end.
 const END: Duration = Duration::from_millis(600);
+/// So long before that nothing more is taken, and what is still owed an answer gets its last one: it has to go out.
+const LAST_CALL: Duration = Duration::from_millis(150);
 /// How often a node that is ending looks whether it can.
 const LOOK: Duration = Duration::from_millis(10);
 /// With no descriptors to be had, accepting rests for so long, twice as long each time, up to the second.
@@ -112,6 +114,9 @@
     /// What `/_health` says beside its own.
     status: Box<dyn Fn() -> String>,
     ending: Cell<bool>,
+    /// Set when the process ends in a moment, and raised then for those that wait for an answer.
+    last_call: Cell<bool>,
+    called: Notify,
     successor: Option<Rc<dyn Successor>>,
     /// Held so that a connection can be answered, and not left waiting, when the system has no more descriptors.
     reserve: RefCell<Option<File>>,
@@ -127,6 +132,8 @@
             keys: None,
             status: Box::new(status),
             ending: Cell::new(false),
+            last_call: Cell::new(false),
+            called: Notify::new(),
             successor: None,
             reserve: RefCell::new(spare_descriptor()),
             backoff: Cell::new(BACKOFF.0),
@@ -143,6 +150,21 @@
         self.successor.as_ref().is_some_and(|successor| successor.is_there())
     }
 
+    /// Nothing more is taken, and what is owed an answer gets its last one.
+    fn call_last(&self) {
+        self.last_call.set(true);
+        self.called.notify_waiters();
+        self.node.connections.tell(Event::LastCall);
+    }
+
+    /// Waits for the last call.
+    async fn last_called(&self) {
+        let called = self.called.notified();
+        if !self.last_call.get() {
+            called.await;
+        }
+    }
+
     /// Requests have keys.
     #[must_use]
     pub fn with_keys(self, keys: Option<Rc<Keys>>) -> Self {
@@ -192,6 +214,9 @@
             () = accept(&front, &listener) => came = Instant::now(),
             () = sleep_until((Instant::now() + LOOK).min(last)) => {}
         }
+        if last.saturating_duration_since(Instant::now()) <= LAST_CALL && !front.last_call.get() {
+            front.call_last();
+        }
         if asked.elapsed() >= STILL_COMING && came.elapsed() >= QUIET {
             node.connections.tell(Event::NoneComes);
             if node.connections.open() == 0 && node.held() == 0 {
@@ -238,6 +263,9 @@
 }
 
 fn admit(front: &Rc<Front>, stream: TcpStream, peer: IpAddr) {
+    if front.last_call.get() {
+        return turn_away(front, stream);
+    }
     match front.node.connections.accept(peer) {
         Some(seat) => {
             tokio::task::spawn_local(connection(Rc::clone(front), seat, stream));
@@ -514,7 +542,7 @@
     match request.uri().path() {
         "/_health" if front.ending.get() => plain(StatusCode::SERVICE_UNAVAILABLE, "ending\n"),
         "/_health" => plain(StatusCode::OK, format!("ready\n{}\n", (front.status)())),
-        _ if place == Verdict::Refuse => {
+        _ if place == Verdict::Refuse || front.last_call.get() => {
             *ends = true;
             *open = Some(front.node.figures.open());
             refusal(front.node.connections.retry_after_ms())
@@ -709,6 +737,8 @@
             *open = None;
             return expired(node, reason);
         }
+        // Guards against a process that ends before the client's time does: the client may wait longer than the settings say.
+        () = front.last_called() => return plain(StatusCode::GATEWAY_TIMEOUT, "the node is ending\n"),
         // Guards against decisions that leave a request without an answer.
         () = deadline.passed(MARGIN / 2) => return plain(StatusCode::GATEWAY_TIMEOUT, "no answer in time\n"),
     };
@@ -732,8 +762,8 @@
 /// The answer where a body had its time.
 fn expired(node: &Node, reason: Reason) -> Response<Answered> {
     match reason {
-        // It makes room for others: that is no fault of its client.
-        Reason::Shed | Reason::Starved => refusal(node.connections.retry_after_ms()),
+        // It makes room for others, or the node ends: that is no fault of its client.
+        Reason::Shed | Reason::Starved | Reason::Ending => refusal(node.connections.retry_after_ms()),
         _ => plain(StatusCode::REQUEST_TIMEOUT, "the body does not come\n"),
     }
 }
--- a/crates/spurdrum/tests/node/endings.rs
+++ b/crates/spurdrum/tests/node/endings.rs
@@ -1,4 +1,4 @@
-//! What is still owed, and to whom, when something ends: here a client that leaves.
+//! What is still owed, and to whom, when something ends: a client that leaves, the process, discovery.
 
 use super::*;
 
@@ -117,3 +117,44 @@
         connection == 0
     });
 }
+
+// ---- The process
+
+/// A client may wait longer than the settings say any does. Its answer must not go with the process.
+#[test]
+fn what_is_owed_an_answer_has_one_before_the_process_ends() {
+    let server = Server::start();
+    let mut node = Node::before(&[&server]);
+    let mut client = node.client();
+    client.send(&request("pay", 600.0));
+    let mut got = server.request();
+    node.terminate();
+    let answer = client.answer();
+    assert_eq!((answer.status(), answer.header("connection")), (504, Some("close")));
+    got.await_end();
+    assert_eq!(node.wait().code(), Some(0));
+    assert!(!server.has_request(), "it was sent again");
+}
+
+/// Half a head is owed nothing, but its client is told, and does not see its connection break.
+#[test]
+fn whoever_has_sent_half_a_request_is_refused_when_the_process_ends() {
+    let server = Server::start();
+    let mut config = config(&members(&[&server]));
+    for class in 0..3 {
+        // The process ends before a head has had its time.
+        config["settings"]["classes"][class]["deadline_ms"] = json!(300.0);
+    }
+    let mut node = Node::start(&config);
+    let (whole, body) = (request("read", 20.0), request("pay", 20.0));
+    let halves = [&whole[..20], &whole[..whole.len() - 2], &body[..body.len() - 2]];
+    let mut clients: Vec<Client> = halves.iter().map(|_| node.client()).collect();
+    clients.iter_mut().zip(halves).for_each(|(client, half)| client.send(half));
+    node.terminate();
+    for (client, half) in clients.iter_mut().zip(halves) {
+        let answer = client.answer();
+        assert_eq!((answer.status(), answer.header("connection")), (503, Some("close")), "{half}");
+    }
+    assert_eq!(node.wait().code(), Some(0));
+    assert!(!server.has_request(), "half a request was sent on");
+}
