--- a/crates/spurdrum-fleet/src/figures.rs
+++ b/crates/spurdrum-fleet/src/figures.rs
@@ -269,6 +269,7 @@
             workers,
             work: 0.04,
             drains_at: None,
+            cold: None,
             still: Vec::new(),
             lives: (0.0, f64::MAX),
         }
--- a/crates/spurdrum-fleet/src/history.rs
+++ b/crates/spurdrum-fleet/src/history.rs
@@ -64,14 +64,31 @@
     pub workers: usize,
     /// Mean time of a request there, in seconds.
     pub work: f64,
-    /// From when it takes nothing new by the list, where that comes.
+    /// From when it takes nothing new by the list, where that comes, and discovery could be asked for it.
     pub drains_at: Option<f64>,
+    /// While it warms up, where it started cold.
+    pub cold: Option<Cold>,
     /// Seconds in which it does nothing: from and to.
     pub still: Vec<(f64, f64)>,
     /// From when until when it is there, in seconds.
     pub lives: (f64, f64),
 }
 
+/// What a server can do while it is cold.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Cold {
+    /// Requests a second once it is warm.
+    pub rate: f64,
+    /// Part of that at its start.
+    pub from: f64,
+    /// Until all of it, in seconds.
+    pub lasts: f64,
+    /// Sent this many times what it can do...
+    pub multiple: f64,
+    /// ...for so long, in seconds, it falls over.
+    pub window: f64,
+}
+
 impl Server {
     /// Seconds of a stretch in which it could work.
     #[must_use]
--- a/crates/spurdrum-fleet/src/references.rs
+++ b/crates/spurdrum-fleet/src/references.rs
@@ -204,6 +204,7 @@
             workers: 1,
             work: 0.01,
             drains_at: None,
+            cold: None,
             still: Vec::new(),
             lives: (0.0, f64::MAX),
         };
--- a/crates/spurdrum-fleet/src/run.rs
+++ b/crates/spurdrum-fleet/src/run.rs
@@ -15,7 +15,7 @@
 use crate::clients;
 use crate::disks;
 use crate::files::{node_part, shared_part};
-use crate::history::{Asked, Away, Blind, Chosen, History, Server, Told, Worked};
+use crate::history::{Asked, Away, Blind, Chosen, Cold, History, Server, Told, Worked};
 use crate::links::{Relay, Relays};
 use crate::process::{address, free, Node, Start};
 use crate::scenario::{workers, Fault, Kind, Scenario};
@@ -424,6 +424,15 @@
     .collect()
 }
 
+/// From when discovery can be asked for a change that it has from this time on: it may be away, or say nothing, then.
+fn asked_from(scenario: &Scenario, at: f64) -> f64 {
+    let away = |fault: &&ServerFault| {
+        matches!(fault.kind, FaultKind::Outage | FaultKind::Hang) && fault.part >= 1.0 && fault.at_s <= at
+    };
+    let ends = |fault: &ServerFault| fault.for_s.map_or(f64::INFINITY, |s| fault.at_s + s);
+    scenario.server_faults.iter().filter(away).map(ends).fold(at, f64::max)
+}
+
 /// From when until when a server is there: one that replaces another has the fault's place at the end of its name.
 fn lives(scenario: &Scenario, name: &str) -> (f64, f64) {
     let replaced = |fault: &&ServerFault| fault.kind == FaultKind::Replace;
@@ -489,7 +498,14 @@
             name: (*name).clone(),
             workers: spec.map_or(1, workers),
             work: spec.map_or(1.0, |spec| spec.work_ms / 1000.0 / spec.speed),
-            drains_at: drains.map(|fault| fault.at_s + delay).reduce(f64::min),
+            drains_at: drains.map(|fault| asked_from(scenario, fault.at_s + delay)).reduce(f64::min),
+            cold: spec.filter(|_| lives(scenario, name).0 > 0.0).map(|spec| Cold {
+                rate: workers(spec) as f64 * spec.speed * 1000.0 / spec.work_ms,
+                from: spec.cold_from,
+                lasts: spec.cold_s,
+                multiple: spec.fall_multiple,
+                window: spec.fall_s,
+            }),
             still: still.map(|fault| (fault.at_s, fault.at_s + fault.for_s.unwrap_or(1e9))).collect(),
             lives: lives(scenario, name),
         }
