Settings that lack any one part, and classes with limits at their edges, by the real program

Each of the 64 keys of a test's configuration is left out in turn: the 33 that the platform always states end the program with one line that names a key, without the other 31 it starts. Windows of 0, deadlines of 1 ms and of an hour, aims of a microsecond, one attempt and a million: each class is sent on or answered. Nothing had to be mended: no code changes with these tests.

--- a/crates/spurdrum/tests/node.rs
+++ b/crates/spurdrum/tests/node.rs
@@ -6,6 +6,8 @@
 mod alone;
 #[path = "node/connections.rs"]
 mod connections;
+#[path = "node/edges.rs"]
+mod edges;
 #[path = "node/endings.rs"]
 mod endings;
 mod net;
