The last answer is not followed by a reset where the client wanted it to be the last

A client that says Connection: close and sends more all the same had its connection dropped as hyper ended: serve gave End::Over, as only the node's own wish counted (socket.last, front.rs), and a close over unread bytes resets the connection under the answer. Found by reading that path for the review of endings; ruled out: answers that the node makes the last (half-closed, read away), an end by the client (nothing is unread).

Whenever hyper ends well and the client has not closed, the connection is half-closed and what comes is read away, for as long as the decisions allow. Test: 100 kB behind such a request; without the change the client's socket has an error (broken pipe), with it none.

--- a/crates/spurdrum-http/src/client.rs
+++ b/crates/spurdrum-http/src/client.rs
@@ -129,6 +129,11 @@
         Poll::Pending
     }
 
+    /// Whether the client has closed its side, or reset the connection, and nothing is unread before that.
+    pub fn is_closed(&self) -> bool {
+        socket::is_closed(&self.stream)
+    }
+
     /// Whether anything has come that is not part of the present request.
     pub fn has_input(&self) -> bool {
         self.has_ahead() || socket::has_input(&self.stream)
--- a/crates/spurdrum-http/src/front.rs
+++ b/crates/spurdrum-http/src/front.rs
@@ -489,7 +489,9 @@
         .max_header_size(HEAD_MOST)
         .serve_connection(TokioIo::new(Io(Rc::clone(socket))), service);
     let mut served = pin!(served);
-    let ended = |well| if well && socket.last.get() { End::Last } else { End::Over };
+    // Guards against a reset over the last answer, also where it is the client that wanted no more: what it sent all the same is
+    // unread. hyper ends well, too, where a client has closed a connection that rested.
+    let ended = |well| if well && !socket.is_closed() { End::Last } else { End::Over };
     loop {
         tokio::select! {
             biased;
--- a/crates/spurdrum-http/src/socket.rs
+++ b/crates/spurdrum-http/src/socket.rs
@@ -33,9 +33,19 @@
 /// Whether something has come that nobody has read: bytes, an end or an error. The socket itself is looked at:
 /// the event loop may not yet have heard of it.
 pub fn has_input(stream: &TcpStream) -> bool {
-    let mut byte = [std::mem::MaybeUninit::uninit()];
-    let peeked = SockRef::from(stream).peek(&mut byte);
-    !peeked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
+    !peek(stream).is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
+}
+
+/// Whether the next thing to be read is an end or an error.
+pub fn is_closed(stream: &TcpStream) -> bool {
+    match peek(stream) {
+        Ok(bytes) => bytes == 0,
+        Err(error) => error.kind() != io::ErrorKind::WouldBlock,
+    }
+}
+
+fn peek(stream: &TcpStream) -> io::Result<usize> {
+    SockRef::from(stream).peek(&mut [std::mem::MaybeUninit::uninit()])
 }
 
 /// hyper's side of a socket.
--- a/crates/spurdrum/tests/node/endings.rs
+++ b/crates/spurdrum/tests/node/endings.rs
@@ -118,6 +118,29 @@
     });
 }
 
+/// A client that wants no more but has sent more: its answer must not be followed by a reset over what nobody reads.
+#[test]
+fn the_last_answer_is_followed_by_an_end_and_no_reset_whoever_wanted_it_to_be_the_last() {
+    let server = Server::start();
+    let node = Node::before(&[&server]);
+    for behind in [0, 100_000] {
+        let before = node.descriptors();
+        let mut client = node.client();
+        let last = request("read", 20.0).replace("host:", "connection: close\r\nhost:");
+        client.send(&last);
+        let got = server.request();
+        client.send(&"x".repeat(behind));
+        got.answer(OK, "", b"the last");
+        let answer = client.answer();
+        assert_eq!((answer.status(), &answer.body[..]), (200, &b"the last"[..]));
+        assert_eq!(client.stream.read(&mut [0; 1]).ok(), Some(0), "more came");
+        // One more than before stays: the connection to the server.
+        until("the node closes it", || node.descriptors() <= before + 1);
+        let error = client.stream.get_ref().take_error().expect("asked");
+        assert!(error.is_none(), "{behind} bytes behind it: {error:?}");
+    }
+}
+
 // ---- The process
 
 /// A client may wait longer than the settings say any does. Its answer must not go with the process.
