--- a/crates/spurdrum-sources/src/follower.rs
+++ b/crates/spurdrum-sources/src/follower.rs
@@ -1005,8 +1005,9 @@
         self.doubt(now, Cause::Failed(why));
         if !self.is_followed() || call.by_evidence {
             let after = self.retry_after();
-            // A watch that broke was one until then.
-            let most = if call.is_watch() { after } else { spare_after(&call, now) };
+            // A watch that broke was one until then; and where a call has waited its turn in vain, shorter pauses would keep the
+            // queue as long as it is.
+            let most = if call.is_watch() || self.is_crowded() { after } else { spare_after(&call, now) };
             self.due_by(now + after.min(most));
         }
     }
