--- a/test.sh
+++ b/test.sh
@@ -1,9 +1,22 @@
 #!/usr/bin/env bash
-# Everything a change must pass: format, lints, documentation, build and tests.
+# Everything a change must pass: format, lints, documentation, build and tests. Tests that KNOWN-RED.txt names fail for a
+# real fault that is not mended yet: they are run and shown at the end, and do not decide.
 set -euo pipefail
 cd "$(dirname "$0")"
 cargo fmt --all --check
 cargo clippy --locked --workspace --all-targets -- -D warnings
 RUSTDOCFLAGS="-D warnings" cargo doc --locked --workspace --no-deps --lib
 cargo build --locked --release
-cargo test --locked --workspace
+known=()
+while IFS= read -r line; do known+=("${line%% |*}"); done < <(grep -v '^#' KNOWN-RED.txt 2>/dev/null || true)
+if ((${#known[@]} > 3)); then
+    echo "KNOWN-RED.txt names ${#known[@]} tests, and three at most may be known to fail" >&2
+    exit 1
+fi
+skips=()
+for test in "${known[@]}"; do skips+=(--skip "$test"); done
+cargo test --locked --workspace -- "${skips[@]}"
+for test in "${known[@]}"; do
+    echo "known to fail, not counted: $(grep -F "$test |" KNOWN-RED.txt)"
+    if cargo test --locked -p spurdrum -- --exact "$test"; then echo "it passed this time: $test"; else echo "it failed: $test"; fi
+done
