--- a/crates/spurdrum-core/src/transport.rs
+++ b/crates/spurdrum-core/src/transport.rs
@@ -66,7 +66,7 @@
         self.state.get() != Cancelled::No
     }
 
-    /// Waits until the attempt has to end. `sent` tells whether a byte of it may have gone out. For one waiter.
+    /// Waits until the attempt has to end. `sent` tells whether it may have begun at its server. For one waiter.
     pub async fn cancelled(&self, sent: &Cell<bool>) {
         loop {
             match self.state.get() {
--- a/crates/spurdrum-http/src/client.rs
+++ b/crates/spurdrum-http/src/client.rs
@@ -48,8 +48,6 @@
     answering: Cell<bool>,
     /// Whether hyper has all of the answer.
     given: Cell<bool>,
-    /// Whether the answer says that the connection ends with it.
-    pub last: Cell<bool>,
 }
 
 /// What of a body is still to come.
@@ -81,7 +79,6 @@
             owes: Cell::new(false),
             answering: Cell::new(false),
             given: Cell::new(false),
-            last: Cell::new(false),
         }
     }
 
--- a/crates/spurdrum-http/src/front.rs
+++ b/crates/spurdrum-http/src/front.rs
@@ -476,7 +476,6 @@
             }
             if last || ends {
                 response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
-                socket.last.set(true);
             }
             if tally.is_some() {
                 seat.tell(Event::Long { id });
