The node's tests wait, count dials and see what becomes of a request by one piece each

until stood three times, the look at the kernel's dials twice, and the wait for a request or its answer twice; the last had no bound in one place.

--- a/crates/spurdrum/tests/net/mod.rs
+++ b/crates/spurdrum/tests/net/mod.rs
@@ -206,6 +206,22 @@
     }
 }
 
+/// Asks until it is so; `what` says what does not come otherwise.
+pub fn until(what: &str, mut done: impl FnMut() -> bool) {
+    let since = Instant::now();
+    while !done() {
+        assert!(since.elapsed() < LONG, "{what}");
+        thread::sleep(Duration::from_millis(2));
+    }
+}
+
+/// How many wait for a connection to this address: the kernel shows them as 02, SYN sent.
+pub fn dials(address: SocketAddr) -> usize {
+    let SocketAddr::V4(v4) = address else { panic!("IPv4") };
+    let remote = format!("{:08X}:{:04X} 02", u32::from_ne_bytes(v4.ip().octets()), v4.port());
+    std::fs::read_to_string("/proc/net/tcp").expect("Linux").matches(&remote).count()
+}
+
 pub fn members(servers: &[&Server]) -> Vec<Value> {
     let name = |(i, server): (usize, &&Server)| member(&format!("s{i}"), server.address, "active");
     servers.iter().enumerate().map(name).collect()
--- a/crates/spurdrum/tests/node.rs
+++ b/crates/spurdrum/tests/node.rs
@@ -267,14 +267,7 @@
     let watch = node.discovery.request();
     let mut client = node.client();
     client.send(&request("pay", 25.0));
-    // The kernel tells when the node's connect is under way: state 02 is SYN sent.
-    let SocketAddr::V4(v4) = address else { panic!("IPv4") };
-    let remote = format!("{:08X}:{:04X} 02", u32::from_ne_bytes(v4.ip().octets()), v4.port());
-    let since = Instant::now();
-    while !std::fs::read_to_string("/proc/net/tcp").expect("Linux").contains(&remote) {
-        assert!(since.elapsed() < LONG, "the node does not connect");
-        std::thread::sleep(Duration::from_millis(5));
-    }
+    until("the node does not connect", || dials(address) > 0);
     watch.answer(OK, "", news(address).to_string().as_bytes());
     // The next watch shows that the list has been applied.
     assert!(node.discovery.request().request.first.contains("since=2&"));
@@ -957,23 +950,26 @@
 fn served_within_a_try(client: &mut Client, server: &Server) -> bool {
     // It fails where the connection is closed already.
     let _ = client.stream.get_mut().write_all(request("update", 20.0).as_bytes());
-    client.stream.get_ref().set_nonblocking(true).expect("set");
-    let answered = |client: &Client| match client.stream.get_ref().peek(&mut [0; 1]) {
+    let sent_on = sent_on_or_answered(client, server);
+    let served = sent_on.map(|exchange| exchange.answer(OK, "", b"")).is_some();
+    served && client.answer().status() == 200
+}
+
+/// The request as it comes to the server; none where its client is answered, or its connection ended, without that.
+fn sent_on_or_answered(client: &Client, server: &Server) -> Option<Exchange> {
+    let stream = client.stream.get_ref();
+    stream.set_nonblocking(true).expect("set");
+    let answered = || match stream.peek(&mut [0; 1]) {
         Err(error) => error.kind() != std::io::ErrorKind::WouldBlock,
         Ok(_) => true,
     };
-    let served = loop {
-        if let Some(exchange) = server.poll() {
-            exchange.answer(OK, "", b"");
-            break true;
-        }
-        if answered(client) {
-            break false;
-        }
-        std::thread::sleep(Duration::from_millis(1));
-    };
-    client.stream.get_ref().set_nonblocking(false).expect("set");
-    served && client.answer().status() == 200
+    let mut sent_on = None;
+    until("it is neither sent on nor answered", || {
+        sent_on = server.poll();
+        sent_on.is_some() || answered()
+    });
+    stream.set_nonblocking(false).expect("set");
+    sent_on
 }
 
 fn ends_naming(key: &str, command: &mut std::process::Command) {
--- a/crates/spurdrum/tests/node/edges.rs
+++ b/crates/spurdrum/tests/node/edges.rs
@@ -139,23 +139,11 @@
             for class in ["read", "update", "pay"] {
                 let mut client = node.client();
                 client.send(&request(class, 20.0));
-                let answered = |got: &Exchange| got.request.header("x-request-id").is_some();
-                let since = Instant::now();
                 // It is sent on, or answered without that.
-                client.stream.get_ref().set_nonblocking(true).expect("set");
-                loop {
-                    if let Some(got) = server.poll() {
-                        assert!(answered(&got), "{case}");
-                        got.answer(OK, "", b"");
-                        break;
-                    }
-                    if client.stream.get_ref().peek(&mut [0; 1]).is_ok() {
-                        break;
-                    }
-                    assert!(since.elapsed() < LONG, "{case}: {class} is neither sent on nor answered");
-                    std::thread::sleep(Duration::from_millis(1));
+                if let Some(got) = sent_on_or_answered(&client, &server) {
+                    assert!(got.request.header("x-request-id").is_some(), "{case}");
+                    got.answer(OK, "", b"");
                 }
-                client.stream.get_ref().set_nonblocking(false).expect("set");
                 let status = client.answer().status();
                 assert!([200, 502, 503, 504].contains(&status), "{case}: {class} {status}");
             }
--- a/crates/spurdrum/tests/node/endings.rs
+++ b/crates/spurdrum/tests/node/endings.rs
@@ -9,21 +9,6 @@
     config
 }
 
-/// How many wait for a connection to this address: the kernel shows them as 02, SYN sent.
-fn dials(address: SocketAddr) -> usize {
-    let SocketAddr::V4(v4) = address else { panic!("IPv4") };
-    let remote = format!("{:08X}:{:04X} 02", u32::from_ne_bytes(v4.ip().octets()), v4.port());
-    std::fs::read_to_string("/proc/net/tcp").expect("Linux").matches(&remote).count()
-}
-
-fn until(what: &str, mut done: impl FnMut() -> bool) {
-    let since = Instant::now();
-    while !done() {
-        assert!(since.elapsed() < LONG, "{what}");
-        std::thread::sleep(Duration::from_millis(5));
-    }
-}
-
 /// Ends a connection with a reset.
 fn reset(client: Client) {
     let stream = client.stream.into_inner();
--- a/crates/spurdrum/tests/node/ops.rs
+++ b/crates/spurdrum/tests/node/ops.rs
@@ -27,12 +27,8 @@
 }
 
 /// Asks until it is true: what is counted may come a moment after the answer.
-pub fn until(mut what: impl FnMut() -> bool) {
-    let since = Instant::now();
-    while !what() {
-        assert!(since.elapsed() < LONG, "it does not come");
-        std::thread::sleep(Duration::from_millis(2));
-    }
+pub fn until(what: impl FnMut() -> bool) {
+    net::until("it does not come", what);
 }
 
 #[test]
