Log lines name each call to discovery that matters, and the servers that a list changes

Missing in the incident: which call to discovery was closed, by whom and after how long, and when a node heard that a server drains. Calls have numbers, addresses, times and a typed end; the node's close reasons are silent, superseded, displaced and moved.

--- a/crates/spurdrum-lab/src/lists.rs
+++ b/crates/spurdrum-lab/src/lists.rs
@@ -11,7 +11,7 @@
 
 use hdrhistogram::Histogram;
 use spurdrum_sources::follower::{
-    Action, Ask, CallId, Counts, Event, Evidence, Failure, Follower, Settings, View,
+    Action, Ask, CallId, CloseReason, Counts, Event, Evidence, Failure, Follower, Settings, View,
 };
 use spurdrum_sources::{List, Member, Phase};
 
@@ -131,7 +131,7 @@
         let mut fails = false;
         match event {
             Event::Tick if gives_up.is_some_and(|at| now >= at) => {
-                actions.push(Action::Abort(CallId(*call)));
+                actions.push(Action::Close { call: CallId(*call), reason: CloseReason::Silent });
                 fails = true;
             }
             Event::Tick if gives_up.is_none() && due.is_none() => *due = Some(now),
@@ -463,7 +463,7 @@
                     let at = self.now + self.way();
                     self.at(at, Step::Asked(node, call.0, asked));
                 }
-                Action::Abort(call) => {
+                Action::Close { call, .. } => {
                     let at = self.now + self.way();
                     self.at(at, Step::Gone(node, call.0));
                 }
--- a/crates/spurdrum-sources/src/catalog.rs
+++ b/crates/spurdrum-sources/src/catalog.rs
@@ -17,9 +17,9 @@
 use tokio::time::timeout;
 
 use crate::follower::{
-    Action, Ask, CallId, Cause, Counts, Event, Evidence, Failure, Follower, Settings, View,
+    Action, Ask, CallId, Cause, CloseReason, Counts, Event, Evidence, Follower, Settings, View,
 };
-use crate::{Alarm, List};
+use crate::{Alarm, CallEnd, CallError, CallReport, List};
 
 /// A list may be this long: 10,000 servers and some more.
 const LIST_MOST: usize = 8 << 20;
@@ -42,6 +42,16 @@
     },
     /// A whole list is shorter by much: entries before and now.
     Shorter(usize, usize),
+    /// A call has ended, otherwise than as a quiet watch does.
+    Call(CallReport),
+}
+
+/// A call that is out.
+struct OpenCall {
+    ask: Ask,
+    address: SocketAddr,
+    begun: Duration,
+    task: AbortHandle,
 }
 
 type Sender = SendRequest<Empty<Bytes>>;
@@ -52,7 +62,7 @@
     address: Cell<SocketAddr>,
     follower: RefCell<Follower>,
     alarm: Alarm,
-    calls: RefCell<HashMap<CallId, AbortHandle>>,
+    calls: RefCell<HashMap<CallId, OpenCall>>,
     /// A connection whose last call was answered, and where it leads.
     kept: RefCell<Option<(SocketAddr, Sender)>>,
     news: RefCell<Option<Listener>>,
@@ -129,11 +139,7 @@
         for action in actions {
             match action {
                 Action::Call { call, ask } => self.call(call, ask),
-                Action::Abort(call) => {
-                    if let Some(out) = self.calls.borrow_mut().remove(&call) {
-                        out.abort();
-                    }
-                }
+                Action::Close { call, reason } => self.close(call, reason),
                 Action::Apply(list) => self.hand_over(News::List(list)),
                 Action::State { from, to, cause } => self.hand_over(News::View { from, to, cause }),
                 Action::Shorter(before, now) => self.hand_over(News::Shorter(before, now)),
@@ -149,20 +155,45 @@
     }
 
     fn call(self: &Rc<Self>, id: CallId, ask: Ask) {
-        let catalog = Rc::clone(self);
+        let (catalog, address) = (Rc::clone(self), self.address.get());
         let task = tokio::task::spawn_local(async move {
-            let ended = catalog.ask(id, ask).await;
-            catalog.calls.borrow_mut().remove(&id);
-            catalog.tell(match ended {
-                Ok(list) => Event::Answered { call: id, list },
-                Err(why) => Event::Failed { call: id, why },
-            });
+            let ended = catalog.ask(id, ask, address).await;
+            catalog.ended(id, ended);
         });
-        self.calls.borrow_mut().insert(id, task.abort_handle());
+        let (begun, task) = (self.alarm.now(), task.abort_handle());
+        self.calls.borrow_mut().insert(id, OpenCall { ask, address, begun, task });
+    }
+
+    fn ended(self: &Rc<Self>, id: CallId, ended: Result<List, CallError>) {
+        let (end, event) = match ended {
+            Ok(list) => {
+                let end = CallEnd::Answered { revision: list.revision, entries: list.members.len() };
+                (end, Event::Answered { call: id, list })
+            }
+            Err(error) => (CallEnd::Failed(error), Event::Failed { call: id, why: error.failure() }),
+        };
+        self.report(id, end);
+        self.tell(event);
+    }
+
+    fn close(&self, id: CallId, reason: CloseReason) {
+        if let Some(call) = self.calls.borrow().get(&id) {
+            call.task.abort();
+        }
+        self.report(id, CallEnd::Closed(reason));
+    }
+
+    /// A call is out no more.
+    fn report(&self, id: CallId, end: CallEnd) {
+        let Some(call) = self.calls.borrow_mut().remove(&id) else { return };
+        let took = self.alarm.now().saturating_sub(call.begun);
+        let report = CallReport { call: id, ask: call.ask, address: call.address, took, end };
+        if report.is_notable() {
+            self.hand_over(News::Call(report));
+        }
     }
 
-    async fn ask(self: &Rc<Self>, id: CallId, ask: Ask) -> Result<List, Failure> {
-        let address = self.address.get();
+    async fn ask(self: &Rc<Self>, id: CallId, ask: Ask, address: SocketAddr) -> Result<List, CallError> {
         let path = match ask {
             Ask::Watch { since, wait } => {
                 format!("/catalog/members?since={since}&timeout_ms={}", wait.as_millis())
@@ -176,7 +207,7 @@
             let kept = self.kept.borrow_mut().take().filter(|(at, kept)| *at == address && !kept.is_closed());
             let (mut sender, is_kept) = match kept {
                 Some((_, sender)) => (sender, true),
-                None => (connect(address).await.ok_or(Failure::Unreachable)?, false),
+                None => (connect(address).await.ok_or(CallError::Unreachable)?, false),
             };
             let unsent = match sender.ready().await {
                 Err(_) => request,
@@ -184,25 +215,25 @@
                     Ok(response) => break (response, sender),
                     Err(mut error) => match error.take_message() {
                         Some(unsent) => unsent,
-                        None if is_kept => return Err(Failure::Kept),
-                        None => return Err(Failure::Broke),
+                        None if is_kept => return Err(CallError::KeptWasDead),
+                        None => return Err(CallError::Broke),
                     },
                 },
             };
             if !is_kept {
-                return Err(Failure::Broke);
+                return Err(CallError::Broke);
             }
             // A kept connection had been closed before the call was written: the call goes on a new one.
             request = unsent;
         };
         if response.status() != StatusCode::OK {
-            return Err(Failure::NoList);
+            return Err(CallError::Status(response.status()));
         }
         let length = response.body().size_hint().exact().unwrap_or(0);
         self.tell(Event::Begun { call: id, length });
         let body = Limited::new(response.into_body(), LIST_MOST).collect().await;
-        let body = body.map_err(|_| Failure::Broke)?.to_bytes();
-        let list = serde_json::from_slice(&body).map_err(|_| Failure::NoList)?;
+        let body = body.map_err(|_| CallError::Body)?.to_bytes();
+        let list = serde_json::from_slice(&body).map_err(|_| CallError::NoList)?;
         if address == self.address.get() {
             *self.kept.borrow_mut() = Some((address, sender));
         }
--- a/crates/spurdrum-sources/src/follower/messages.rs
+++ b/crates/spurdrum-sources/src/follower/messages.rs
@@ -38,6 +38,7 @@
         }
     }
 
+    /// Its place among the counts of calls.
     pub(super) fn kind(self) -> usize {
         match self {
             Self::Watch { .. } => 0,
@@ -47,6 +48,16 @@
     }
 }
 
+impl fmt::Display for Ask {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Watch { since, wait } => write!(f, "watch since {since} for {} ms", wait.as_millis()),
+            Self::Poll { since } => write!(f, "poll since {since}"),
+            Self::Read => f.write_str("read"),
+        }
+    }
+}
+
 /// How a call failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Failure {
@@ -118,8 +129,13 @@
         /// What.
         ask: Ask,
     },
-    /// Give a call up; nothing more is heard of it.
-    Abort(CallId),
+    /// Close a call that has not ended; nothing more is heard of it.
+    Close {
+        /// Which.
+        call: CallId,
+        /// Why.
+        reason: CloseReason,
+    },
     /// This is the list now, or what changed in it.
     Apply(List),
     /// The view is trusted otherwise than before.
@@ -135,6 +151,30 @@
     Shorter(usize, usize),
 }
 
+/// Why a call is closed before it has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CloseReason {
+    /// It has been silent for too long.
+    Silent,
+    /// Another call has been answered.
+    Superseded,
+    /// There are too many others.
+    Displaced,
+    /// Discovery is to be found elsewhere.
+    Moved,
+}
+
+impl fmt::Display for CloseReason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Silent => "silent for too long",
+            Self::Superseded => "another call was answered",
+            Self::Displaced => "too many calls",
+            Self::Moved => "discovery has moved",
+        })
+    }
+}
+
 /// How far the view can be trusted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum View {
--- a/crates/spurdrum-sources/src/follower/mod.rs
+++ b/crates/spurdrum-sources/src/follower/mod.rs
@@ -32,7 +32,7 @@
 use crate::{back_off, List, Phase};
 
 use call::Call;
-pub use messages::{Action, Ask, CallId, Cause, Counts, Event, Evidence, Failure, View};
+pub use messages::{Action, Ask, CallId, Cause, CloseReason, Counts, Event, Evidence, Failure, View};
 pub use settings::Settings;
 use timing::Timing;
 
@@ -395,7 +395,8 @@
                 false => self.calls.iter().position(|call| call.overdue),
             };
             let least = least.unwrap_or(0);
-            actions.push(Action::Abort(self.calls.remove(least).id));
+            let call = self.calls.remove(least).id;
+            actions.push(Action::Close { call, reason: CloseReason::Displaced });
         }
         self.last_call += 1;
         let id = CallId(self.last_call);
@@ -458,7 +459,7 @@
             let call = &mut self.calls[n];
             if now >= call.give_up_at {
                 let call = self.calls.remove(n);
-                actions.push(Action::Abort(call.id));
+                actions.push(Action::Close { call: call.id, reason: CloseReason::Silent });
                 self.hung(now, &call);
             } else if now >= call.overdue_at && !call.overdue {
                 call.overdue = true;
@@ -633,7 +634,8 @@
     }
 
     fn moved(&mut self, now: Duration, actions: &mut Vec<Action>) {
-        actions.extend(self.calls.drain(..).map(|call| Action::Abort(call.id)));
+        let close = |call: Call| Action::Close { call: call.id, reason: CloseReason::Moved };
+        actions.extend(self.calls.drain(..).map(close));
         // Its versions need not be those of the old one, nor its ways.
         self.revision = None;
         self.backwards = false;
@@ -715,7 +717,7 @@
             let out = &mut self.calls[n];
             if out.overdue {
                 let silent = self.calls.remove(n);
-                actions.push(Action::Abort(silent.id));
+                actions.push(Action::Close { call: silent.id, reason: CloseReason::Superseded });
                 self.count_hang(&silent);
             } else if newer && out.is_watch() && !self.settings.pushed {
                 // It should have told this too: its answer is on its way, or it is deaf.
--- a/crates/spurdrum-sources/src/lib.rs
+++ b/crates/spurdrum-sources/src/lib.rs
@@ -16,6 +16,7 @@
 mod list;
 pub mod reconciler;
 pub mod registry;
+mod report;
 
 /// A pause that doubles with each step from the least to the most, and is anything between its half and all of it: nodes that
 /// failed together do not try again together.
@@ -26,3 +27,4 @@
 pub use alarm::Alarm;
 pub use fixed::{Static, StaticServer};
 pub use list::{List, Member, Phase};
+pub use report::{CallEnd, CallError, CallReport};
--- a/crates/spurdrum-sources/tests/catalog.rs
+++ b/crates/spurdrum-sources/tests/catalog.rs
@@ -42,7 +42,7 @@
             match news {
                 News::List(list) => heard.versions.push(list.revision),
                 News::View { to, .. } => heard.views.push(to),
-                News::Shorter(..) => {}
+                News::Shorter(..) | News::Call(_) => {}
             }
             let _ = tell.send(());
         }));
--- a/crates/spurdrum-sources/tests/follower.rs
+++ b/crates/spurdrum-sources/tests/follower.rs
@@ -82,7 +82,7 @@
                     self.calls += 1;
                     self.out.push((call, ask, self.now));
                 }
-                Action::Abort(call) => self.out.retain(|(id, ..)| *id != call),
+                Action::Close { call, .. } => self.out.retain(|(id, ..)| *id != call),
                 Action::Apply(list) => {
                     self.applied.push(list.revision);
                     if list.complete {
--- a/crates/spurdrum/src/list.rs
+++ b/crates/spurdrum/src/list.rs
@@ -56,10 +56,17 @@
     (age, revision.map_or("none".to_owned(), |revision| revision.to_string()))
 }
 
+/// How far a list is trusted, its age, its version, and what was done to follow it.
+type Status = (View, Option<std::time::Duration>, Option<u64>, Counts);
+
+/// The age and version of a list, for a line that tells of its view.
+pub fn trust((_, age, revision, _): Status) -> String {
+    let (age, revision) = shown(age, revision);
+    format!("confirmed {age}, version {revision}")
+}
+
 /// The state of a list in one line, for operators.
-pub fn status(
-    (view, age, revision, counts): (View, Option<std::time::Duration>, Option<u64>, Counts),
-) -> String {
+pub fn status((view, age, revision, counts): Status) -> String {
     let (age, revision) = shown(age, revision);
     format!("list {view}, confirmed {age}, version {revision}; {counts}")
 }
--- a/crates/spurdrum/src/main.rs
+++ b/crates/spurdrum/src/main.rs
@@ -14,7 +14,7 @@
 use spurdrum_affinity::{Affinity, Keyer};
 use spurdrum_core::{unix_ms, Connections, Figures, Node};
 use spurdrum_http::{Front, Keys, Successor, Upstream};
-use spurdrum_sources::catalog::{Catalog, News};
+use spurdrum_sources::catalog::Catalog;
 use spurdrum_trace::Trace;
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{signal, SignalKind};
@@ -24,6 +24,7 @@
 mod affinity;
 mod config;
 mod file;
+mod following;
 mod list;
 mod log;
 mod merge;
@@ -36,9 +37,9 @@
 mod set;
 
 use config::{Config, Source};
+use following::{follow, Sink};
 use merge::Merged;
 use registry::{Place, Registry};
-use spurdrum_sources::reconciler::Event;
 use spurdrum_sources::registry::consul::Consul;
 use spurdrum_sources::registry::etcd::{Etcd, Registration};
 use spurdrum_sources::registry::shell::{Shell, Wire};
@@ -418,43 +419,6 @@
     }
 }
 
-/// Where lists go: to the core, or where there are several sources, to what makes one list of theirs.
-struct Sink {
-    node: Rc<Node<Upstream>>,
-    places: Rc<list::Places>,
-    merged: Option<Rc<Merged>>,
-    /// The list as the last catalog or file told it, for a process that takes over.
-    told: Rc<RefCell<spurdrum_sources::List>>,
-}
-
-impl Sink {
-    fn listed(&self, source: usize, list: spurdrum_sources::List) {
-        self.told.borrow_mut().merge(&list);
-        match &self.merged {
-            Some(merged) => merged.listed(source, list),
-            None => self.node.listed(list.complete, self.places.listed(&list)),
-        }
-    }
-}
-
-/// Follows the list for as long as the node runs.
-async fn follow(catalog: Rc<Catalog>, sink: Rc<Sink>) {
-    let shown = Rc::clone(&catalog);
-    let news = move |news| match news {
-        News::List(list) => sink.listed(merge::CATALOG, list),
-        News::View { from, to, cause } => {
-            if let Some(merged) = &sink.merged {
-                merged.tell(Event::View { source: merge::CATALOG, view: to });
-            }
-            tracing::info!("the list of servers: {from} -> {to}, {cause}; {}", list::status(shown.status()));
-        }
-        News::Shorter(before, now) => {
-            tracing::warn!("the list of servers is shorter by much: {before} before, {now} now");
-        }
-    };
-    catalog.follow(news).await;
-}
-
 /// Reads the configuration again, for where the list of servers is, or what it says; all else holds from the next start on.
 /// One that cannot be read changes nothing.
 async fn read_again(
