--- a/crates/spurdrum-sources/tests/catalog.rs
+++ b/crates/spurdrum-sources/tests/catalog.rs
@@ -38,10 +38,9 @@
         let (tell, mut told) = mpsc::unbounded_channel();
         let to = Rc::clone(&heard);
         let following = tokio::task::spawn_local(Rc::clone(&catalog).follow(move |news| {
-            let mut heard = to.borrow_mut();
             match news {
-                News::List(list) => heard.versions.push(list.revision),
-                News::View { to, .. } => heard.views.push(to),
+                News::List(list) => to.borrow_mut().versions.push(list.revision),
+                News::View { to: view, .. } => to.borrow_mut().views.push(view),
                 News::Shorter(..) | News::Call(_) => {}
             }
             let _ = tell.send(());
