Failing tests of the incident: slow discovery and reloads in a row break drains

Six real processes, a discovery that answers in turn, 0.2 s each, and works off closed calls; four reloads at each node right after two servers begin to drain. The second test has the cause alone: the call that discovery would answer first is closed by the node.

--- a/crates/spurdrum-standin/src/lib.rs
+++ b/crates/spurdrum-standin/src/lib.rs
@@ -9,6 +9,7 @@
 mod fleet;
 pub mod manual;
 pub mod model;
+pub mod queued;
 pub mod registry;
 pub mod scenario;
 mod server;
--- a/crates/spurdrum/tests/node.rs
+++ b/crates/spurdrum/tests/node.rs
@@ -19,6 +19,8 @@
 mod replace;
 #[path = "node/retune.rs"]
 mod retune;
+#[path = "node/slow_discovery.rs"]
+mod slow_discovery;
 #[path = "node/streams.rs"]
 mod streams;
 use net::*;
