A call that a slow discovery has not answered keeps its place while others are made

Each new call waited from the end of discovery's queue, and closed ones were worked off as well. The same had been mended for agents alone (an_agent_that_is_always_slow_is_heard). Change: a silent call stays open for as long as its news does not count as told; beside it no more than two are waited for, four out in all, the oldest stays. Where answers take over 0.2 s no call is made beside another, and patience follows what answers take. The lab's bound of two calls out is now: two waited for, four out; the follower's tests hold both.

--- a/crates/spurdrum-lab/src/lists.rs
+++ b/crates/spurdrum-lab/src/lists.rs
@@ -92,8 +92,10 @@
     pub revision: u64,
     /// Views at the end, and what was done; only of [`Way::Follower`].
     pub followers: Vec<(View, Counts)>,
-    /// The most calls that one node had out at once.
+    /// The most calls that one node had out at once, and whose answers it waited for.
     pub out_most: usize,
+    /// See `out_most`.
+    pub awaited_most: usize,
 }
 
 impl Outcome {
@@ -229,6 +231,7 @@
         revision: 0,
         followers: Vec::new(),
         out_most: 0,
+        awaited_most: 0,
     };
     let mut world = World {
         plan,
@@ -473,6 +476,7 @@
         }
         if let Node::Follower(follower) = &self.nodes[node] {
             self.outcome.out_most = self.outcome.out_most.max(follower.out());
+            self.outcome.awaited_most = self.outcome.awaited_most.max(follower.awaited());
         }
         let wake = self.nodes[node].next_wake().map(|at| at.max(self.now));
         if wake != self.wakes[node] {
--- a/crates/spurdrum-sources/src/follower/call.rs
+++ b/crates/spurdrum-sources/src/follower/call.rs
@@ -4,6 +4,20 @@
 
 use super::{Ask, CallId};
 
+/// How far a call that is out can still be counted on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Standing {
+    /// The node waits for its answer.
+    Awaited,
+    /// It has been silent for so long that others are made. It keeps its place at discovery: closed and made anew it would
+    /// wait from the end of the queue.
+    Silent,
+    /// A later answer has told what it would. Its own may be on its way all the same, and newer.
+    Superseded,
+}
+
+/// A call that is out.
+#[derive(Clone)]
 pub(super) struct Call {
     pub(super) id: CallId,
     pub(super) ask: Ask,
@@ -11,7 +25,10 @@
     /// When its answer should have come, and whether that has been acted on.
     pub(super) overdue_at: Duration,
     pub(super) overdue: bool,
-    pub(super) give_up_at: Duration,
+    /// From when on others are made, and until when it is kept.
+    pub(super) silent_at: Duration,
+    pub(super) close_at: Duration,
+    pub(super) standing: Standing,
     /// Begun on evidence from the servers.
     pub(super) by_evidence: bool,
     /// Whether its time says something of discovery.
@@ -22,4 +39,17 @@
     pub(super) fn is_watch(&self) -> bool {
         matches!(self.ask, Ask::Watch { .. })
     }
+
+    pub(super) fn is_awaited(&self) -> bool {
+        self.standing == Standing::Awaited
+    }
+
+    /// When something is to be done about it next.
+    pub(super) fn next_wake(&self) -> Duration {
+        match self.standing {
+            Standing::Awaited if !self.overdue => self.overdue_at.min(self.silent_at),
+            Standing::Awaited => self.silent_at,
+            Standing::Silent | Standing::Superseded => self.close_at,
+        }
+    }
 }
--- a/crates/spurdrum-sources/src/follower/mod.rs
+++ b/crates/spurdrum-sources/src/follower/mod.rs
@@ -31,13 +31,16 @@
 use crate::leaving::Leaving;
 use crate::{back_off, List, Phase};
 
-use call::Call;
+use call::{Call, Standing};
 pub use messages::{Action, Ask, CallId, Cause, CloseReason, Counts, Event, Evidence, Failure, View};
 pub use settings::Settings;
 use timing::Timing;
 
-/// Calls out at once, at most: one that is overdue or deaf, and one beside it.
-pub const CALLS_MOST: usize = 2;
+/// Calls out at once, at most.
+pub const CALLS_MOST: usize = 4;
+/// Calls whose answers are waited for at once, at most: one that is overdue or deaf, and one beside it. All others were silent for so long
+/// that more were made, or have been superseded.
+pub const AWAITED_MOST: usize = 2;
 /// However many nodes ask, a call follows after this at the latest on one that failed, or that was answered early without news:
 /// what is not asked for may count as told after 6 s, of which an answer may wait its turn for two and more.
 const PAUSE_MOST: Duration = Duration::from_millis(3_500);
@@ -46,6 +49,8 @@
 const TOLD_AFTER: Duration = Duration::from_secs(6);
 const TOLD_AFTER_WAIT: Duration = Duration::from_secs(2);
 const ANSWER_SPARE: Duration = Duration::from_secs(1);
+/// Where answers take longer than this, in seconds, calls queue at discovery: one more beside another makes the queue longer.
+const SLOW_ANSWER: f64 = 0.2;
 /// A call to an agent on the own machine waits for this part of the grace, and after as much again another one is begun beside it: what
 /// the agent has counts as told, also to a node whose call it never answers.
 const AGENT_PART: f64 = 0.3;
@@ -219,9 +224,8 @@
 
     /// When the next [`Event::Tick`] is wanted.
     pub fn next_wake(&self) -> Option<Duration> {
-        let call = |call: &Call| if call.overdue { call.give_up_at } else { call.overdue_at };
         let blind = self.trouble_since.filter(|_| self.view != View::Blind);
-        let times = self.calls.iter().map(call).chain(self.due).chain(self.leaving.due());
+        let times = self.calls.iter().map(Call::next_wake).chain(self.due).chain(self.leaving.due());
         times.chain(blind.map(|since| since + self.settings.blind_after)).min()
     }
 
@@ -250,6 +254,11 @@
         self.calls.len()
     }
 
+    /// Calls that are out and whose answers are waited for.
+    pub fn awaited(&self) -> usize {
+        self.calls.iter().filter(|call| call.is_awaited()).count()
+    }
+
     // ---- Pace
 
     /// Time in which discovery can answer every node once, judged by calls of a kind.
@@ -264,7 +273,12 @@
     /// Whether a call stands alone while it may be answered in time. In a crowd a second one would take the turn of another node, and
     /// discovery may end the first for it; an agent answers the next one as soon.
     fn is_alone(&self) -> bool {
-        self.settings.pushed || self.is_crowded()
+        self.settings.pushed || self.is_crowded() || self.is_slow()
+    }
+
+    /// Whether discovery answers so slowly that calls queue there, however few nodes ask.
+    fn is_slow(&self) -> bool {
+        self.service.is_slower_than(SLOW_ANSWER) || self.lateness.is_slower_than(SLOW_ANSWER)
     }
 
     /// Whether so many nodes ask that a call waits its turn for as long as a silent one is let alone elsewhere.
@@ -359,7 +373,9 @@
             return self.settings.patience;
         }
         let least = self.settings.patience;
-        let grown = timing.bound(least, PATIENCE_GROWS * least);
+        // Where answers are slow, what they take is known; elsewhere a long silence is more likely a lost answer.
+        let most = if self.is_slow() { TOLD_AFTER } else { PATIENCE_GROWS * least };
+        let grown = timing.bound(least, most);
         let failing = least * (1 + self.failures.min(PATIENCE_GROWS - 1));
         grown.max(failing).max(self.crowded(PAUSE_MOST))
     }
@@ -388,16 +404,7 @@
     // ---- Calls
 
     fn begin(&mut self, now: Duration, ask: Ask, by_evidence: bool, actions: &mut Vec<Action>) {
-        while self.calls.len() >= CALLS_MOST {
-            // An agent that is slow must have the time to answer one of them.
-            let least = match self.settings.pushed {
-                true => self.calls.iter().rposition(|call| call.overdue),
-                false => self.calls.iter().position(|call| call.overdue),
-            };
-            let least = least.unwrap_or(0);
-            let call = self.calls.remove(least).id;
-            actions.push(Action::Close { call, reason: CloseReason::Displaced });
-        }
+        self.make_room(actions);
         self.last_call += 1;
         let id = CallId(self.last_call);
         let timing = self.timing(ask);
@@ -406,19 +413,21 @@
         let ends = now + ask.wait();
         let bound = match self.agent_time() {
             Some(time) => time,
-            None if self.is_crowded() => patience,
+            None if self.is_alone() => patience,
             None => timing.bound(OVERDUE_LEAST, patience / 2),
         };
-        let overdue_at = ends + bound;
+        // An agent answers the next one as soon; in a crowd discovery may end the first one for it.
+        let kept = if self.settings.pushed || self.is_crowded() { patience } else { most };
         self.counts.calls[ask.kind()] += 1;
-        let give_up_at = ends + patience;
         self.calls.push(Call {
             id,
             ask,
             started: now,
-            overdue_at,
+            overdue_at: ends + bound,
             overdue: false,
-            give_up_at,
+            silent_at: ends + patience,
+            close_at: ends + kept,
+            standing: Standing::Awaited,
             by_evidence,
             timed: true,
         });
@@ -426,6 +435,35 @@
         actions.push(Action::Call { call: id, ask });
     }
 
+    /// Closes what there is no place for beside one more call. The oldest call stays: it is the next that a slow discovery answers.
+    fn make_room(&mut self, actions: &mut Vec<Action>) {
+        if self.settings.pushed {
+            // An agent that is slow must have the time to answer one of them.
+            while self.calls.len() >= AWAITED_MOST {
+                let place = self.calls.iter().rposition(|call| call.overdue).unwrap_or(0);
+                self.displace(place, actions);
+            }
+            return;
+        }
+        while self.awaited() >= AWAITED_MOST {
+            let overdue = self.calls.iter().position(|call| call.is_awaited() && call.overdue);
+            let oldest = self.calls.iter().position(Call::is_awaited);
+            let Some(place) = overdue.or(oldest) else { break };
+            self.calls[place].overdue = true;
+            self.calls[place].standing = Standing::Silent;
+        }
+        while self.calls.len() >= CALLS_MOST {
+            let kept = self.calls.iter().rposition(|call| !call.is_awaited());
+            let place = kept.filter(|place| *place > 0).unwrap_or(self.calls.len() - 1);
+            self.displace(place, actions);
+        }
+    }
+
+    fn displace(&mut self, place: usize, actions: &mut Vec<Action>) {
+        let call = self.calls.remove(place).id;
+        actions.push(Action::Close { call, reason: CloseReason::Displaced });
+    }
+
     /// What the next ordinary call asks.
     fn ordinary(&mut self, now: Duration) -> Ask {
         match (self.revision, self.silent) {
@@ -442,7 +480,8 @@
     }
 
     fn watches(&self) -> usize {
-        self.calls.iter().filter(|call| !call.overdue && call.is_watch()).count()
+        let followed = |call: &&Call| call.is_awaited() && !call.overdue && call.is_watch();
+        self.calls.iter().filter(followed).count()
     }
 
     fn is_followed(&self) -> bool {
@@ -455,19 +494,8 @@
 
     /// Gives up what is silent, begins what is due, and says how far the view can be trusted.
     fn settle(&mut self, now: Duration, actions: &mut Vec<Action>) {
-        for n in (0..self.calls.len()).rev() {
-            let call = &mut self.calls[n];
-            if now >= call.give_up_at {
-                let call = self.calls.remove(n);
-                actions.push(Action::Close { call: call.id, reason: CloseReason::Silent });
-                self.hung(now, &call);
-            } else if now >= call.overdue_at && !call.overdue {
-                call.overdue = true;
-                let (by_evidence, ask) = (call.by_evidence, call.ask);
-                self.overdue(now, by_evidence, ask);
-            }
-        }
-        if self.calls.is_empty() && self.due.is_none() {
+        self.heed_silence(now, actions);
+        if self.awaited() == 0 && self.due.is_none() {
             self.due = Some(now);
         }
         if let Some(since) = self.revision.filter(|_| std::mem::take(&mut self.poll)) {
@@ -489,7 +517,7 @@
                 self.begin(now, ask, false, actions);
                 // Where calls hang, one of two watches is likely to tell what the other does not.
                 let two = self.hangs > HANGS_HERE && !self.is_alone() && self.is_news_due(now);
-                if two && self.watches() == 1 && self.calls.len() < CALLS_MOST && self.afford(now) {
+                if two && self.watches() == 1 && self.awaited() < AWAITED_MOST && self.afford(now) {
                     self.due = Some(now + APART);
                 }
             }
@@ -508,9 +536,37 @@
         }
     }
 
+    /// Acts on calls that are overdue, silent for too long, or kept for long enough.
+    fn heed_silence(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        for n in (0..self.calls.len()).rev() {
+            let call = &mut self.calls[n];
+            if now >= call.close_at {
+                let call = self.calls.remove(n);
+                actions.push(Action::Close { call: call.id, reason: CloseReason::Silent });
+                if call.is_awaited() {
+                    self.hung(now, &call);
+                }
+            } else if now >= call.silent_at && call.is_awaited() {
+                call.overdue = true;
+                call.standing = Standing::Silent;
+                let silent = call.clone();
+                self.hung(now, &silent);
+            } else if now >= call.overdue_at && call.is_awaited() && !call.overdue {
+                call.overdue = true;
+                let (by_evidence, ask) = (call.by_evidence, call.ask);
+                self.overdue(now, by_evidence, ask);
+            }
+        }
+    }
+
     /// Whether a call is out for which the next one has to wait.
     fn is_waited_for(&self) -> bool {
-        self.calls.iter().any(|call| !call.overdue || !self.settings.pushed)
+        self.calls.iter().any(|call| call.is_awaited() && (!call.overdue || !self.settings.pushed))
+    }
+
+    /// Whether a call is out whose answer or end makes the next one due.
+    fn is_followed_on(&self) -> bool {
+        self.is_followed() || !self.settings.pushed && self.awaited() > 0
     }
 
     /// A call should have answered: another one beside it, while there is hope that one does.
@@ -520,9 +576,11 @@
         if self.settings.pushed {
             self.silent = Some(ask);
             self.due_by(now);
-        } else if !self.is_crowded()
+        } else if !self.is_alone()
+            && self.revision.is_some()
             && self.failures < BESIDE_UNTIL
             && self.due.is_none()
+            && self.awaited() < AWAITED_MOST
             && (by_evidence || !self.is_followed())
         {
             self.poll = self.afford(now);
@@ -561,7 +619,8 @@
             return;
         }
         for call in &mut self.calls {
-            call.give_up_at = call.give_up_at.max(now + self.settings.patience);
+            call.silent_at = call.silent_at.max(now + self.settings.patience);
+            call.close_at = call.close_at.max(now + self.settings.patience);
             call.timed = false;
         }
         self.doubt(now, Cause::Jumped);
@@ -574,20 +633,20 @@
         let until = now + self.settings.patience + body;
         if let Some(call) = self.calls.iter_mut().find(|call| call.id == id) {
             call.overdue_at = call.overdue_at.min(until);
-            call.give_up_at = until;
+            (call.silent_at, call.close_at) = (until, until);
         }
     }
 
     /// A call was silent for all its time.
     fn hung(&mut self, now: Duration, call: &Call) {
-        self.count_hang(call);
+        self.count_hang(call.ask);
         self.failures += 1;
         if self.proved_at.is_none_or(|at| at < call.started) {
             // Nothing else has answered either: it may be slow, and all that ask should see that.
             self.time(now, call, Timing::add_silent);
         }
         self.doubt(now, Cause::Hung);
-        if !self.is_followed() {
+        if !self.is_followed_on() {
             // An agent has been waited for already.
             let at_once = self.failures < BESIDE_UNTIL || self.settings.pushed;
             let after = if at_once { Duration::ZERO } else { self.retry_after() };
@@ -603,16 +662,19 @@
         }
     }
 
-    fn count_hang(&mut self, call: &Call) {
+    fn count_hang(&mut self, ask: Ask) {
         self.counts.hung += 1;
         self.good = 0;
         self.hangs += (1.0 - self.hangs) * HANG_WEIGHT;
-        self.silent = Some(call.ask);
+        self.silent = Some(ask);
     }
 
     fn failed(&mut self, now: Duration, id: CallId, why: Failure) {
         let Some(call) = self.take(id) else { return };
         self.counts.failed += 1;
+        if call.standing == Standing::Superseded {
+            return;
+        }
         let late = now.saturating_sub(call.started + call.ask.wait()).as_secs_f64();
         if why == Failure::NoList && late > self.timing(call.ask).mean {
             // It may have waited its turn, and longer than discovery lets calls wait. One that is turned away at once says
@@ -624,7 +686,7 @@
             self.failures += 1;
         }
         self.doubt(now, Cause::Failed(why));
-        if !self.is_followed() || call.by_evidence {
+        if !self.is_followed_on() || call.by_evidence {
             let after = self.retry_after();
             // A watch that broke was one until then; and where a call has waited its turn in vain, shorter pauses would keep the
             // queue as long as it is.
@@ -713,19 +775,7 @@
             let need = self.need.0;
             self.need = (if news { EVIDENCE } else { (2.0 * need).min(EVIDENCE_MOST) }, now);
         }
-        for n in (0..self.calls.len()).rev() {
-            let out = &mut self.calls[n];
-            if out.overdue {
-                let silent = self.calls.remove(n);
-                actions.push(Action::Close { call: silent.id, reason: CloseReason::Superseded });
-                self.count_hang(&silent);
-            } else if newer && out.is_watch() && !self.settings.pushed {
-                // It should have told this too: its answer is on its way, or it is deaf.
-                out.overdue = true;
-                let grace = self.service.bound(OVERDUE_LEAST, self.settings.patience);
-                out.give_up_at = out.give_up_at.min(now + grace);
-            }
-        }
+        self.supersede(now, newer, actions);
         self.silent = None;
         if !self.is_followed() {
             // Guards against a discovery that answers watches at once though it has no news.
@@ -745,6 +795,34 @@
         }
     }
 
+    /// What the calls that are still out are worth once another has been answered. A slow discovery may have written more to them than that
+    /// answer told, which the next call would hear of late; elsewhere the next call hears of it at once.
+    fn supersede(&mut self, now: Duration, newer: bool, actions: &mut Vec<Action>) {
+        let grace = self.service.bound(OVERDUE_LEAST, self.settings.patience);
+        let kept = self.is_slow() && !self.settings.pushed;
+        for n in (0..self.calls.len()).rev() {
+            let out = &mut self.calls[n];
+            if out.overdue {
+                let was = std::mem::replace(&mut out.standing, Standing::Superseded);
+                let ask = out.ask;
+                if was == Standing::Awaited {
+                    self.count_hang(ask);
+                }
+                if !kept {
+                    let call = self.calls.remove(n).id;
+                    actions.push(Action::Close { call, reason: CloseReason::Superseded });
+                }
+            } else if newer && out.is_watch() && !self.settings.pushed {
+                // It should have told this too: its answer is on its way, or it is deaf.
+                out.overdue = true;
+                out.silent_at = out.silent_at.min(now + grace);
+                if !kept {
+                    out.close_at = out.silent_at;
+                }
+            }
+        }
+    }
+
     fn note_members(&mut self, list: &List, actions: &mut Vec<Action>) {
         let before = self.members.len();
         let name = |id: &str| {
