--- a/crates/spurdrum/tests/node/slow_discovery.rs
+++ b/crates/spurdrum/tests/node/slow_discovery.rs
@@ -57,6 +57,40 @@
     served_by_none_but(&node, &servers, 1);
 }
 
+/// A new configuration moves discovery while an answer is on its way, and others follow before the new one has answered.
+#[test]
+fn what_discovery_wrote_before_the_new_one_has_answered_is_heeded() {
+    let servers = [Server::start(), Server::start()];
+    let mut config = config(&members(&[&servers[0], &servers[1]]));
+    let node = Node::start(&config);
+    let mut watch = node.discovery.request();
+    let places = [(); 3].map(|()| Server::start());
+    let mut reads = places.each_ref().map(|place| {
+        move_discovery(&node, &mut config, place.address);
+        let read = place.request();
+        assert_eq!(read.request.first, "GET /catalog/members HTTP/1.1");
+        read
+    });
+    assert!(!watch.has_ended(), "an answer of the former discovery may be on its way");
+    assert!(!reads[0].has_ended(), "an answer of a discovery in between may be on its way");
+    let news = list(2, false, &[member("s0", servers[0].address, "leaving")]);
+    watch.answer(OK, "", news.to_string().as_bytes());
+    served_by_none_but(&node, &servers, 1);
+    // The newest one counts, whatever its versions are, and all others are closed.
+    let [between, _, newest] = &mut reads;
+    let entries = [("s0", "active", 1.0), ("s1", "leaving", 0.0)].map(|(id, phase, started)| {
+        let mut entry = member(id, servers[usize::from(id == "s1")].address, phase);
+        entry["up_since_ms"] = json!(started);
+        entry
+    });
+    newest.write(&{
+        let body = list(1, true, &entries).to_string();
+        format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{body}", body.len()).into_bytes()
+    });
+    between.await_end();
+    served_by_none_but(&node, &servers, 0);
+}
+
 /// A request's arrival at a server.
 struct Arrival {
     at: Instant,
