Until a new discovery answers, what the former ones wrote is heeded; moves in a row are one

Cause (follower.rs as released: moved): a reload that moves discovery closed all calls that were out. What had just been written to them counts as told and was lost, and in a series no call lived long enough for a slow discovery to answer it; each read of the series took its turn there all the same. Change: calls to former discoveries stay out until the present one has answered. Their answers are applied where they are no older than what is held of them (the first one of a discovery must be whole), newer discoveries go before older ones. While a read of the move before is out, the newest discovery is asked 1 s after that read at the soonest. How long answers take is believed across a move.

--- a/crates/spurdrum-sources/src/follower/call.rs
+++ b/crates/spurdrum-sources/src/follower/call.rs
@@ -21,6 +21,8 @@
 pub(super) struct Call {
     pub(super) id: CallId,
     pub(super) ask: Ask,
+    /// The discovery that it went to, counted by moves.
+    pub(super) origin: u64,
     pub(super) started: Duration,
     /// When its answer should have come, and whether that has been acted on.
     pub(super) overdue_at: Duration,
--- a/crates/spurdrum-sources/src/follower/mod.rs
+++ b/crates/spurdrum-sources/src/follower/mod.rs
@@ -56,6 +56,9 @@
 const AGENT_PART: f64 = 0.3;
 /// Many nodes wait this long for news at once, where discovery may be given half of its time for it.
 const CROWD_WAIT: Duration = Duration::from_secs(10);
+/// Where discovery moves again before it has answered, the newest one is asked this long after the one before at the soonest: each
+/// call to a slow discovery makes the next one later.
+const MOVES_APART: Duration = Duration::from_secs(1);
 /// Two calls begin at least this far apart.
 const APART: Duration = Duration::from_millis(10);
 /// Where many calls hang, a watch still waits this long once it is not the first.
@@ -105,11 +108,23 @@
     (TOLD_AFTER - ANSWER_SPARE).saturating_sub(now.saturating_sub(call.started))
 }
 
+/// The version held of a discovery that has been moved away from.
+#[derive(Clone, Copy)]
+struct FormerVersion {
+    origin: u64,
+    revision: u64,
+}
+
 /// Follows one list. See the [module](self) page.
 pub struct Follower {
     settings: Settings,
     random: fastrand::Rng,
+    /// How often discovery has moved.
+    origin: u64,
+    /// The version held, once the present discovery has told one...
     revision: Option<u64>,
+    /// ...and until then what is held of those before it.
+    former: Option<FormerVersion>,
     /// When the version held was learned.
     learned_at: Duration,
     /// A call begun later has already answered with an older version.
@@ -164,7 +179,9 @@
         settings.validate()?;
         Ok(Self {
             random: fastrand::Rng::with_seed(seed),
+            origin: 0,
             revision: known,
+            former: None,
             learned_at: Duration::ZERO,
             backwards: false,
             members: HashSet::new(),
@@ -216,7 +233,7 @@
             Event::Begun { call, length } => self.begun(now, call, length),
             Event::Answered { call, list } => self.answered(now, call, list, actions),
             Event::Failed { call, why } => self.failed(now, call, why),
-            Event::Moved => self.moved(now, actions),
+            Event::Moved => self.moved(now),
             Event::Evidence(evidence) => self.evidence(now, evidence),
         }
         self.settle(now, actions);
@@ -422,6 +439,7 @@
         self.calls.push(Call {
             id,
             ask,
+            origin: self.origin,
             started: now,
             overdue_at: ends + bound,
             overdue: false,
@@ -672,6 +690,9 @@
     fn failed(&mut self, now: Duration, id: CallId, why: Failure) {
         let Some(call) = self.take(id) else { return };
         self.counts.failed += 1;
+        if call.origin < self.origin {
+            return self.ask_newest(now);
+        }
         if call.standing == Standing::Superseded {
             return;
         }
@@ -695,17 +716,69 @@
         }
     }
 
-    fn moved(&mut self, now: Duration, actions: &mut Vec<Action>) {
-        let close = |call: Call| Action::Close { call: call.id, reason: CloseReason::Moved };
-        actions.extend(self.calls.drain(..).map(close));
-        // Its versions need not be those of the old one, nor its ways.
-        self.revision = None;
+    /// Asks the new discovery for the whole list. Until it has answered, what the former ones still write is heeded: it counts as told, and
+    /// perhaps nothing else comes for a while.
+    fn moved(&mut self, now: Duration) {
+        self.former = self
+            .revision
+            .take()
+            .map_or(self.former, |revision| Some(FormerVersion { origin: self.origin, revision }));
+        self.origin += 1;
+        for call in &mut self.calls {
+            call.standing = Standing::Superseded;
+        }
+        // Its versions need not be those of the old one. How long answers take is believed until it shows otherwise.
         self.backwards = false;
         (self.good, self.failures, self.hangs) = (0, 0, 0.0);
         (self.poll, self.silent) = (false, None);
-        (self.lateness, self.service) = (Timing::new(LATENESS_GUESS), Timing::new(SERVICE_GUESS));
         self.doubt(now, Cause::Moved);
-        self.due = Some(now);
+        self.due = Some(now.max(self.moves_settled_at().unwrap_or(now)));
+    }
+
+    /// Where discovery moves several times in a row: when the newest one is asked, if the one before has not answered by then.
+    fn moves_settled_at(&self) -> Option<Duration> {
+        let reads = self.calls.iter().filter(|call| call.ask == Ask::Read && call.origin > 0);
+        reads.map(|read| read.started + MOVES_APART).max().filter(|_| !self.settings.pushed)
+    }
+
+    /// The newest discovery is asked, where that has only waited for the one before.
+    fn ask_newest(&mut self, now: Duration) {
+        let settled = self.moves_settled_at().is_none();
+        if settled && self.awaited() == 0 && self.revision.is_none() && self.failures == 0 {
+            self.due_by(now);
+        }
+    }
+
+    /// A discovery that has been moved away from has answered, before the present one has.
+    fn answered_by_former(&mut self, now: Duration, call: &Call, mut list: List, actions: &mut Vec<Action>) {
+        let follows = match self.former {
+            Some(held) if held.origin > call.origin => false,
+            Some(held) if held.origin == call.origin => list.revision >= held.revision,
+            _ => list.complete,
+        };
+        if self.revision.is_some() || !follows {
+            return;
+        }
+        self.leaving.heed(now, &mut list);
+        self.former = Some(FormerVersion { origin: call.origin, revision: list.revision });
+        self.learned_at = now;
+        self.proved_at = Some(now);
+        self.counts.answers += 1;
+        self.counts.news += u64::from(!list.members.is_empty());
+        self.close_older(call.origin, actions);
+        self.note_members(&list, actions);
+        actions.push(Action::Apply(list));
+    }
+
+    /// Closes the calls to discoveries before this one.
+    fn close_older(&mut self, origin: u64, actions: &mut Vec<Action>) {
+        self.calls.retain(|call| {
+            let stays = call.origin >= origin;
+            if !stays {
+                actions.push(Action::Close { call: call.id, reason: CloseReason::Moved });
+            }
+            stays
+        });
     }
 
     // ---- Answers
@@ -713,6 +786,10 @@
     fn answered(&mut self, now: Duration, id: CallId, list: List, actions: &mut Vec<Action>) {
         let Some(call) = self.take(id) else { return };
         self.time(now, &call, Timing::add);
+        if call.origin < self.origin {
+            self.answered_by_former(now, &call, list, actions);
+            return self.ask_newest(now);
+        }
         let held = self.revision;
         if held.is_some_and(|held| list.revision < held) {
             return self.older(now, &call, list, actions);
@@ -750,6 +827,7 @@
     }
 
     fn accept(&mut self, now: Duration, call: &Call, mut list: List, actions: &mut Vec<Action>) {
+        self.close_older(self.origin, actions);
         self.leaving.heed(now, &mut list);
         let newer = self.revision != Some(list.revision);
         let news = newer && !list.members.is_empty();
