--- a/crates/spurdrum-lab/src/lists.rs
+++ b/crates/spurdrum-lab/src/lists.rs
@@ -21,6 +21,8 @@
 const WAITED_MOST: Duration = Duration::from_secs(3);
 /// Requests that a node sends to each server that is gone without its knowing, a second.
 const ASTRAY: f64 = 5.0;
+/// From one node's move to the next one's.
+const MOVES_APART: Duration = Duration::from_millis(40);
 /// Servers of the fleet, whatever replaces them.
 const FLEET: u64 = 30;
 
@@ -57,6 +59,18 @@
     Forgets(f64),
 }
 
+/// How the catalog treats calls that are not the plain case. All off: a closed call leaves the queue, one that is turned away is turned
+/// away alone, and a watch that ends without news takes its turn like any other call.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Manners {
+    /// A call that its node has closed keeps its place and takes its turn.
+    pub works_off_closed: bool,
+    /// A call that is turned away ends all of its node's calls.
+    pub refuses_together: bool,
+    /// A watch that ends without news is answered beside the queue.
+    pub quiet_ends_are_free: bool,
+}
+
 /// An experiment.
 #[derive(Clone, Debug)]
 pub struct Plan {
@@ -74,6 +88,12 @@
     pub fault: Fault,
     /// Whether servers that are gone turn work away, which nodes see.
     pub evidence: bool,
+    /// How it treats calls otherwise than plainly.
+    pub manners: Manners,
+    /// When all nodes are told, one after the other, that the catalog is to be found elsewhere. It is the same one.
+    pub moves: Vec<Duration>,
+    /// When all watches that are out fall silent for good, if they do.
+    pub watches_fall_silent: Option<Duration>,
 }
 
 /// What came of it.
@@ -164,6 +184,8 @@
 enum Step {
     Commit(usize),
     Forget,
+    Move(usize),
+    SilenceWatches,
     Wake(usize),
     /// A call has reached the catalog.
     Asked(usize, u64, Asked),
@@ -268,6 +290,14 @@
         if let Fault::Forgets(at) = self.plan.fault {
             self.at(Duration::from_secs_f64(at), Step::Forget);
         }
+        for at in &self.plan.moves {
+            for node in 0..self.plan.nodes {
+                self.at(*at + MOVES_APART * node as u32, Step::Move(node));
+            }
+        }
+        if let Some(at) = self.plan.watches_fall_silent {
+            self.at(at, Step::SilenceWatches);
+        }
         for n in 0..self.plan.nodes {
             // Machines do not start in one instant.
             let start = Duration::from_micros(self.random.u64(0..50_000));
@@ -333,11 +363,17 @@
                 self.changed.clear();
                 self.waiting.clear();
             }
+            Step::Move(node) => self.tell(node, Event::Moved),
+            Step::SilenceWatches => self.waiting.clear(),
             Step::Wake(node) if self.wakes[node] == Some(self.now) => self.tell(node, Event::Tick),
             Step::Wake(_) => {}
             Step::Asked(node, call, asked) => self.asked(node, call, asked),
             Step::Waited(node, call) => {
-                if let Some(since) = self.waiting.remove(&(node, call)) {
+                let Some(since) = self.waiting.remove(&(node, call)) else { return };
+                if self.plan.manners.quiet_ends_are_free {
+                    let at = self.now + self.way();
+                    self.at(at, Step::Told(node, call, Some(since), Some(self.revision)));
+                } else {
                     self.enqueue(node, call, Some(since));
                 }
             }
@@ -349,7 +385,9 @@
             }
             Step::Gone(node, call) => {
                 self.waiting.remove(&(node, call));
-                self.queue.retain(|(_, of, id, _)| (*of, *id) != (node, call));
+                if !self.plan.manners.works_off_closed {
+                    self.queue.retain(|(_, of, id, _)| (*of, *id) != (node, call));
+                }
             }
             Step::Astray(node) => {
                 if self.known[node] < self.made_at.len() {
@@ -417,6 +455,9 @@
         let at = self.now + self.way();
         if self.now - since_when > WAITED_MOST {
             self.outcome.turned_away += 1;
+            if self.plan.manners.refuses_together {
+                self.refuse_others(node, call);
+            }
             return self.at(at, Step::NoList(node, call));
         }
         let drawn = self.random.f64();
@@ -431,6 +472,20 @@
         self.at(at, Step::Told(node, call, since, told));
     }
 
+    /// Ends a node's calls but for the one that is turned away.
+    fn refuse_others(&mut self, node: usize, refused: u64) {
+        let waiting = self.waiting.keys().filter(|(of, _)| *of == node).map(|(_, call)| *call);
+        let queued = self.queue.iter().filter(|(_, of, ..)| *of == node).map(|(_, _, call, _)| *call);
+        let mut others: Vec<u64> = waiting.chain(queued).filter(|call| *call != refused).collect();
+        others.sort_unstable();
+        for call in others {
+            self.waiting.remove(&(node, call));
+            self.queue.retain(|(_, of, id, _)| (*of, *id) != (node, call));
+            let at = self.now + self.way();
+            self.at(at, Step::NoList(node, call));
+        }
+    }
+
     fn told(&mut self, node: usize, call: u64, since: Option<u64>, revision: Option<u64>) {
         let Some(revision) = revision else {
             return self.tell(node, Event::Failed { call: CallId(call), why: Failure::Broke });
--- a/crates/spurdrum-lab/src/main.rs
+++ b/crates/spurdrum-lab/src/main.rs
@@ -11,7 +11,7 @@
 use clap::{Parser, Subcommand};
 use rayon::prelude::*;
 use spurdrum_lab::affinity::{self, Trouble};
-use spurdrum_lab::lists::{deploys, play, Fault, Outcome, Plan, Way};
+use spurdrum_lab::lists::{deploys, play, Fault, Manners, Outcome, Plan, Way};
 use spurdrum_lab::registry::{self, Faults};
 use spurdrum_lab::rollout::Went;
 use spurdrum_lab::spread::{self, Figures, Way as Choice};
@@ -206,6 +206,9 @@
                 service: Duration::from_millis(service_ms * slower),
                 fault: *fault,
                 evidence: true,
+                manners: Manners::default(),
+                moves: Vec::new(),
+                watches_fall_silent: None,
             };
             let played = play(&plan(deploys(Duration::from_millis(350))), way);
             let quiet = play(&plan(Vec::new()), way);
--- a/crates/spurdrum-lab/tests/lists.rs
+++ b/crates/spurdrum-lab/tests/lists.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use proptest::prelude::*;
-use spurdrum_lab::lists::{deploys, play, Fault, Plan, Way};
+use spurdrum_lab::lists::{deploys, play, Fault, Manners, Plan, Way};
 use spurdrum_sources::follower::{Settings, View};
 
 /// After the last change and the last trouble, nodes have this long to catch up.
@@ -40,7 +40,7 @@
         let commits = at.into_iter().map(Duration::from_secs_f64).collect();
         let length = Duration::from_secs_f64(60.0 + TAIL);
         let service = Duration::from_millis(service);
-        let plan = Plan { nodes, seed, length, commits, service, fault, evidence: true };
+        let plan = Plan { nodes, seed, length, commits, service, fault, ..plain() };
         let outcome = play(&plan, &Way::Follower(Settings { pushed, ..Settings::default() }));
         // Calls that were silent for long keep their places at discovery; no more than two are waited for.
         prop_assert!(outcome.awaited_most <= 2, "{}", outcome.awaited_most);
@@ -66,6 +66,81 @@
     }
 }
 
+/// A plan in which the catalog treats all calls plainly and stays where it is.
+fn plain() -> Plan {
+    Plan {
+        nodes: 1,
+        seed: 1,
+        length: Duration::from_secs(60),
+        commits: Vec::new(),
+        service: Duration::from_millis(2),
+        fault: Fault::None,
+        evidence: true,
+        manners: Manners::default(),
+        moves: Vec::new(),
+        watches_fall_silent: None,
+    }
+}
+
+/// What a node acts on after this long, it was told in time: 6 s, the grace of the platform's settings, and 50 ms on sockets.
+const IN_TIME: f64 = 6.3;
+
+fn slow_catalogs() -> impl Strategy<Value = Plan> {
+    let manners = any::<(bool, bool)>();
+    // Discovery can answer all nodes once within this time.
+    let round = 50_u64..1_500;
+    let changes = proptest::collection::vec(4.0..9.0_f64, 1..6);
+    let moves = (5.0..40.0_f64, proptest::collection::vec(0.1..1.6_f64, 0..6));
+    let silent = proptest::option::of(5.0..40.0_f64);
+    (1_usize..9, any::<u64>(), round, changes, moves, silent, manners).prop_map(
+        |(
+            nodes,
+            seed,
+            round_ms,
+            changes,
+            (first_move, pauses),
+            silent,
+            (works_off_closed, refuses_together),
+        )| {
+            let mut at = 8.0;
+            let commits = changes.into_iter().map(|pause| {
+                at += pause;
+                Duration::from_secs_f64(at)
+            });
+            let commits = commits.collect();
+            let mut moved = first_move;
+            let moves = pauses.into_iter().map(|pause| {
+                moved += pause;
+                Duration::from_secs_f64(moved)
+            });
+            Plan {
+                nodes,
+                seed,
+                length: Duration::from_secs(80),
+                commits,
+                service: Duration::from_millis(round_ms) / nodes as u32,
+                manners: Manners { works_off_closed, refuses_together, quiet_ends_are_free: true },
+                moves: moves.collect(),
+                watches_fall_silent: silent.map(Duration::from_secs_f64),
+                ..plain()
+            }
+        },
+    )
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 512, failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Incident of 2026-12-02. Few nodes before a discovery that can answer all of them once in up to a second and a half, which moves in
+    /// a row and whose watches fall silent once: each change is known before a node may no longer act on what it had.
+    #[test]
+    fn a_slow_discovery_that_moves_is_heard_in_time(plan in slow_catalogs()) {
+        let outcome = play(&plan, &Way::Follower(Settings::default()));
+        let latest = outcome.behind.max() as f64 / 1e6;
+        prop_assert!(latest <= IN_TIME, "{latest} s; {} calls, {} turned away", outcome.calls, outcome.turned_away);
+    }
+}
+
 /// A list that says nothing for a minute while everything is replaced is caught up with within seconds of its return,
 /// by all nodes, and they do not all come at once.
 #[test]
@@ -78,7 +153,7 @@
         commits,
         service: Duration::from_millis(2),
         fault: Fault::Silent(15.0, 75.0),
-        evidence: true,
+        ..plain()
     };
     let outcome = play(&plan, &Way::Follower(Settings::default()));
     assert_eq!(outcome.turned_away, 0);
@@ -97,7 +172,7 @@
         commits: deploys(Duration::from_millis(350)),
         service: Duration::from_millis(2),
         fault: Fault::LostAndBroken(0.1),
-        evidence: true,
+        ..plain()
     };
     let run = || {
         let outcome = play(&plan, &Way::Follower(Settings::default()));
@@ -120,7 +195,7 @@
         commits,
         service: Duration::from_millis(40),
         fault: Fault::None,
-        evidence: true,
+        ..plain()
     };
     let outcome = play(&plan, &Way::Follower(Settings::default()));
     assert!(outcome.held.iter().all(|held| *held == Some(16)));
--- a/crates/spurdrum/tests/node.rs
+++ b/crates/spurdrum/tests/node.rs
@@ -461,7 +461,10 @@
     }
     let asked = elsewhere.request();
     assert_eq!(asked.request.first, "GET /catalog/members HTTP/1.1");
-    assert!(!watch.has_ended(), "what the old one still writes counts as told until the new one has answered");
+    assert!(
+        !watch.has_ended(),
+        "what the old one still writes counts as told until the new one has answered"
+    );
     let full = list(1, true, &[member("s9", new.address, "active")]);
     asked.answer(OK, "", full.to_string().as_bytes());
     watch.await_end();
