How long calls wait their turn paces a node of few before a slow discovery

Cause: what a slow discovery takes was learned from quiet watches as well, which end at once, and not at all from calls that were silent or superseded. A poll that discovery had not come to was taken for one that hangs, which set two watches side by side and doubled the queue; kept calls were closed 5 s after they began though discovery was at work on them; reads of moves in a row followed each second. Change: the wait for a turn is kept by itself. Patience is three turns, the next call leaves two for its answer, moves in a row are two apart, watches wait 2 s at most where turns are slow; silent calls are kept for 10 s after their wait. Only a call begun before an answered one is taken for a hang.

--- a/crates/spurdrum-lab/tests/lists.rs
+++ b/crates/spurdrum-lab/tests/lists.rs
@@ -89,25 +89,25 @@
     let manners = any::<(bool, bool)>();
     // Discovery can answer all nodes once within this time.
     let round = 50_u64..1_500;
-    let changes = proptest::collection::vec(4.0..9.0_f64, 1..6);
+    let changes = (0.0..3.0_f64, proptest::collection::vec(4.0..9.0_f64, 0..5));
+    // Over before the first change.
+    let outage = (4.0..12.0_f64, 4.0..12.0_f64).prop_map(|(one, other)| (one.min(other), one.max(other)));
+    let fault = prop_oneof![
+        Just(Fault::None),
+        outage.clone().prop_map(|(from, to)| Fault::Down(from, to)),
+        outage.prop_map(|(from, to)| Fault::Silent(from, to)),
+    ];
     let moves = (5.0..40.0_f64, proptest::collection::vec(0.1..1.6_f64, 0..6));
     let silent = proptest::option::of(5.0..40.0_f64);
-    (1_usize..9, any::<u64>(), round, changes, moves, silent, manners).prop_map(
-        |(
-            nodes,
-            seed,
-            round_ms,
-            changes,
-            (first_move, pauses),
-            silent,
-            (works_off_closed, refuses_together),
-        )| {
-            let mut at = 8.0;
-            let commits = changes.into_iter().map(|pause| {
+    (1_usize..9, any::<u64>(), round, changes, moves, silent, fault, manners).prop_map(
+        |(nodes, seed, round_ms, (first, changes), (first_move, pauses), silent, fault, manners)| {
+            let (works_off_closed, refuses_together) = manners;
+            let mut at = 12.0 + first;
+            let mut commits = vec![Duration::from_secs_f64(at)];
+            commits.extend(changes.into_iter().map(|pause| {
                 at += pause;
                 Duration::from_secs_f64(at)
-            });
-            let commits = commits.collect();
+            }));
             let mut moved = first_move;
             let moves = pauses.into_iter().map(|pause| {
                 moved += pause;
@@ -119,6 +119,7 @@
                 length: Duration::from_secs(80),
                 commits,
                 service: Duration::from_millis(round_ms) / nodes as u32,
+                fault,
                 manners: Manners { works_off_closed, refuses_together, quiet_ends_are_free: true },
                 moves: moves.collect(),
                 watches_fall_silent: silent.map(Duration::from_secs_f64),
@@ -129,10 +130,10 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 512, failure_persistence: None, ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig { cases: 2048, failure_persistence: None, ..ProptestConfig::default() })]
 
-    /// Incident of 2026-12-02. Few nodes before a discovery that can answer all of them once in up to a second and a half, which moves in
-    /// a row and whose watches fall silent once: each change is known before a node may no longer act on what it had.
+    /// Incident of 2026-12-02. Few nodes before a discovery that can answer all of them once in up to a second and a half, which was down or
+    /// silent before, moves in a row, and whose watches fall silent once: each change is known before a node may no longer act on what it had.
     #[test]
     fn a_slow_discovery_that_moves_is_heard_in_time(plan in slow_catalogs()) {
         let outcome = play(&plan, &Way::Follower(Settings::default()));
--- a/crates/spurdrum-sources/src/follower/mod.rs
+++ b/crates/spurdrum-sources/src/follower/mod.rs
@@ -51,13 +51,24 @@
 const ANSWER_SPARE: Duration = Duration::from_secs(1);
 /// Where answers take longer than this, in seconds, calls queue at discovery: one more beside another makes the queue longer.
 const SLOW_ANSWER: f64 = 0.2;
+/// There a watch waits no longer than this: one that has fallen silent is followed by a call whose answer takes its time.
+const SLOW_WAIT: Duration = Duration::from_secs(2);
+/// A call is silent after so many usual turns.
+const PATIENCE_TURNS: f64 = 3.0;
+/// The time that is left for an answer, in usual turns.
+const SPARE_TURNS: f64 = 2.0;
+/// What is reckoned in usual turns is no longer than this.
+const TURNS_MOST: Duration = Duration::from_secs(3);
 /// A call to an agent on the own machine waits for this part of the grace, and after as much again another one is begun beside it: what
 /// the agent has counts as told, also to a node whose call it never answers.
 const AGENT_PART: f64 = 0.3;
 /// Many nodes wait this long for news at once, where discovery may be given half of its time for it.
 const CROWD_WAIT: Duration = Duration::from_secs(10);
-/// Where discovery moves again before it has answered, the newest one is asked this long after the one before at the soonest: each
-/// call to a slow discovery makes the next one later.
+/// A silent call is closed this long after its wait, unless its place is needed before: a discovery that takes longer for an answer is of no
+/// use to a list, and a dead connection is held for no longer.
+const KEPT: Duration = Duration::from_secs(10);
+/// Where discovery moves again before it has answered, the newest one is asked this long after the one before at the soonest, or as
+/// long as its answer may take: each call to a slow discovery makes the next one later.
 const MOVES_APART: Duration = Duration::from_secs(1);
 /// Two calls begin at least this far apart.
 const APART: Duration = Duration::from_millis(10);
@@ -102,12 +113,6 @@
     TOLD_AFTER.saturating_sub(wait).max(TOLD_AFTER_WAIT)
 }
 
-/// For how long the next call may be put off. Discovery may have had news, and been there to be asked, since right after a call went
-/// out that told nothing: that counts as told 6 s after.
-fn spare_after(call: &Call, now: Duration) -> Duration {
-    (TOLD_AFTER - ANSWER_SPARE).saturating_sub(now.saturating_sub(call.started))
-}
-
 /// The version held of a discovery that has been moved away from.
 #[derive(Clone, Copy)]
 struct FormerVersion {
@@ -149,6 +154,8 @@
     /// How late the answer of a quiet watch is, and how long discovery takes for one that need not wait.
     lateness: Timing,
     service: Timing,
+    /// How long calls lately waited for their turn, in seconds: those that were answered at once or with news, not quiet watches.
+    turn: Option<f64>,
     /// Usual time between news, in seconds, and when it came last.
     gap: f64,
     news_at: Option<Duration>,
@@ -198,6 +205,7 @@
             hangs: 0.0,
             lateness: Timing::new(LATENESS_GUESS),
             service: Timing::new(SERVICE_GUESS),
+            turn: None,
             gap: f64::INFINITY,
             news_at: None,
             tokens: (settings.extra, Duration::ZERO),
@@ -295,7 +303,7 @@
 
     /// Whether discovery answers so slowly that calls queue there, however few nodes ask.
     fn is_slow(&self) -> bool {
-        self.service.is_slower_than(SLOW_ANSWER) || self.lateness.is_slower_than(SLOW_ANSWER)
+        self.turn.is_some_and(|turn| turn > SLOW_ANSWER)
     }
 
     /// Whether so many nodes ask that a call waits its turn for as long as a silent one is let alone elsewhere.
@@ -363,7 +371,8 @@
         let share =
             self.round(&self.lateness).max(self.crowded(CROWD_WAIT / 2)).mul_f64(1.0 / self.settings.share);
         // What discovery can bear comes before all.
-        let wait = proved.min(trusted).min(news).clamp(wait_least, wait_most).max(share);
+        let most = if self.is_slow() { wait_most.min(SLOW_WAIT).max(wait_least) } else { wait_most };
+        let wait = proved.min(trusted).min(news).clamp(wait_least, most).max(share);
         wait.mul_f64(1.0 + 0.1 * self.random.f64()).min(Duration::from_secs(60))
     }
 
@@ -394,7 +403,24 @@
         let most = if self.is_slow() { TOLD_AFTER } else { PATIENCE_GROWS * least };
         let grown = timing.bound(least, most);
         let failing = least * (1 + self.failures.min(PATIENCE_GROWS - 1));
-        grown.max(failing).max(self.crowded(PAUSE_MOST))
+        grown.max(failing).max(self.usual_turns(PATIENCE_TURNS)).max(self.crowded(PAUSE_MOST))
+    }
+
+    /// By how much the next call must come before what the one before would have told counts as told.
+    fn answer_spare(&self) -> Duration {
+        self.usual_turns(SPARE_TURNS).max(ANSWER_SPARE)
+    }
+
+    /// So many usual turns at discovery, up to a bound. In a crowd none: what all nodes wait for there is paced otherwise.
+    fn usual_turns(&self, turns: f64) -> Duration {
+        let turn = self.turn.filter(|_| !self.is_crowded()).unwrap_or_default();
+        Duration::from_secs_f64((turns * turn).min(TURNS_MOST.as_secs_f64()))
+    }
+
+    /// For how long the next call may be put off. Discovery may have had news, and been there to be asked, since right after a call went
+    /// out that told nothing: that counts as told 6 s after.
+    fn spare_after(&self, call: &Call, now: Duration) -> Duration {
+        (TOLD_AFTER - self.answer_spare()).saturating_sub(now.saturating_sub(call.started))
     }
 
     fn retry_after(&mut self) -> Duration {
@@ -425,7 +451,7 @@
         self.last_call += 1;
         let id = CallId(self.last_call);
         let timing = self.timing(ask);
-        let most = (told_after(ask.wait()) - ANSWER_SPARE).max(self.settings.patience);
+        let most = told_after(ask.wait()).saturating_sub(self.answer_spare()).max(self.settings.patience);
         let patience = self.patience(timing).min(most);
         let ends = now + ask.wait();
         let bound = match self.agent_time() {
@@ -434,7 +460,7 @@
             None => timing.bound(OVERDUE_LEAST, patience / 2),
         };
         // An agent answers the next one as soon; in a crowd discovery may end the first one for it.
-        let kept = if self.settings.pushed || self.is_crowded() { patience } else { most };
+        let kept = if self.settings.pushed || self.is_crowded() { patience } else { most.max(KEPT) };
         self.counts.calls[ask.kind()] += 1;
         self.calls.push(Call {
             id,
@@ -659,6 +685,7 @@
     fn hung(&mut self, now: Duration, call: &Call) {
         self.count_hang(call.ask);
         self.failures += 1;
+        self.note_waiting(now, call);
         if self.proved_at.is_none_or(|at| at < call.started) {
             // Nothing else has answered either: it may be slow, and all that ask should see that.
             self.time(now, call, Timing::add_silent);
@@ -668,7 +695,7 @@
             // An agent has been waited for already.
             let at_once = self.failures < BESIDE_UNTIL || self.settings.pushed;
             let after = if at_once { Duration::ZERO } else { self.retry_after() };
-            self.due_by(now + after.min(spare_after(call, now)));
+            self.due_by(now + after.min(self.spare_after(call, now)));
         }
     }
 
@@ -680,6 +707,20 @@
         }
     }
 
+    /// A call took its turn at discovery, as one that need not wait or has news does.
+    fn note_turn(&mut self, now: Duration, call: &Call) {
+        let late = now.checked_sub(call.started + call.ask.wait()).filter(|_| call.timed);
+        if let Some(late) = late.map(|late| late.as_secs_f64()) {
+            self.turn = Some(self.turn.map_or(late, |turn| f64::midpoint(turn, late)));
+        }
+    }
+
+    /// A call is not answered yet: it may wait its turn, for longer than it has been out by now.
+    fn note_waiting(&mut self, now: Duration, call: &Call) {
+        let late = now.saturating_sub(call.started + call.ask.wait()).as_secs_f64();
+        self.turn = Some(self.turn.map_or(late, |turn| turn.max(late)));
+    }
+
     fn count_hang(&mut self, ask: Ask) {
         self.counts.hung += 1;
         self.good = 0;
@@ -701,6 +742,7 @@
             // It may have waited its turn, and longer than discovery lets calls wait. One that is turned away at once says
             // nothing of how long an answer takes.
             self.time(now, &call, Timing::add);
+            self.note_turn(now, &call);
         }
         if why != Failure::Kept {
             self.good /= 2;
@@ -711,7 +753,8 @@
             let after = self.retry_after();
             // A watch that broke was one until then; and where a call has waited its turn in vain, shorter pauses would keep the
             // queue as long as it is.
-            let most = if call.is_watch() || self.is_crowded() { after } else { spare_after(&call, now) };
+            let most =
+                if call.is_watch() || self.is_crowded() { after } else { self.spare_after(&call, now) };
             self.due_by(now + after.min(most));
         }
     }
@@ -738,7 +781,8 @@
     /// Where discovery moves several times in a row: when the newest one is asked, if the one before has not answered by then.
     fn moves_settled_at(&self) -> Option<Duration> {
         let reads = self.calls.iter().filter(|call| call.ask == Ask::Read && call.origin > 0);
-        reads.map(|read| read.started + MOVES_APART).max().filter(|_| !self.settings.pushed)
+        let apart = MOVES_APART.max(self.usual_turns(SPARE_TURNS));
+        reads.map(|read| read.started + apart).max().filter(|_| !self.settings.pushed)
     }
 
     /// The newest discovery is asked, where that has only waited for the one before.
@@ -786,6 +830,9 @@
     fn answered(&mut self, now: Duration, id: CallId, list: List, actions: &mut Vec<Action>) {
         let Some(call) = self.take(id) else { return };
         self.time(now, &call, Timing::add);
+        if !call.is_watch() || !list.members.is_empty() {
+            self.note_turn(now, &call);
+        }
         if call.origin < self.origin {
             self.answered_by_former(now, &call, list, actions);
             return self.ask_newest(now);
@@ -853,7 +900,7 @@
             let need = self.need.0;
             self.need = (if news { EVIDENCE } else { (2.0 * need).min(EVIDENCE_MOST) }, now);
         }
-        self.supersede(now, newer, actions);
+        self.supersede(now, call, newer, actions);
         self.silent = None;
         if !self.is_followed() {
             // Guards against a discovery that answers watches at once though it has no news.
@@ -875,16 +922,19 @@
 
     /// What the calls that are still out are worth once another has been answered. A slow discovery may have written more to them than that
     /// answer told, which the next call would hear of late; elsewhere the next call hears of it at once.
-    fn supersede(&mut self, now: Duration, newer: bool, actions: &mut Vec<Action>) {
+    fn supersede(&mut self, now: Duration, answered: &Call, newer: bool, actions: &mut Vec<Action>) {
         let grace = self.service.bound(OVERDUE_LEAST, self.settings.patience);
         let kept = self.is_slow() && !self.settings.pushed;
         for n in (0..self.calls.len()).rev() {
             let out = &mut self.calls[n];
             if out.overdue {
                 let was = std::mem::replace(&mut out.standing, Standing::Superseded);
-                let ask = out.ask;
-                if was == Standing::Awaited {
-                    self.count_hang(ask);
+                let out = out.clone();
+                if was == Standing::Awaited && out.started < answered.started {
+                    self.count_hang(out.ask);
+                } else {
+                    // Discovery answers calls in turn, and has not come to this one.
+                    self.note_waiting(now, &out);
                 }
                 if !kept {
                     let call = self.calls.remove(n).id;
--- a/crates/spurdrum-sources/src/follower/timing.rs
+++ b/crates/spurdrum-sources/src/follower/timing.rs
@@ -9,15 +9,13 @@
 pub(super) struct Timing {
     pub(super) mean: f64,
     deviation: f64,
-    /// Of answered calls alone.
-    answered: Option<f64>,
     least: Option<f64>,
     guess: f64,
 }
 
 impl Timing {
     pub(super) fn new(guess: f64) -> Self {
-        Self { mean: guess, deviation: guess, answered: None, least: None, guess }
+        Self { mean: guess, deviation: guess, least: None, guess }
     }
 
     /// A call was answered after so long.
@@ -25,12 +23,6 @@
         self.add_silent(sample);
         let sample = sample.as_secs_f64();
         self.least = Some(self.least.map_or(sample, |least| least.min(sample)));
-        self.answered = Some(self.answered.map_or(sample, |answered| answered + (sample - answered) / 4.0));
-    }
-
-    /// Whether calls that are answered wait that long for it, as far as is known.
-    pub(super) fn is_slower_than(&self, seconds: f64) -> bool {
-        self.answered.is_some_and(|answered| answered > seconds)
     }
 
     /// A call was given up after so long, which says nothing of the least that an answer takes.
