A test that counts descriptors has a discovery that answers, on one connection

It counted the node's descriptors while a discovery that never answers was called: how many calls are out then has no part in what the test holds (the last answer is followed by an end), and the silent calls that are now kept made it fail. The bound is the same.

--- a/crates/spurdrum/tests/node/connections.rs
+++ b/crates/spurdrum/tests/node/connections.rs
@@ -22,7 +22,7 @@
 }
 
 /// Answers whatever comes, until the test is over.
-fn answer_all(server: Server, body: Vec<u8>) {
+pub fn answer_all(server: Server, body: Vec<u8>) {
     thread::spawn(move || {
         while let Some(seen) = server.next() {
             if let Seen::Request(exchange) = seen {
--- a/crates/spurdrum/tests/node/endings.rs
+++ b/crates/spurdrum/tests/node/endings.rs
@@ -107,7 +107,13 @@
 #[test]
 fn the_last_answer_is_followed_by_an_end_and_no_reset_whoever_wanted_it_to_be_the_last() {
     let server = Server::start();
-    let node = Node::before(&[&server]);
+    // Discovery answers, so its calls share one connection: what is counted below is the client's alone.
+    let discovery = Server::start();
+    let mut config = config(&members(&[&server]));
+    config["discovery"] = json!(discovery.address.to_string());
+    let mut node = Node::start(&config);
+    connections::answer_all(discovery, list(1, false, &[]).to_string().into_bytes());
+    while !node.logged().contains("-> fresh") {}
     for behind in [0, 100_000] {
         let before = node.descriptors();
         let mut client = node.client();
