A registry that answers more slowly than a call may be silent is heard

What a call may be silent for is now doubled after each that was, twice at most, and stays at twice what the last answer took.

--- a/crates/spurdrum-sources/src/registry/follower.rs
+++ b/crates/spurdrum-sources/src/registry/follower.rs
@@ -39,6 +39,9 @@
 pub const CALLS_MOST: usize = 2;
 /// A tick that comes later than this after its time means that this machine stood still.
 const JUMP: Duration = Duration::from_secs(3);
+/// After each call that was silent the next may be silent for twice as long, up to this many times what is set: a registry that is slow and
+/// is given up each time at the same moment would never be heard.
+const GIVE_UP_DOUBLINGS: u32 = 2;
 /// Pages are halved where one is too long, down to one key.
 const PAGE_LEAST: u32 = 1;
 /// A blocking query may end later than its wait by this part of it, as Consul has it, to spread the load.
@@ -531,6 +534,8 @@
     id: CallId,
     endpoint: usize,
     ask: Ask,
+    /// It is given up after so long without a word, where it has not been answered yet.
+    give_up: Duration,
     /// The copy's revision when it was begun.
     held: Option<u64>,
     open: bool,
@@ -568,7 +573,7 @@
     }
 
     /// When it should have spoken, where answers are waited for so long.
-    fn due_at(&self, settings: &Settings, patience: Duration) -> Duration {
+    fn due_at(&self, patience: Duration) -> Duration {
         match (&self.ask, self.probed_at) {
             (Ask::Block { index: 1.., wait, .. }, _) => {
                 self.spoke_at + wait.mul_f64(1.0 + BLOCK_JITTER) + patience
@@ -577,17 +582,17 @@
             (Ask::Watch { .. }, Some(at)) if self.open => at.max(self.spoke_at) + patience,
             (Ask::Watch { .. }, None) if self.open => Duration::MAX,
             (Ask::Watch { .. }, _) => self.spoke_at + 2 * patience,
-            _ => self.spoke_at + settings.give_up,
+            _ => self.spoke_at + self.give_up,
         }
     }
 
     /// When it is given up.
     fn give_up_at(&self, settings: &Settings) -> Duration {
         match (&self.ask, self.probed_at) {
-            (Ask::Block { index: 1.., .. }, _) => self.due_at(settings, settings.patience) + settings.give_up,
+            (Ask::Block { index: 1.., .. }, _) => self.due_at(settings.patience) + settings.give_up,
             (Ask::Watch { .. }, Some(at)) if self.open => at.max(self.spoke_at) + settings.give_up,
             (Ask::Watch { .. }, None) if self.open => Duration::MAX,
-            _ => self.spoke_at + settings.give_up,
+            _ => self.spoke_at + self.give_up,
         }
     }
 }
@@ -620,6 +625,8 @@
     due: Option<Duration>,
     /// The endpoint for the next call.
     endpoint: usize,
+    /// How often what may be silent has been doubled.
+    doublings: u32,
     /// Failures in a row, and reads that were outrun by compactions in a row.
     failures: u32,
     outrun: u32,
@@ -661,6 +668,7 @@
             due: None,
             // Nodes begin at different endpoints.
             endpoint: settings.me % settings.endpoints,
+            doublings: 0,
             failures: 0,
             outrun: 0,
             older: 0,
@@ -710,7 +718,7 @@
     pub fn next_wake(&self) -> Option<Duration> {
         let settings = &self.settings;
         let call = |call: &Call| {
-            let due_at = call.due_at(settings, self.patience());
+            let due_at = call.due_at(self.patience());
             let spoken = if call.left { call.give_up_at(settings) } else { due_at };
             let probe = (call.open && call.is_watch() && call.probed_at.is_none())
                 .then(|| call.spoke_at + settings.probe_every());
@@ -780,6 +788,17 @@
         usual.min(self.settings.give_up / 2).max(self.settings.patience)
     }
 
+    /// How long a call that has not been answered may be silent.
+    fn give_up(&self) -> Duration {
+        self.settings.give_up * (1 << self.doublings)
+    }
+
+    /// What may be silent is as long again as the last answer took, where that is more than what is set.
+    fn note_answer(&mut self, took: Duration) {
+        let enough = |doublings: &u32| self.settings.give_up * (1 << doublings) >= 2 * took;
+        self.doublings = (0..GIVE_UP_DOUBLINGS).find(enough).unwrap_or(GIVE_UP_DOUBLINGS);
+    }
+
     /// Learns from the time of an answer, as RFC 6298 has it.
     fn time(&mut self, took: Duration) {
         let took = took.as_secs_f64();
@@ -810,6 +829,7 @@
             id,
             endpoint,
             ask: ask.clone(),
+            give_up: self.give_up(),
             held: self.revision,
             open: false,
             spoke_at: now,
@@ -888,10 +908,13 @@
                 let call = self.calls.remove(n);
                 actions.push(Action::Abort(call.id));
                 self.counts.silent += 1;
+                if !call.open && call.ask != Ask::Confirm {
+                    self.doublings = (self.doublings + 1).min(GIVE_UP_DOUBLINGS);
+                }
                 self.lost(now, &call, Cause::Silent);
                 continue;
             }
-            let late = now >= call.due_at(settings, patience);
+            let late = now >= call.due_at(patience);
             let behind = call.must_reach.is_some_and(|(to, by)| call.told < to && now >= by);
             if !call.left && (late || behind) {
                 call.left = true;
@@ -1083,6 +1106,7 @@
         let Ask::Range { stale, .. } = call.ask else {
             return self.confirmed(now, call.held, header, actions);
         };
+        self.note_answer(now - call.spoke_at);
         let mut reading = match self.reading.take() {
             Some(reading) if reading.header.cluster == header.cluster => reading,
             // The cluster was replaced between two pages.
@@ -1359,6 +1383,9 @@
     ) {
         let Some(call) = self.take(id) else { return };
         let Ask::Block { stale, index, wait, .. } = call.ask else { return };
+        if index == 0 {
+            self.note_answer(now - call.spoke_at);
+        }
         if contact.is_none_or(|contact| contact > self.settings.lag) {
             // A member without a leader, or far from it, does not know better than the copy.
             self.counts.behind += 1;
--- a/crates/spurdrum-sources/tests/registry.rs
+++ b/crates/spurdrum-sources/tests/registry.rs
@@ -142,6 +142,30 @@
     Settings { endpoints: 3, ..Settings::default() }
 }
 
+/// The same mistake as in the incident of 2026-12-02 at the catalog: what takes longer than a call may be silent was asked for over and over,
+/// and never heard.
+#[test]
+fn a_registry_that_is_slower_than_a_call_may_be_silent_is_heard() {
+    for took in [1_500, 2_500] {
+        let mut played = Played::new(Settings::default());
+        let mut read = false;
+        while played.now < MS(20_000) && !read {
+            let (call, _, ask) = played.last();
+            assert!(matches!(ask, Ask::Range { .. }), "{ask:?}");
+            let begun = played.now;
+            while played.last().0 == call && played.now < begun + MS(took) {
+                played.pass(MS(10));
+            }
+            if played.last().0 == call && !played.aborted.contains(&call) {
+                played.page(call, header(10), &[("a", "1")], false);
+                read = true;
+            }
+        }
+        assert!(read, "an answer takes {took} ms: {:?}", played.calls);
+        assert!(played.now <= MS(10_000), "{:?}", played.now);
+    }
+}
+
 #[test]
 fn pages_are_read_as_of_one_revision_and_the_watch_begins_behind_it() {
     let mut played = Played::new(Settings { page: 1, ..three() });
