--- a/crates/spurdrum-sources/src/follower/mod.rs
+++ b/crates/spurdrum-sources/src/follower/mod.rs
@@ -53,6 +53,9 @@
 const SLOW_ANSWER: f64 = 0.2;
 /// There a watch waits no longer than this: one that has fallen silent is followed by a call whose answer takes its time.
 const SLOW_WAIT: Duration = Duration::from_secs(2);
+/// What is left of what was learned of turns with each watch that ends quietly: half after some 14 of them, half a minute where watches wait
+/// for 2 s.
+const TURN_FADES: f64 = 0.95;
 /// A call is silent after so many usual turns.
 const PATIENCE_TURNS: f64 = 3.0;
 /// The time that is left for an answer, in usual turns.
@@ -832,6 +835,9 @@
         self.time(now, &call, Timing::add);
         if !call.is_watch() || !list.members.is_empty() {
             self.note_turn(now, &call);
+        } else {
+            // A quiet watch takes no turn; what was learned of turns is believed ever less.
+            self.turn = self.turn.map(|turn| turn * TURN_FADES);
         }
         if call.origin < self.origin {
             self.answered_by_former(now, &call, list, actions);
@@ -930,11 +936,11 @@
             if out.overdue {
                 let was = std::mem::replace(&mut out.standing, Standing::Superseded);
                 let out = out.clone();
-                if was == Standing::Awaited && out.started < answered.started {
-                    self.count_hang(out.ask);
-                } else {
+                match was {
+                    Standing::Awaited if out.started < answered.started => self.count_hang(out.ask),
                     // Discovery answers calls in turn, and has not come to this one.
-                    self.note_waiting(now, &out);
+                    Standing::Awaited => self.note_waiting(now, &out),
+                    Standing::Silent | Standing::Superseded => {}
                 }
                 if !kept {
                     let call = self.calls.remove(n).id;
@@ -992,7 +998,8 @@
         self.points = (points, now);
         let need = fade(self.need, NEED_HALF_LIFE).max(EVIDENCE);
         // Where many ask, what all of them see at once must not make all of them ask at once.
-        let polling = self.is_alone() || self.calls.iter().any(|call| call.ask.wait().is_zero());
+        let asks_at_once = |call: &Call| call.is_awaited() && call.ask.wait().is_zero();
+        let polling = self.is_alone() || self.calls.iter().any(asks_at_once);
         if points < need || polling || self.revision.is_none() {
             return;
         }
