Log lines for a start, its first list call, what went out unconfirmed, and servers that leave

Servers that are taken out and come back are named by their ids. The decisions are as they were; the note on a server's return is an action of its own now.

--- a/crates/spurdrum-core/src/node.rs
+++ b/crates/spurdrum-core/src/node.rs
@@ -59,6 +59,9 @@
     Restarted,
 }
 
+/// Of the servers that leave by one list, so many at the most have a line of their own in the log.
+const LOGGED_LEAVING_MOST: usize = 16;
+
 /// Starts that differ by less than this, in milliseconds, are one: clocks and lists round.
 const SAME_START: f64 = 1000.0;
 
@@ -80,13 +83,20 @@
     Known,
 }
 
+/// An attempt that is out.
+struct OpenAttempt {
+    server: ServerId,
+    begun: Instant,
+    cancellation: Rc<Cancellation>,
+}
+
 /// A request that is held: until it is answered and its attempts have ended.
 struct Held<T: Transport> {
     request: Rc<T::Request>,
     /// Taken by the final answer, or when the client leaves.
     answer: Option<oneshot::Sender<Answer<T::Body>>>,
-    /// How each attempt is cancelled, while it is out.
-    attempts: Vec<Option<Rc<Cancellation>>>,
+    /// Each attempt, while it is out.
+    attempts: Vec<Option<OpenAttempt>>,
 }
 
 impl<T: Transport> Held<T> {
@@ -211,10 +221,11 @@
                     let (id, server) = (held.shown(), trace.name_of(server));
                     trace.to.note(self.now(), Seen::Placed { id, attempt, server });
                 }
-                held.attempts.push(Some(Rc::clone(&cancellation)));
+                let begun = Instant::now();
+                let open = OpenAttempt { server, begun, cancellation: Rc::clone(&cancellation) };
+                held.attempts.push(Some(open));
                 let (node, asked) = (Rc::clone(self), Rc::clone(&held.request));
                 tokio::task::spawn_local(async move {
-                    let begun = Instant::now();
                     let mut reply = node.transport.attempt(server, &asked, &cancellation).await;
                     let took = reply.took.unwrap_or_else(|| begun.elapsed());
                     if let Some(rest) = reply.rest.take() {
@@ -239,8 +250,8 @@
                 self.saw(request, |id| Seen::GivenUp { id, attempt });
                 let requests = self.requests.borrow();
                 let out = requests.get(&request).and_then(|held| held.attempts.get(attempt));
-                if let Some(Some(cancellation)) = out {
-                    cancellation.cancel();
+                if let Some(Some(open)) = out {
+                    open.cancellation.cancel();
                 }
             }
             Action::Refuse { request, retry_after_ms } => {
@@ -250,7 +261,7 @@
             // The list is followed whether they ask for it or not.
             Action::Subscribe => {}
             Action::TakenOut { server } => {
-                tracing::info!("server {} is taken out", server.0);
+                tracing::info!("server {} is taken out", self.shown(server));
                 (self.signs)(Sign::TakenOut);
             }
             Action::SetTimer { timer, after_ms } => {
@@ -261,6 +272,7 @@
                     node.handle(Event::Timer(timer));
                 });
             }
+            Action::Restored { server } => tracing::info!("server {} is back", self.shown(server)),
             Action::Note(text) => tracing::info!("{text}"),
         }
     }
@@ -336,7 +348,7 @@
             self.handle(Event::ClientGone(id));
             // Guards against an attempt that begins for nobody where the settings forbid to cancel one that has begun.
             if let Some(held) = self.requests.borrow().get(&id) {
-                held.attempts.iter().flatten().for_each(|cancellation| cancellation.cancel_unsent());
+                held.attempts.iter().flatten().for_each(|open| open.cancellation.cancel_unsent());
             }
             self.forget_if_over(id);
         }
@@ -432,6 +444,7 @@
 
     /// The whole list, or what changed in it.
     pub fn listed(self: &Rc<Self>, complete: bool, servers: Vec<Listed>) {
+        self.log_attempts_out_to(&self.leaving(complete, &servers));
         let entries = self.entries(complete, servers);
         let listing = if complete { Listing::Full(entries) } else { Listing::Changes(entries) };
         self.handle(Event::Servers(listing));
@@ -486,6 +499,47 @@
         entries
     }
 
+    /// A server's id in the list, or its number where no list names it any more.
+    fn shown(&self, server: ServerId) -> String {
+        let ids = self.ids.borrow();
+        let id = ids.iter().find(|(_, listed)| **listed == server);
+        id.map_or_else(|| server.0.to_string(), |(id, _)| id.clone())
+    }
+
+    /// Listed servers that a list is about to tell to be draining or gone.
+    fn leaving(&self, complete: bool, servers: &[Listed]) -> Vec<ServerId> {
+        let ids = self.ids.borrow();
+        let stays = |server: &&Listed| server.entry.availability == Availability::Ready;
+        if complete {
+            let staying: HashSet<&String> = servers.iter().filter(stays).map(|server| &server.id).collect();
+            return ids.iter().filter(|(id, _)| !staying.contains(id)).map(|(_, server)| *server).collect();
+        }
+        servers
+            .iter()
+            .filter(|server| !stays(server))
+            .filter_map(|server| ids.get(&server.id).copied())
+            .collect()
+    }
+
+    /// Logs which attempts are out to servers that leave, the latest to each by its request.
+    fn log_attempts_out_to(&self, leaving: &[ServerId]) {
+        for server in leaving.iter().take(LOGGED_LEAVING_MOST) {
+            let requests = self.requests.borrow();
+            let out = requests
+                .values()
+                .flat_map(|held| held.attempts.iter().flatten().map(move |open| (held, open)));
+            let out: Vec<_> = out.filter(|(_, open)| open.server == *server).collect();
+            let Some((held, latest)) = out.iter().max_by_key(|(_, open)| open.begun) else { continue };
+            tracing::info!(
+                "server {} leaves with {} attempts out, the latest begun {:.3} s ago for request {}",
+                self.shown(*server),
+                out.len(),
+                latest.begun.elapsed().as_secs_f64(),
+                held.shown()
+            );
+        }
+    }
+
     /// Notes what a list says of a server, where that is new.
     fn told(&self, server: ServerId, id: &str, availability: Availability) {
         let Some(trace) = &self.trace else { return };
--- a/crates/spurdrum-policy/src/interface.rs
+++ b/crates/spurdrum-policy/src/interface.rs
@@ -515,6 +515,11 @@
         /// The server.
         server: ServerId,
     },
+    /// A server that was taken out has served again.
+    Restored {
+        /// The server.
+        server: ServerId,
+    },
     /// A line for the operators.
     Note(String),
 }
--- a/crates/spurdrum-policy/src/rules.rs
+++ b/crates/spurdrum-policy/src/rules.rs
@@ -1021,7 +1021,7 @@
         if outcome.ending == Ending::Served {
             server.strikes = if self.sparse { server.strikes / 2 } else { 0 };
             if server.ejected_until.take().is_some() {
-                to.push(Action::Note(format!("server {at} is back")));
+                to.push(Action::Restored { server: ServerId(at) });
             }
         } else if failed {
             // Guards against servers that fail quickly, hang or cannot be reached: counts alone favour them.
--- a/crates/spurdrum-policy/tests/rules.rs
+++ b/crates/spurdrum-policy/tests/rules.rs
@@ -667,7 +667,8 @@
                     "a probe that is not allowed"
                 );
             }
-            Action::Subscribe | Action::SetTimer { .. } | Action::TakenOut { .. } | Action::Note(_) => {}
+            Action::Subscribe | Action::SetTimer { .. } | Action::Note(_) => {}
+            Action::TakenOut { .. } | Action::Restored { .. } => {}
         }
     }
 
--- a/crates/spurdrum-simhost/src/wire.rs
+++ b/crates/spurdrum-simhost/src/wire.rs
@@ -318,6 +318,9 @@
             Action::TakenOut { server } => {
                 write!(out, "NOTE_DOWN node={node} note_text=server {} is taken out", server.0)
             }
+            Action::Restored { server } => {
+                write!(out, "NOTE_DOWN node={node} note_text=server {} is back", server.0)
+            }
             Action::Note(text) => write!(out, "NOTE_DOWN node={node} note_text={}", one_line(text)),
         };
         debug_assert!(done.is_ok(), "writing to a string cannot fail");
--- a/crates/spurdrum-sources/src/catalog.rs
+++ b/crates/spurdrum-sources/src/catalog.rs
@@ -29,6 +29,11 @@
 /// What a follower has for the node.
 #[derive(Debug)]
 pub enum News {
+    /// Following begins: the first call goes out after so long.
+    Started {
+        /// The time until then.
+        first_call: Duration,
+    },
     /// The list, or what changed in it.
     List(List),
     /// The view is trusted otherwise than before.
@@ -98,6 +103,9 @@
     /// Follows it for as long as this is awaited; each piece of news is handed over as it comes.
     pub async fn follow(self: Rc<Self>, news: impl Fn(News) + 'static) {
         *self.news.borrow_mut() = Some(Box::new(news));
+        self.tell(Event::Tick);
+        let due = self.follower.borrow().next_call().unwrap_or_default();
+        self.hand_over(News::Started { first_call: due.saturating_sub(self.alarm.now()) });
         loop {
             self.tell(Event::Tick);
             let wake = self.follower.borrow().next_wake();
--- a/crates/spurdrum-sources/src/follower/mod.rs
+++ b/crates/spurdrum-sources/src/follower/mod.rs
@@ -257,6 +257,11 @@
         times.chain(blind.map(|since| since + self.settings.blind_after)).min()
     }
 
+    /// When the next call goes out, where one is due.
+    pub fn next_call(&self) -> Option<Duration> {
+        self.due
+    }
+
     /// How far the view can be trusted.
     pub fn view(&self) -> View {
         self.view
--- a/crates/spurdrum/src/following.rs
+++ b/crates/spurdrum/src/following.rs
@@ -1,6 +1,6 @@
 //! Where lists of servers go, and what the log says of them.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
 use std::fmt;
 use std::rc::Rc;
@@ -8,6 +8,7 @@
 use spurdrum_core::Node;
 use spurdrum_http::Upstream;
 use spurdrum_sources::catalog::{Catalog, News};
+use spurdrum_sources::follower::View;
 use spurdrum_sources::reconciler::Event;
 use spurdrum_sources::{List, Phase};
 
@@ -27,9 +28,23 @@
     pub merged: Option<Rc<Merged>>,
     /// The list as the last catalog or file told it, for a process that takes over.
     pub told: Rc<RefCell<List>>,
+    /// Attempts that had been written to servers when the list was last confirmed.
+    pub attempts_when_confirmed: Cell<u64>,
 }
 
 impl Sink {
+    /// What the log says of attempts as the view changes: how many went out while nothing confirmed the list.
+    fn attempts_on_trust(&self, from: View, to: View) -> String {
+        let attempts = self.node.figures.attempts();
+        if from == View::Fresh {
+            self.attempts_when_confirmed.set(attempts);
+        }
+        match to {
+            View::Fresh => format!("; {} attempts meanwhile", attempts - self.attempts_when_confirmed.get()),
+            View::Doubtful | View::Blind => String::new(),
+        }
+    }
+
     /// Hands on a list, or what changed in it, and logs which servers it changes.
     pub fn listed(&self, source: usize, list: List) {
         let changes = Changes::between(&self.told.borrow(), &list);
@@ -48,12 +63,24 @@
 pub async fn follow(catalog: Rc<Catalog>, sink: Rc<Sink>) {
     let shown = Rc::clone(&catalog);
     let news = move |news| match news {
+        News::Started { first_call } => {
+            let known = sink.told.borrow();
+            let (servers, version) = (known.members.len(), known.revision);
+            let after = first_call.as_secs_f64();
+            tracing::info!(
+                "started with {servers} servers of version {version}; the first list call in {after:.3} s"
+            );
+        }
         News::List(list) => sink.listed(merge::CATALOG, list),
         News::View { from, to, cause } => {
             if let Some(merged) = &sink.merged {
                 merged.tell(Event::View { source: merge::CATALOG, view: to });
             }
-            tracing::info!("the list of servers: {from} -> {to}, {cause}; {}", list::trust(shown.status()));
+            let attempts = sink.attempts_on_trust(from, to);
+            tracing::info!(
+                "the list of servers: {from} -> {to}, {cause}; {}{attempts}",
+                list::trust(shown.status())
+            );
         }
         News::Shorter(before, now) => {
             tracing::warn!("the list of servers is shorter by much: {before} before, {now} now");
--- a/crates/spurdrum/src/main.rs
+++ b/crates/spurdrum/src/main.rs
@@ -295,7 +295,9 @@
         let known = replace::Known { node, list, names };
         replace::offer(&config.name, config.listen, &listener, &connections, known)
     });
-    let sink = Rc::new(Sink { node: Rc::clone(&node), places, merged, told: told_list });
+    let attempts_when_confirmed = Cell::default();
+    let sink =
+        Rc::new(Sink { node: Rc::clone(&node), places, merged, told: told_list, attempts_when_confirmed });
     if let Some(catalog) = &catalog {
         tokio::task::spawn_local(follow(Rc::clone(catalog), Rc::clone(&sink)));
     }
