A process that starts asks for what is newer than its list before it sends anything

Cause: a new process went by the list of an earlier run until its first call to discovery, which it put off by its number among the nodes, up to 3.5 s (`spread` in follower/mod.rs, used for the first call), and that call was a watch, which confirms nothing while nothing is new. The 6 s after which a change counts as told were counted from the start, not from the change.

Seen: 107 processes started 3.7 s after a removal; the 26 whose first answer came later than 6.3 s after it made all 57 requests at fault. Ruled out by the lines: watches that fall silent, lists that go back, late connections, and a crowded discovery (first calls took 16 to 62 ms).

Change: the first call asks for news without a wait, within 0.2 s; until its answer, 2 s at most (`ready_within_ms`), the process is not ready, and requests that come all the same wait for 0.4 of their time and are then refused. A first call that breaks is followed within 1 s.

--- a/crates/spurdrum-core/src/lib.rs
+++ b/crates/spurdrum-core/src/lib.rs
@@ -9,6 +9,7 @@
 mod figures;
 mod node;
 mod transport;
+mod waiting;
 
 pub use connections::{is_starved, Connections, Order, Seat, ServerSlot};
 pub use figures::{ClassCounts, Fate, Figures, Open, Times};
--- a/crates/spurdrum-core/src/node.rs
+++ b/crates/spurdrum-core/src/node.rs
@@ -17,6 +17,7 @@
 
 use crate::figures::Figures;
 use crate::transport::{Asked, Cancellation, Reply, Transport};
+use crate::waiting::Line;
 use crate::Connections;
 
 /// What a node is told before its first event.
@@ -147,6 +148,8 @@
     trace: Option<Traced>,
     started: Instant,
     started_unix_ms: f64,
+    /// Requests that came before the list was confirmed; none once they go on as they come.
+    line: RefCell<Option<Line>>,
 }
 
 impl<T: Transport> Node<T> {
@@ -186,6 +189,7 @@
             trace: trace.map(|to| Traced { to, servers: RefCell::default() }),
             started: Instant::now(),
             started_unix_ms,
+            line: RefCell::new(None),
         }))
     }
 
@@ -316,6 +320,51 @@
 
     // ---- Requests
 
+    /// Requests wait until [`Node::serve`]: nothing confirms the list of servers yet.
+    pub fn wait_to_serve(&self) {
+        self.line.replace(Some(Line::default()));
+    }
+
+    /// Requests that waited go on, and others as they come.
+    pub fn serve(self: &Rc<Self>) {
+        let Some(mut line) = self.line.take() else { return };
+        for request in line.release(Instant::now()) {
+            self.handle(Event::Request(request));
+        }
+    }
+
+    /// Whether the process has just started and requests wait.
+    pub fn is_starting(&self) -> bool {
+        self.line.borrow().is_some()
+    }
+
+    /// Lets a request wait for the list, for a part of its time; then it is refused.
+    fn wait_in_line(self: &Rc<Self>, request: Request) {
+        let id = request.id;
+        let mut line = self.line.borrow_mut();
+        let Some(most) = line.as_mut().map(|line| line.join(request, Instant::now())) else { return };
+        let node = Rc::clone(self);
+        tokio::task::spawn_local(async move {
+            sleep(most).await;
+            if node.leave_line(id) {
+                let (name, waited) = (node.name_of(id), most.as_secs_f64());
+                tracing::info!("request {name} refused, it waited {waited:.3} s for the list");
+                let retry_after_ms = node.settings().retry_after_most_ms;
+                node.answer(id, Answer::Refused(retry_after_ms));
+            }
+        });
+    }
+
+    /// A request waits no more. Whether it did.
+    fn leave_line(&self, id: RequestId) -> bool {
+        self.line.borrow_mut().as_mut().is_some_and(|line| line.leave(id))
+    }
+
+    /// What its client calls a request that is held.
+    fn name_of(&self, id: RequestId) -> String {
+        self.requests.borrow().get(&id).map_or_else(String::new, Held::shown)
+    }
+
     /// Takes a request, where that can be. The answer comes through `answer`.
     pub fn take(
         self: &Rc<Self>,
@@ -336,7 +385,12 @@
         let held = Held { request: Rc::new(asked), answer: Some(answer), attempts: Vec::new() };
         self.requests.borrow_mut().insert(id, held);
         self.saw(id, |id| Seen::Asked { id, class: request.class });
-        self.handle(Event::Request(Request { id, prefers, ..request }));
+        let request = Request { id, prefers, ..request };
+        if self.is_starting() {
+            self.wait_in_line(request);
+        } else {
+            self.handle(Event::Request(request));
+        }
         Ok(id)
     }
 
@@ -345,6 +399,7 @@
         let owed = self.requests.borrow_mut().get_mut(&id).and_then(|held| held.answer.take());
         if owed.is_some() {
             self.saw(id, |id| Seen::Left { id });
+            self.leave_line(id);
             self.handle(Event::ClientGone(id));
             // Guards against an attempt that begins for nobody where the settings forbid to cancel one that has begun.
             if let Some(held) = self.requests.borrow().get(&id) {
--- a/crates/spurdrum-http/src/front.rs
+++ b/crates/spurdrum-http/src/front.rs
@@ -542,6 +542,9 @@
     let place = seat.tell(Event::Head { id: seat.id, body });
     match request.uri().path() {
         "/_health" if front.ending.get() => plain(StatusCode::SERVICE_UNAVAILABLE, "ending\n"),
+        "/_health" if front.node.is_starting() => {
+            plain(StatusCode::SERVICE_UNAVAILABLE, format!("starting\n{}\n", (front.status)()))
+        }
         "/_health" => plain(StatusCode::OK, format!("ready\n{}\n", (front.status)())),
         _ if place == Verdict::Refuse || front.last_call.get() => {
             *ends = true;
--- a/crates/spurdrum-lab/src/lists.rs
+++ b/crates/spurdrum-lab/src/lists.rs
@@ -526,7 +526,7 @@
                     self.at(at, Step::Gone(node, call.0));
                 }
                 Action::Apply(list) => self.learned(node, &list),
-                Action::State { .. } | Action::Shorter(..) => {}
+                Action::State { .. } | Action::Shorter(..) | Action::Started(_) => {}
             }
         }
         if let Node::Follower(follower) = &self.nodes[node] {
--- a/crates/spurdrum-sources/src/catalog.rs
+++ b/crates/spurdrum-sources/src/catalog.rs
@@ -17,7 +17,7 @@
 use tokio::time::timeout;
 
 use crate::follower::{
-    Action, Ask, CallId, Cause, CloseReason, Counts, Event, Evidence, Follower, Settings, View,
+    Action, Ask, CallId, Cause, CloseReason, Counts, Event, Evidence, Follower, Settings, StartEnd, View,
 };
 use crate::{Alarm, CallEnd, CallError, CallReport, List};
 
@@ -30,10 +30,17 @@
 #[derive(Debug)]
 pub enum News {
     /// Following begins: the first call goes out after so long.
-    Started {
+    Begun {
         /// The time until then.
         first_call: Duration,
     },
+    /// The process may serve from now on.
+    Started {
+        /// Why.
+        end: StartEnd,
+        /// How long it took.
+        after: Duration,
+    },
     /// The list, or what changed in it.
     List(List),
     /// The view is trusted otherwise than before.
@@ -105,7 +112,7 @@
         *self.news.borrow_mut() = Some(Box::new(news));
         self.tell(Event::Tick);
         let due = self.follower.borrow().next_call().unwrap_or_default();
-        self.hand_over(News::Started { first_call: due.saturating_sub(self.alarm.now()) });
+        self.hand_over(News::Begun { first_call: due.saturating_sub(self.alarm.now()) });
         loop {
             self.tell(Event::Tick);
             let wake = self.follower.borrow().next_wake();
@@ -151,6 +158,7 @@
                 Action::Apply(list) => self.hand_over(News::List(list)),
                 Action::State { from, to, cause } => self.hand_over(News::View { from, to, cause }),
                 Action::Shorter(before, now) => self.hand_over(News::Shorter(before, now)),
+                Action::Started(end) => self.hand_over(News::Started { end, after: self.alarm.now() }),
             }
         }
         self.alarm.sooner(self.follower.borrow().next_wake());
--- a/crates/spurdrum-sources/src/follower/messages.rs
+++ b/crates/spurdrum-sources/src/follower/messages.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 use std::time::Duration;
 
+use super::StartEnd;
 use crate::List;
 
 /// A call, by its number.
@@ -149,6 +150,8 @@
     },
     /// A whole list is shorter by much: entries before and now.
     Shorter(usize, usize),
+    /// The process may serve from now on; once, after the list that came with this answer has been applied.
+    Started(StartEnd),
 }
 
 /// Why a call is closed before it has ended.
--- a/crates/spurdrum-sources/src/follower/mod.rs
+++ b/crates/spurdrum-sources/src/follower/mod.rs
@@ -9,7 +9,7 @@
 //! follower.handle(Duration::ZERO, Event::Tick, &mut actions);
 //! let due = follower.next_wake().expect("a first call is due");
 //! follower.handle(due, Event::Tick, &mut actions);
-//! // The list of the last run may be old: a first call goes out, which waits only shortly.
+//! // The list of the last run may be old: the first call asks for what is newer at once.
 //! assert!(matches!(actions[0], Action::Call { .. }));
 //! ```
 //!
@@ -22,6 +22,7 @@
 mod call;
 mod messages;
 mod settings;
+mod start;
 mod timing;
 
 use std::collections::HashSet;
@@ -34,6 +35,8 @@
 use call::{Call, Standing};
 pub use messages::{Action, Ask, CallId, Cause, CloseReason, Counts, Event, Evidence, Failure, View};
 pub use settings::Settings;
+use start::Start;
+pub use start::StartEnd;
 use timing::Timing;
 
 /// Calls out at once, at most.
@@ -93,9 +96,13 @@
 const PATIENCE_GROWS: u32 = 3;
 /// While calls fail, each node leaves the others at least this much of discovery's time, in the long run.
 const NODE_MOST: Duration = Duration::from_millis(20);
-/// The first call of a process goes out within this part of the time after which a node that has not asked counts as told, and
-/// within the longest pause.
-const FIRST_PART: f64 = 0.5;
+/// The nodes' first calls after a break are spread over this part of the time after which a node that has not asked counts as told.
+const SPREAD_PART: f64 = 0.5;
+/// The first calls of processes that start together are spread over this time at the most: until it is answered a process serves nobody, and
+/// the watches that follow had better queue behind all of them.
+const FIRST_CALL_MOST: Duration = Duration::from_millis(200);
+/// The next calls of those whose first one failed at once are spread over this time at the most.
+const SECOND_CALL_MOST: Duration = Duration::from_secs(1);
 /// Points of evidence that make a call due; doubled with each such call that brings nothing, up to the most.
 const EVIDENCE: f64 = 2.0;
 const EVIDENCE_MOST: f64 = 32.0;
@@ -173,6 +180,8 @@
     cause: Cause,
     counts: Counts,
     started: bool,
+    /// Until the list is confirmed for the first time, or has to do without.
+    start: Option<Start>,
 }
 
 impl Follower {
@@ -221,6 +230,7 @@
             cause: Cause::Start,
             counts: Counts::default(),
             started: false,
+            start: None,
             settings,
         })
     }
@@ -235,8 +245,9 @@
         if !self.started {
             self.started = true;
             self.trouble_since = Some(now);
+            self.start = Some(Start { until: now + self.settings.ready_within, confirmed: false });
             // Nodes that start together do not ask together.
-            self.due = Some(now + self.spread().mul_f64(self.part()));
+            self.due = Some(now + self.spread().min(FIRST_CALL_MOST).mul_f64(self.part()));
         }
         self.allow_for_standstill(now);
         match event {
@@ -254,6 +265,7 @@
     pub fn next_wake(&self) -> Option<Duration> {
         let blind = self.trouble_since.filter(|_| self.view != View::Blind);
         let times = self.calls.iter().map(Call::next_wake).chain(self.due).chain(self.leaving.due());
+        let times = times.chain(self.start.map(|start| start.until));
         times.chain(blind.map(|since| since + self.settings.blind_after)).min()
     }
 
@@ -346,7 +358,7 @@
 
     /// The nodes' first calls after a start or a break are spread over this time.
     fn spread(&self) -> Duration {
-        let most = self.retry_most().min(self.settings.ask_within.mul_f64(FIRST_PART));
+        let most = self.retry_most().min(self.settings.ask_within.mul_f64(SPREAD_PART));
         (self.round(&self.service) / 2).min(most).max(Duration::from_millis(20))
     }
 
@@ -481,7 +493,8 @@
             close_at: ends + kept,
             standing: Standing::Awaited,
             by_evidence,
-            timed: true,
+            // Many processes may start at once: how long discovery takes then says nothing of how long it takes usually.
+            timed: self.start.is_none(),
         });
         self.begun_at = Some(now);
         actions.push(Action::Call { call: id, ask });
@@ -521,6 +534,9 @@
         match (self.revision, self.silent) {
             (None, _) => Ask::Read,
             _ if self.backwards => Ask::Read,
+            // A change may count as told already that was made before the start. A watch would tell nothing where nothing is new, and
+            // the process has to know that before it serves.
+            (Some(since), None) if self.start.is_some() => Ask::Poll { since },
             (Some(since), Some(Ask::Watch { .. })) => Ask::Poll { since },
             (Some(_), Some(Ask::Poll { .. })) => Ask::Read,
             // Guards against a long wait for an answer that is as lost as those before it.
@@ -546,6 +562,10 @@
 
     /// Gives up what is silent, begins what is due, and says how far the view can be trusted.
     fn settle(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        if let Some(end) = self.start.and_then(|start| start.end(now)) {
+            self.start = None;
+            actions.push(Action::Started(end));
+        }
         self.heed_silence(now, actions);
         if self.awaited() == 0 && self.due.is_none() {
             self.due = Some(now);
@@ -763,6 +783,11 @@
             // queue as long as it is.
             let most =
                 if call.is_watch() || self.is_crowded() { after } else { self.spare_after(&call, now) };
+            let most = if self.start.is_some() && late < SLOW_ANSWER {
+                most.min(self.spread().min(SECOND_CALL_MOST))
+            } else {
+                most
+            };
             self.due_by(now + after.min(most));
         }
     }
@@ -901,7 +926,11 @@
         }
         self.counts.answers += 1;
         self.counts.news += u64::from(news);
-        self.good = self.good.saturating_add(1);
+        match &mut self.start {
+            // It says nothing of watches.
+            Some(start) => start.confirmed = true,
+            None => self.good = self.good.saturating_add(1),
+        }
         self.failures = 0;
         self.hangs -= self.hangs * HANG_WEIGHT;
         self.proved_at = Some(now);
--- a/crates/spurdrum-sources/src/follower/settings.rs
+++ b/crates/spurdrum-sources/src/follower/settings.rs
@@ -23,6 +23,8 @@
     pub patience: Duration,
     /// Without proof for so long after the first trouble, the view is blind.
     pub blind_after: Duration,
+    /// A process that has just started waits for so long at the most until discovery has confirmed the list of an earlier run.
+    pub ready_within: Duration,
     /// Between calls that fail: at first, about...
     pub retry_least: Duration,
     /// ...and at the most.
@@ -45,6 +47,7 @@
             wait_most: Duration::from_secs(5),
             patience: Duration::from_secs(1),
             blind_after: Duration::from_secs(3),
+            ready_within: Duration::from_secs(2),
             retry_least: Duration::from_millis(100),
             retry_most: Duration::from_secs(1),
             share: 0.5,
@@ -68,6 +71,7 @@
         need(time(self.wait_most), "wait_most_ms", "is no time from 1 ms to a minute")?;
         need(self.wait_least <= self.wait_most, "wait_least_ms", "is above `wait_most_ms`")?;
         need(time(self.patience), "patience_ms", "is no time from 1 ms to a minute")?;
+        need(time(self.ready_within), "ready_within_ms", "is no time from 1 ms to a minute")?;
         need(time(self.blind_after), "blind_after_ms", "is no time from 1 ms to a minute")?;
         need(time(self.retry_most), "retry_most_ms", "is no time from 1 ms to a minute")?;
         need(time(self.retry_least), "retry_least_ms", "is no time from 1 ms to a minute")?;
--- a/crates/spurdrum/src/file.rs
+++ b/crates/spurdrum/src/file.rs
@@ -178,6 +178,7 @@
     wait_most_ms: Option<u64>,
     patience_ms: Option<u64>,
     blind_after_ms: Option<u64>,
+    ready_within_ms: Option<u64>,
     retry_least_ms: Option<u64>,
     retry_most_ms: Option<u64>,
     share: Option<f64>,
@@ -299,6 +300,7 @@
         set_time(&mut settings.wait_most, table.wait_most_ms);
         set_time(&mut settings.patience, table.patience_ms);
         set_time(&mut settings.blind_after, table.blind_after_ms);
+        set_time(&mut settings.ready_within, table.ready_within_ms);
         set_time(&mut settings.retry_least, table.retry_least_ms);
         set_time(&mut settings.retry_most, table.retry_most_ms);
         set(&mut settings.share, table.share);
--- a/crates/spurdrum/src/following.rs
+++ b/crates/spurdrum/src/following.rs
@@ -63,7 +63,7 @@
 pub async fn follow(catalog: Rc<Catalog>, sink: Rc<Sink>) {
     let shown = Rc::clone(&catalog);
     let news = move |news| match news {
-        News::Started { first_call } => {
+        News::Begun { first_call } => {
             let known = sink.told.borrow();
             let (servers, version) = (known.members.len(), known.revision);
             let after = first_call.as_secs_f64();
@@ -82,6 +82,10 @@
                 list::trust(shown.status())
             );
         }
+        News::Started { end, after } => {
+            sink.node.serve();
+            tracing::info!("ready {:.3} s after the start: {end}", after.as_secs_f64());
+        }
         News::Shorter(before, now) => {
             tracing::warn!("the list of servers is shorter by much: {before} before, {now} now");
         }
--- a/crates/spurdrum/src/operated.rs
+++ b/crates/spurdrum/src/operated.rs
@@ -17,11 +17,16 @@
 
 impl Operated for Process {
     fn ready(&self) -> Result<(), String> {
-        match (self.ending.get(), self.node.servers()) {
-            (true, _) => Err("ending".into()),
-            (false, (0, _)) => Err("no server is known yet".into()),
-            _ => Ok(()),
+        if self.ending.get() {
+            return Err("ending".into());
         }
+        if self.node.servers().0 == 0 {
+            return Err("no server is known yet".into());
+        }
+        if self.node.is_starting() {
+            return Err("starting: discovery has not confirmed the list of servers yet".into());
+        }
+        Ok(())
     }
 
     fn telemetry(&self) -> String {
--- a/crates/spurdrum/tests/node/starts.rs
+++ b/crates/spurdrum/tests/node/starts.rs
@@ -95,3 +95,79 @@
     }
     assert!(late.is_empty(), "requests to removed servers after the grace, by process: {late:?}");
 }
+
+/// A node of 300 whose process has just started with the list of before, which names `s0` and `s1`. Discovery has not answered.
+fn just_started(servers: &[Server; 2]) -> Node {
+    let mut config = config(&members(&[&servers[0], &servers[1]]));
+    (config["settings"]["n_instances"], config["settings"]["me"]) = (json!(300), json!(0));
+    Node::start_unconfirmed(&config, None)
+}
+
+/// What is newer than the list of before.
+fn asked_for_news(call: &Exchange) -> bool {
+    call.request.first == "GET /catalog/members?since=1&timeout_ms=0 HTTP/1.1"
+}
+
+/// Until discovery has answered, the process is not ready and sends nothing; a request that comes all the same waits, or is refused while
+/// its client has time left. The first call is answered at once, also where nothing is newer.
+#[test]
+fn a_process_serves_once_discovery_has_told_what_is_newer_than_its_list() {
+    let servers = [Server::start(), Server::start()];
+    let mut node = just_started(&servers);
+    let first = node.discovery.request();
+    assert!(asked_for_news(&first), "{}", first.request.first);
+    assert_eq!(node.health().status(), 503);
+    let refused = node.client().ask(&request("update", 0.1));
+    assert_eq!((refused.status(), refused.header("retry-after")), (503, Some("0.400")));
+    let mut waiting = node.client();
+    waiting.send(&request("update", 60.0));
+    let mut left = node.client();
+    left.send(&request("update", 60.0));
+    // Each of them has been read before this is answered, and one has left.
+    assert_eq!(node.health().status(), 503);
+    drop(left);
+    assert_eq!(node.health().status(), 503);
+    let removal = list(2, false, &[member("s0", servers[0].address, "left")]);
+    first.answer(OK, "", removal.to_string().as_bytes());
+    servers[1].request().answer(OK, "", b"");
+    assert_eq!(waiting.answer().status(), 200);
+    assert_eq!(node.health().status(), 200);
+    assert!(!servers[1].has_request(), "it was sent on for a client that had left");
+    for _ in 0..16 {
+        let mut client = node.client();
+        client.send(&request("update", 20.0));
+        servers[1].request().answer(OK, "", b"");
+        assert_eq!(client.answer().status(), 200);
+    }
+    assert!(!servers[0].has_request(), "the removed server was sent a request");
+    assert!(node.logged_with("the start: ").contains("discovery has confirmed the list"));
+}
+
+/// A discovery that breaks the first calls of a process is asked again soon, however many nodes there are.
+#[test]
+fn a_process_whose_first_calls_break_serves_once_one_is_answered() {
+    let servers = [Server::start(), Server::start()];
+    let mut node = just_started(&servers);
+    let first = node.discovery.request();
+    first.answer("503 Later", "", b"");
+    let second = node.discovery.request();
+    assert!(asked_for_news(&second), "{}", second.request.first);
+    assert_eq!(node.health().status(), 503);
+    second.answer(OK, "", list(1, false, &[]).to_string().as_bytes());
+    assert!(node.logged_with("the start: ").contains("discovery has confirmed the list"));
+    until("the node is healthy", || node.health().status() == 200);
+}
+
+/// A discovery that does not answer keeps nobody from serving by the list of before.
+#[test]
+fn a_process_serves_by_the_list_of_before_where_discovery_does_not_answer() {
+    let servers = [Server::start(), Server::start()];
+    let mut node = just_started(&servers);
+    let _silent = node.discovery.request();
+    assert!(node.logged_with("the start: ").contains("not answered in time"));
+    until("the node is healthy", || node.health().status() == 200);
+    let mut client = node.client();
+    client.send(&request("update", 20.0));
+    either(&servers).1.answer(OK, "", b"");
+    assert_eq!(client.answer().status(), 200);
+}
