A trace's test waits until its writer holds the first line

The thread that writes took its first line at any moment of the test's fifty; the place that came free went to a count of the few lines lost so far (Lost { lines: 7 } in one whole run), and the test asks the first count for more than 40. The counting is sound: later counts are of all. The test now begins once the thread is in its first write; what it asserts is as it was.

--- a/crates/spurdrum-trace/src/file.rs
+++ b/crates/spurdrum-trace/src/file.rs
@@ -113,6 +113,8 @@
 
 #[cfg(test)]
 mod tests {
+    use std::sync::mpsc::{channel, Receiver, Sender};
+
     use super::*;
     use crate::record::{read, State};
 
@@ -151,27 +153,36 @@
 
     #[test]
     fn what_finds_no_room_is_counted() {
-        /// A disk that takes nothing until it is let.
-        struct Stuck(std::sync::mpsc::Receiver<()>, std::sync::mpsc::Sender<Vec<u8>>);
+        /// A disk that takes nothing until it is let, and tells when it is first written to.
+        struct Stuck {
+            begun: Sender<()>,
+            let_go: Receiver<()>,
+            written: Sender<Vec<u8>>,
+        }
         impl Write for Stuck {
             fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
-                let _ = self.0.recv();
-                let _ = self.1.send(bytes.to_vec());
+                let _ = self.begun.send(());
+                let _ = self.let_go.recv();
+                let _ = self.written.send(bytes.to_vec());
                 Ok(bytes.len())
             }
             fn flush(&mut self) -> io::Result<()> {
                 Ok(())
             }
         }
-        let (let_go, stuck) = std::sync::mpsc::channel();
-        let (tell, told) = std::sync::mpsc::channel();
+        let (begun, begins) = channel();
+        let (lets_go, let_go) = channel();
+        let (written, told) = channel();
         let builder = NonBlockingBuilder::default().lossy(true).buffered_lines_limit(4);
-        let (to, guard) = builder.finish(Stuck(stuck, tell));
+        let (to, guard) = builder.finish(Stuck { begun, let_go, written });
         let counter = to.error_counter();
         let trace = Trace { to: RefCell::new(to), counter, told: Cell::new(0) };
+        // The thread holds the first line by now; a place that came free among the next ones would go to a count of fewer.
+        trace.note(1.0, seen(50));
+        begins.recv().expect("it is written");
         (0..50).for_each(|n| trace.note(1.0, seen(n)));
         assert!(trace.counter.dropped_lines() > 40);
-        drop(let_go);
+        drop(lets_go);
         // Four wait; once they are written there is room for the count.
         for _ in 0..4 {
             told.recv().expect("goes on");
