--- a/crates/spurdrum-lab/src/lists.rs
+++ b/crates/spurdrum-lab/src/lists.rs
@@ -11,7 +11,7 @@
 
 use hdrhistogram::Histogram;
 use spurdrum_sources::follower::{
-    Action, Ask, CallId, CloseReason, Counts, Event, Evidence, Failure, Follower, Settings, View,
+    Action, Ask, CallId, CloseReason, Counts, Event, Evidence, Failure, Follower, Settings, StartEnd, View,
 };
 use spurdrum_sources::{List, Member, Phase};
 
@@ -96,6 +96,25 @@
     pub watches_fall_silent: Option<Duration>,
 }
 
+impl Plan {
+    /// A plan in which nothing changes, and the catalog treats all calls plainly and stays where it is.
+    #[must_use]
+    pub fn quiet(nodes: usize, seed: u64, length: Duration, service: Duration) -> Self {
+        Self {
+            nodes,
+            seed,
+            length,
+            commits: Vec::new(),
+            service,
+            fault: Fault::None,
+            evidence: true,
+            manners: Manners::default(),
+            moves: Vec::new(),
+            watches_fall_silent: None,
+        }
+    }
+}
+
 /// What came of it.
 pub struct Outcome {
     /// From a change to a node's knowing, in microseconds, over all changes and nodes.
@@ -112,6 +131,8 @@
     pub revision: u64,
     /// Views at the end, and what was done; only of [`Way::Follower`].
     pub followers: Vec<(View, Counts)>,
+    /// How and when each node's start ended; only of [`Way::Follower`].
+    pub starts: Vec<Option<(StartEnd, Duration)>>,
     /// The most calls that one node had out at once, and whose answers it waited for.
     pub out_most: usize,
     /// See `out_most`.
@@ -252,6 +273,7 @@
         held: Vec::new(),
         revision: 0,
         followers: Vec::new(),
+        starts: vec![None; plan.nodes],
         out_most: 0,
         awaited_most: 0,
     };
@@ -526,7 +548,8 @@
                     self.at(at, Step::Gone(node, call.0));
                 }
                 Action::Apply(list) => self.learned(node, &list),
-                Action::State { .. } | Action::Shorter(..) | Action::Started(_) => {}
+                Action::Started(end) => self.outcome.starts[node] = Some((end, self.now)),
+                Action::State { .. } | Action::Shorter(..) => {}
             }
         }
         if let Node::Follower(follower) = &self.nodes[node] {
--- a/crates/spurdrum-lab/src/main.rs
+++ b/crates/spurdrum-lab/src/main.rs
@@ -4,6 +4,7 @@
 //!     cargo run --release -p spurdrum-lab -- spread    how evenly hundreds of nodes spread their work
 //!     cargo run --release -p spurdrum-lab -- rollout   how often a change is stopped by mistake, and how far a bad one comes
 //!     cargo run --release -p spurdrum-lab -- registry  ... that follow a registry by watches, and what it costs
+//!     cargo run --release -p spurdrum-lab -- starts    when processes that start together serve
 //!     cargo run --release -p spurdrum-lab -- lists     how far behind nodes are that follow a list, by fault and way
 
 use std::time::Duration;
@@ -11,12 +12,12 @@
 use clap::{Parser, Subcommand};
 use rayon::prelude::*;
 use spurdrum_lab::affinity::{self, Trouble};
-use spurdrum_lab::lists::{deploys, play, Fault, Manners, Outcome, Plan, Way};
+use spurdrum_lab::lists::{deploys, play, Fault, Outcome, Plan, Way};
 use spurdrum_lab::registry::{self, Faults};
 use spurdrum_lab::rollout::Went;
 use spurdrum_lab::spread::{self, Figures, Way as Choice};
 use spurdrum_rollout::judge::Settings as JudgeSettings;
-use spurdrum_sources::follower::Settings;
+use spurdrum_sources::follower::{Settings, StartEnd};
 use spurdrum_sources::registry::follower::{Interface, Settings as Watching};
 
 /// Experiments in simulated time.
@@ -41,6 +42,18 @@
         #[arg(long, value_delimiter = ',', default_value = "3,30,300")]
         nodes: Vec<usize>,
     },
+    /// When processes that start together have had discovery's first answer and serve, by their number and discovery's pace.
+    Starts {
+        /// Drives all that is random.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Numbers of nodes.
+        #[arg(long, value_delimiter = ',', default_value = "3,30,300,900")]
+        nodes: Vec<usize>,
+        /// Times in which discovery can answer all nodes once, in milliseconds.
+        #[arg(long, value_delimiter = ',', default_value = "100,700,1500,2500,4000")]
+        round_ms: Vec<u64>,
+    },
     /// Keys that stay with their servers: by slack, load, skew and trouble, beside none and beside keys that are pinned.
     Affinity {
         /// Seeds of the days; figures are over all of them.
@@ -96,10 +109,36 @@
         }
         Command::Registry { seed } => registry(seed),
         Command::Rollout { rollouts, nodes, rate } => rollout(rollouts, nodes, rate),
+        Command::Starts { seed, nodes, round_ms } => starts(seed, &nodes, &round_ms),
         Command::Lists { seed, service_ms, nodes } => lists(seed, service_ms, &nodes),
     }
 }
 
+fn starts(seed: u64, nodes: &[usize], rounds_ms: &[u64]) {
+    println!("| nodes | all answered once in ms | serving, p50 | p90 | last | not confirmed in time | calls turned away in 20 s |");
+    println!("| --- | --- | --- | --- | --- | --- | --- |");
+    for (nodes, round_ms) in
+        nodes.iter().flat_map(|nodes| rounds_ms.iter().map(move |round| (*nodes, *round)))
+    {
+        let service = Duration::from_millis(round_ms) / nodes as u32;
+        let length = Duration::from_secs(20);
+        let outcome = play(&Plan::quiet(nodes, seed, length, service), &Way::Follower(Settings::default()));
+        let ends: Vec<_> = outcome.starts.iter().flatten().collect();
+        let mut times: Vec<f64> = ends.iter().map(|(_, at)| at.as_secs_f64()).collect();
+        times.sort_by(f64::total_cmp);
+        let within =
+            |part: f64| times.get((part * (times.len() - 1) as f64) as usize).copied().unwrap_or(f64::NAN);
+        let late = ends.iter().filter(|(end, _)| *end == StartEnd::TimedOut).count();
+        println!(
+            "| {nodes} | {round_ms} | {:.2} | {:.2} | {:.2} | {late} | {} |",
+            within(0.5),
+            within(0.9),
+            within(1.0),
+            outcome.turned_away
+        );
+    }
+}
+
 fn rollout(rollouts: u64, nodes: usize, rate: f64) {
     use spurdrum_lab::rollout::{fixed_size, play, Does, Site};
     let (site, settings) = (Site { nodes, rate, ..Site::default() }, JudgeSettings::default());
@@ -198,18 +237,9 @@
     let rows: Vec<String> = cases
         .par_iter()
         .map(|((name, fault, slower), count, (way_name, way))| {
-            let plan = |commits| Plan {
-                nodes: *count,
-                seed,
-                length: Duration::from_secs(600),
-                commits,
-                service: Duration::from_millis(service_ms * slower),
-                fault: *fault,
-                evidence: true,
-                manners: Manners::default(),
-                moves: Vec::new(),
-                watches_fall_silent: None,
-            };
+            let (length, service) = (Duration::from_secs(600), Duration::from_millis(service_ms * slower));
+            let plan =
+                |commits| Plan { commits, fault: *fault, ..Plan::quiet(*count, seed, length, service) };
             let played = play(&plan(deploys(Duration::from_millis(350))), way);
             let quiet = play(&plan(Vec::new()), way);
             let pace = |outcome: &Outcome| outcome.calls as f64 / 600.0 / *count as f64;
--- a/crates/spurdrum-lab/tests/lists.rs
+++ b/crates/spurdrum-lab/tests/lists.rs
@@ -4,7 +4,7 @@
 
 use proptest::prelude::*;
 use spurdrum_lab::lists::{deploys, play, Fault, Manners, Plan, Way};
-use spurdrum_sources::follower::{Settings, View};
+use spurdrum_sources::follower::{Settings, StartEnd, View};
 
 /// After the last change and the last trouble, nodes have this long to catch up.
 const TAIL: f64 = 60.0;
@@ -66,20 +66,9 @@
     }
 }
 
-/// A plan in which the catalog treats all calls plainly and stays where it is.
+/// A plan for one node, in which nothing happens.
 fn plain() -> Plan {
-    Plan {
-        nodes: 1,
-        seed: 1,
-        length: Duration::from_secs(60),
-        commits: Vec::new(),
-        service: Duration::from_millis(2),
-        fault: Fault::None,
-        evidence: true,
-        manners: Manners::default(),
-        moves: Vec::new(),
-        watches_fall_silent: None,
-    }
+    Plan::quiet(1, 1, Duration::from_secs(60), Duration::from_millis(2))
 }
 
 /// What a node acts on after this long, it was told in time: 6 s, the grace of the platform's settings, and 50 ms on sockets.
@@ -205,3 +194,21 @@
     assert!(outcome.within(0.5) <= 5.0, "{}", outcome.within(0.5));
     assert!(outcome.within(0.99) <= 14.0, "{}", outcome.within(0.99));
 }
+
+/// Where discovery can answer all nodes once within 1.5 s, processes that start together are all confirmed before they have to do without,
+/// and none of their calls is turned away: the watches that follow queue behind the first calls.
+#[test]
+fn a_whole_fleet_that_starts_together_is_confirmed_in_time() {
+    for nodes in [3, 30, 300, 900] {
+        for round_ms in [100, 700, 1_500] {
+            let service = Duration::from_millis(round_ms) / nodes as u32;
+            let plan = Plan::quiet(nodes, 1, Duration::from_secs(20), service);
+            let outcome = play(&plan, &Way::Follower(Settings::default()));
+            assert_eq!(outcome.turned_away, 0, "{nodes} nodes, a round of {round_ms} ms");
+            for start in outcome.starts {
+                let (end, at) = start.expect("each start ends");
+                assert_eq!(end, StartEnd::Confirmed, "{nodes} nodes, a round of {round_ms} ms: {at:?}");
+            }
+        }
+    }
+}
