A process that replaces one that is still starting waits for discovery too

Found in code near the mend: the list that the new process takes over was taken as confirmed, also where the old process had it from an earlier run. The test fails without the mend.

--- a/crates/spurdrum/src/main.rs
+++ b/crates/spurdrum/src/main.rs
@@ -287,9 +287,9 @@
         Some(_) => {}
         None => node.known(places.listed(&config.known)),
     }
-    // A list that is not that of the process before may be of any age: what discovery removed since counts as told 6 s after,
+    // A list that the process before has not had confirmed may be of any age: what discovery removed since counts as told 6 s after,
     // however young this process is.
-    if catalog.is_some() && knowledge.is_none() {
+    if catalog.is_some() && knowledge.as_ref().is_none_or(|knowledge| knowledge.starting) {
         node.wait_to_serve();
     }
     if let Some(knowledge) = knowledge {
--- a/crates/spurdrum/src/replace.rs
+++ b/crates/spurdrum/src/replace.rs
@@ -19,6 +19,9 @@
 pub struct Knowledge {
     /// The list of servers, as it was told.
     pub list: List,
+    /// Whether nothing has confirmed that list since its process started.
+    #[serde(default)]
+    pub starting: bool,
     /// The ids of the servers that something was learned of.
     ids: Vec<String>,
     learned: Learned,
@@ -62,7 +65,8 @@
         let names = self.names.borrow();
         let (classes, tenants) = (names.classes.clone(), names.tenants.clone());
         let list = self.list.borrow().clone();
-        serde_json::to_value(Knowledge { list, ids, learned, classes, tenants }).unwrap_or_default()
+        let starting = self.node.is_starting();
+        serde_json::to_value(Knowledge { list, starting, ids, learned, classes, tenants }).unwrap_or_default()
     }
 }
 
--- a/crates/spurdrum/tests/net/mod.rs
+++ b/crates/spurdrum/tests/net/mod.rs
@@ -67,6 +67,13 @@
     command
 }
 
+/// Names a file with this text on the command line of a node at this address.
+fn name_file(command: &mut Command, address: SocketAddr, text: &str) {
+    let path = config_path(address).with_extension("toml");
+    std::fs::write(&path, text).expect("written");
+    command.arg("--config").arg(path);
+}
+
 /// The directory that the processes of a node share. Sockets' paths must be short.
 pub fn own_directory(address: SocketAddr) -> std::path::PathBuf {
     let path = std::env::temp_dir().join(format!("spd-{}", address.to_string().replace(':', "-")));
@@ -116,9 +123,7 @@
         let (address, discovery) = (own_address(), Server::start());
         let mut command = command(&config.to_string(), address, discovery.address);
         if let Some(text) = file {
-            let path = config_path(address).with_extension("toml");
-            std::fs::write(&path, text).expect("written");
-            command.arg("--config").arg(path);
+            name_file(&mut command, address, text);
         }
         Self::run(command, address, discovery)
     }
@@ -143,9 +148,17 @@
 
     /// A second process of this node, beside the first, with another address for operators.
     pub fn beside(&self, config: &Value, ops: SocketAddr) -> Self {
+        self.beside_with(config, ops, None)
+    }
+
+    /// The same with a file with this text, named on the command line.
+    pub fn beside_with(&self, config: &Value, ops: SocketAddr, file: Option<&str>) -> Self {
         let discovery = Server::start();
         let mut command = command(&config.to_string(), self.address, discovery.address);
         command.env("GW_OPS", ops.to_string());
+        if let Some(text) = file {
+            name_file(&mut command, self.address, text);
+        }
         Self::spawn(command, self.address, discovery)
     }
 
--- a/crates/spurdrum/tests/node/replace.rs
+++ b/crates/spurdrum/tests/node/replace.rs
@@ -151,6 +151,26 @@
     assert!(!servers[0].has_request(), "it has left");
 }
 
+/// The list that the new process takes over is no better than it was at the old one.
+#[test]
+fn a_process_that_replaces_one_that_is_still_starting_waits_for_discovery_too() {
+    let servers = [Server::start(), Server::start()];
+    let (config, ops) = operated(&[&servers[0], &servers[1]]);
+    let long_start = Some("[sources.catalog]\nready_within_ms = 60000\n");
+    let old = Node::start_unconfirmed(&config, long_start);
+    let next = own_address();
+    let mut new = old.beside_with(&config, next, long_start);
+    let first = new.discovery.request();
+    for ops in [ops, next] {
+        let answer = call(ops, "readyz");
+        assert!(answer.starts_with("NO starting"), "{answer}");
+    }
+    let removal = list(9, false, &[member("s0", servers[0].address, "left")]);
+    first.answer(OK, "", removal.to_string().as_bytes());
+    assert!(new.logged_with("the start: ").contains("discovery has confirmed the list"));
+    ready(next);
+}
+
 #[test]
 fn a_directory_or_socket_that_is_no_use_only_costs_the_passing_on() {
     let server = Server::start();
