--- a/crates/spurdrum-sources/src/follower/call.rs
+++ b/crates/spurdrum-sources/src/follower/call.rs
@@ -42,6 +42,11 @@
         matches!(self.ask, Ask::Watch { .. })
     }
 
+    /// How long after its wait it still is out, or ended; none where that is not over.
+    pub(super) fn late(&self, now: Duration) -> Option<Duration> {
+        now.checked_sub(self.started + self.ask.wait())
+    }
+
     pub(super) fn is_awaited(&self) -> bool {
         self.standing == Standing::Awaited
     }
--- a/crates/spurdrum-sources/src/follower/mod.rs
+++ b/crates/spurdrum-sources/src/follower/mod.rs
@@ -733,23 +733,21 @@
 
     /// Learns from how late a call ended after its wait.
     fn time(&mut self, now: Duration, call: &Call, add: impl Fn(&mut Timing, Duration)) {
-        let took = now - call.started;
-        if let Some(late) = took.checked_sub(call.ask.wait()).filter(|_| call.timed) {
+        if let Some(late) = call.late(now).filter(|_| call.timed) {
             add(if call.is_watch() { &mut self.lateness } else { &mut self.service }, late);
         }
     }
 
     /// A call took its turn at discovery, as one that need not wait or has news does.
     fn note_turn(&mut self, now: Duration, call: &Call) {
-        let late = now.checked_sub(call.started + call.ask.wait()).filter(|_| call.timed);
-        if let Some(late) = late.map(|late| late.as_secs_f64()) {
+        if let Some(late) = call.late(now).filter(|_| call.timed).map(|late| late.as_secs_f64()) {
             self.turn = Some(self.turn.map_or(late, |turn| f64::midpoint(turn, late)));
         }
     }
 
     /// A call is not answered yet: it may wait its turn, for longer than it has been out by now.
     fn note_waiting(&mut self, now: Duration, call: &Call) {
-        let late = now.saturating_sub(call.started + call.ask.wait()).as_secs_f64();
+        let late = call.late(now).unwrap_or_default().as_secs_f64();
         self.turn = Some(self.turn.map_or(late, |turn| turn.max(late)));
     }
 
@@ -769,7 +767,7 @@
         if call.standing == Standing::Superseded {
             return;
         }
-        let late = now.saturating_sub(call.started + call.ask.wait()).as_secs_f64();
+        let late = call.late(now).unwrap_or_default().as_secs_f64();
         if why == Failure::NoList && late > self.timing(call.ask).mean {
             // It may have waited its turn, and longer than discovery lets calls wait. One that is turned away at once says
             // nothing of how long an answer takes.
