A silent first call is let alone as long as others, and a start takes 1.5 s at most

Takes back the second call after a silent first one: in a crowd that was a read of the whole list, five times as dear, and lengthened discovery's queue.

--- a/crates/spurdrum-sources/src/follower/mod.rs
+++ b/crates/spurdrum-sources/src/follower/mod.rs
@@ -290,19 +290,15 @@
         let id = CallId(self.last_call);
         let timing = self.timing(ask);
         let most = told_after(ask.wait()).saturating_sub(self.answer_spare()).max(self.settings.patience);
-        let starting = self.start.is_some();
-        // Guards against a lost first answer: where many ask, patience is longer than a start may take.
-        let patience_most = if starting { self.settings.ready_within.min(most) } else { most };
-        let patience = self.patience(timing).min(patience_most);
+        let patience = self.patience(timing).min(most);
         let ends = now + ask.wait();
         let bound = match self.agent_time() {
             Some(time) => time,
             None if self.is_alone() => patience,
             None => timing.bound(OVERDUE_LEAST, patience / 2),
         };
-        // An agent answers the next one as soon; in a crowd discovery may end the first one for it. When all start at once it has a long queue.
-        let closed = self.settings.pushed || self.is_crowded() && !starting;
-        let kept = if closed { patience } else { most.max(KEPT) };
+        // An agent answers the next one as soon; in a crowd discovery may end the first one for it.
+        let kept = if self.settings.pushed || self.is_crowded() { patience } else { most.max(KEPT) };
         self.counts.calls[ask.kind()] += 1;
         self.calls.push(Call {
             id,
@@ -316,7 +312,7 @@
             standing: Standing::Awaited,
             by_evidence,
             // Many processes may start at once: how long discovery takes then says nothing of how long it takes usually.
-            timed: !starting,
+            timed: self.start.is_none(),
         });
         self.begun_at = Some(now);
         actions.push(Action::Call { call: id, ask });
--- a/crates/spurdrum-sources/src/follower/settings.rs
+++ b/crates/spurdrum-sources/src/follower/settings.rs
@@ -47,7 +47,7 @@
             wait_most: Duration::from_secs(5),
             patience: Duration::from_secs(1),
             blind_after: Duration::from_secs(3),
-            ready_within: Duration::from_secs(2),
+            ready_within: Duration::from_millis(1_500),
             retry_least: Duration::from_millis(100),
             retry_most: Duration::from_secs(1),
             share: 0.5,
