A confirmation that is read after SIGTERM still hands the node over

Callers saw: while a process was replaced on a busy machine, kept connections were closed after an answer ("connection: close") or unanswered, and new ones were refused with 503.

Cause: the front asked once, as SIGTERM came, whether another process takes over. The incoming process confirms long before it is ready, but on a busy machine its confirmation and the signal lie unread together, and the signal is handled first. The outgoing process then ended as if it were alone, and went on accepting from the shared queue; 0.1 ms later it read the confirmation, gave up its part of the descriptors, and so had no place for what it accepted.

Change: the end of a process is a pure state machine (`shutdown`) that looks at the handover again and again. While the listening socket has been sent and not confirmed it serves as before (0.25 s at most); a confirmation that comes even later counts as well. No connection is accepted once it is known that the other process does. The log says at which step the end is.

Tests: `a_confirmation_that_is_read_after_the_signal_hands_over_all_the_same` plays the incoming process and stops the outgoing one so that both are unread at once; it failed with the program before (200 with "connection: close"). The admission's test failed without its line (Last, not Keep). A process whose successor never confirms ends by itself, as before.

Requests that the outgoing process still holds find no descriptor; that is the next fault.

--- a/crates/spurdrum-admission/src/admission.rs
+++ b/crates/spurdrum-admission/src/admission.rs
@@ -189,6 +189,8 @@
             Event::Ending => self.ending = true,
             Event::Passing => {
                 self.passing = true;
+                // Its connections go on at the other process, also where that is known only by now.
+                self.ending = false;
                 actions.extend(self.resting().into_iter().map(Action::Pass));
             }
             Event::NotPassing => self.passing = false,
--- a/crates/spurdrum-admission/src/lib.rs
+++ b/crates/spurdrum-admission/src/lib.rs
@@ -158,7 +158,7 @@
     Starved,
     /// The node is ending: each answer is its connection's last.
     Ending,
-    /// Another process takes over: what rests between two requests is passed on to it.
+    /// Another process takes over: what rests between two requests is passed on to it, and no answer ends its connection any more.
     Passing,
     /// There is none to pass to any more.
     NotPassing,
--- a/crates/spurdrum-admission/tests/world.rs
+++ b/crates/spurdrum-admission/tests/world.rs
@@ -535,6 +535,24 @@
     assert_eq!(actions, [Action::Close(resting), expired(head), expired(body)]);
 }
 
+/// That another process takes over may be known only once the node is ending.
+#[test]
+fn where_another_process_takes_over_late_connections_are_passed_on_and_not_ended() {
+    let mut admission = Admission::new(Settings::default(), LIMITS).expect("sound");
+    let mut actions = Vec::new();
+    let id = ConnId(1);
+    let mut tell = |event| admission.handle(SECOND, event, &mut actions);
+    tell(Event::Accepted { id, peer: peer(1) });
+    tell(Event::Received { id, bytes: 20 });
+    tell(Event::Head { id, body: 0 });
+    tell(Event::Taken { id });
+    tell(Event::Ending);
+    tell(Event::Passing);
+    assert_eq!(tell(Event::Answer { id, bytes: 4, more: false }), Verdict::Keep);
+    tell(Event::Written { id });
+    assert_eq!(actions, [Action::Pass(id)]);
+}
+
 #[test]
 fn budgets_hold_from_32_descriptors_to_100_000() {
     for sockets in [1, 16, 32, 64, 256, 384, 1024, 10_000, 100_000] {
--- a/crates/spurdrum-handover/src/elder.rs
+++ b/crates/spurdrum-handover/src/elder.rs
@@ -124,6 +124,12 @@
         }
     }
 
+    /// Whether another process has been sent the listening socket and has not confirmed yet.
+    #[must_use]
+    pub fn awaits_confirmation(&self) -> bool {
+        matches!(self.state, State::Offered(_))
+    }
+
     /// Whether another process accepts as well.
     #[must_use]
     pub fn is_succeeded(&self) -> bool {
--- a/crates/spurdrum-handover/src/shell.rs
+++ b/crates/spurdrum-handover/src/shell.rs
@@ -195,6 +195,11 @@
         self.passes.get().is_some()
     }
 
+    /// Whether another process has been sent the listening socket and may confirm yet.
+    pub fn awaits_confirmation(&self) -> bool {
+        self.elder.borrow().awaits_confirmation()
+    }
+
     /// Passes a connection on; it comes back where that cannot be.
     ///
     /// # Errors
--- a/crates/spurdrum-http/src/front.rs
+++ b/crates/spurdrum-http/src/front.rs
@@ -30,6 +30,7 @@
 
 use crate::client::{Framing, Socket, Tally, FIELDS_MOST};
 use crate::keys::Keys;
+use crate::shutdown::{self, Remaining, Step, Succession};
 use crate::socket::Io;
 use crate::stream::{joined, Answered, Deadline, Listener, Source};
 use crate::upstream::{Carried, Forward, Upstream, BODY_MOST, BUFFER};
@@ -38,16 +39,6 @@
 const MARGIN: Duration = Duration::from_millis(10);
 /// The longest time that a client may say it will wait.
 const WAIT_MOST: Duration = Duration::from_secs(3600);
-/// After SIGTERM connections go on coming for up to 0.4 s.
-const STILL_COMING: Duration = Duration::from_millis(450);
-/// And none has come for so long when the last one is thought to have come.
-const QUIET: Duration = Duration::from_millis(200);
-/// Past the longest deadline, the node has this long to end.
-const END: Duration = Duration::from_millis(600);
-/// So long before that nothing more is taken, and what is still owed an answer gets its last one: it has to go out.
-const LAST_CALL: Duration = Duration::from_millis(150);
-/// How often a node that is ending looks whether it can.
-const LOOK: Duration = Duration::from_millis(10);
 /// With no descriptors to be had, accepting rests for so long, twice as long each time, up to the second.
 const BACKOFF: (Duration, Duration) = (Duration::from_millis(10), Duration::from_millis(160));
 /// And so many that wait are answered each time.
@@ -88,8 +79,8 @@
 
 /// The process that takes over from this one, where there is one.
 pub trait Successor {
-    /// Whether it accepts from the same queue as this process, and takes what rests.
-    fn is_there(&self) -> bool;
+    /// Whether there is one.
+    fn succession(&self) -> Succession;
 
     /// Takes a connection that rests between two requests.
     ///
@@ -146,8 +137,12 @@
         Self { successor, ..self }
     }
 
+    fn succession(&self) -> Succession {
+        self.successor.as_ref().map_or(Succession::None, |successor| successor.succession())
+    }
+
     fn is_succeeded(&self) -> bool {
-        self.successor.as_ref().is_some_and(|successor| successor.is_there())
+        self.succession() == Succession::Confirmed
     }
 
     /// Nothing more is taken, and what is owed an answer gets its last one.
@@ -176,7 +171,6 @@
 /// it had been accepted here.
 pub async fn run(front: Front, listener: TcpListener, mut passed: Passed, stop: impl Future<Output = ()>) {
     let front = Rc::new(front);
-    let node = Rc::clone(&front.node);
     let mut stop = pin!(stop);
     loop {
         tokio::select! {
@@ -186,53 +180,71 @@
             () = accept(&front, &listener) => {}
         }
     }
+    end(&front, &listener, passed).await;
+}
+
+/// Ends: hands over to the process that takes over, or answers what it has taken and closes.
+async fn end(front: &Rc<Front>, listener: &TcpListener, mut passed: Passed) {
     front.ending.set(true);
+    let node = &front.node;
     let longest = node.settings().classes.iter().map(|class| class.deadline_ms).fold(0.0, f64::max);
-    let asked = Instant::now();
-    if front.is_succeeded() {
-        node.connections.tell(Event::Passing);
-        let last = asked + Duration::from_secs_f64(longest / 1000.0) + END;
-        while Instant::now() < last && front.is_succeeded() {
-            if node.connections.open() == 0 && node.held() == 0 && front.successor.iter().all(|s| s.has_all())
-            {
-                return;
-            }
-            tokio::select! {
-                biased;
-                Some(connection) = passed.recv() => admit_passed(&front, connection),
-                () = sleep_until((Instant::now() + LOOK).min(last)) => {}
+    let longest = Duration::from_secs_f64(longest / 1000.0);
+    tracing::info!("told to end with {} connections and {} requests", node.connections.open(), node.held());
+    let mut shutdown = shutdown::Shutdown::new(Instant::now(), longest);
+    let mut steps = Vec::new();
+    loop {
+        let now = Instant::now();
+        shutdown.look(now, remaining(front), &mut steps);
+        for step in steps.drain(..) {
+            match step {
+                Step::HandOver => {
+                    tracing::info!("the end: connections are handed over to the other process");
+                    node.connections.tell(Event::Passing);
+                }
+                Step::Close => {
+                    tracing::info!("the end: no other process takes over, so answers end their connections");
+                    node.connections.tell(Event::NotPassing);
+                    node.connections.tell(Event::Ending);
+                }
+                Step::CloseIdle => {
+                    node.connections.tell(Event::NoneComes);
+                }
+                Step::LastCall => {
+                    tracing::info!("the end: last answers for {} requests", node.held());
+                    front.call_last();
+                }
+                Step::End => return,
             }
         }
-        node.connections.tell(Event::NotPassing);
-    }
-    node.connections.tell(Event::Ending);
-    let last = asked + Duration::from_secs_f64(longest / 1000.0) + END;
-    let mut came = asked;
-    while Instant::now() < last {
         tokio::select! {
-            Some(connection) = passed.recv() => admit_passed(&front, connection),
-            () = accept(&front, &listener) => came = Instant::now(),
-            () = sleep_until((Instant::now() + LOOK).min(last)) => {}
-        }
-        if last.saturating_duration_since(Instant::now()) <= LAST_CALL && !front.last_call.get() {
-            front.call_last();
-        }
-        if asked.elapsed() >= STILL_COMING && came.elapsed() >= QUIET {
-            node.connections.tell(Event::NoneComes);
-            if node.connections.open() == 0 && node.held() == 0 {
-                break;
-            }
+            Some(connection) = passed.recv() => admit_passed(front, connection),
+            () = accept(front, listener), if shutdown.accepts() => shutdown.accepted(Instant::now()),
+            () = sleep_until(shutdown.next_look(now)) => {}
         }
     }
 }
 
+/// What keeps a process that has been told to end.
+fn remaining(front: &Front) -> Remaining {
+    Remaining {
+        succession: front.succession(),
+        idle: front.node.connections.open() == 0 && front.node.held() == 0,
+        handed_over: front.successor.iter().all(|successor| successor.has_all()),
+    }
+}
+
 fn spare_descriptor() -> Option<File> {
     File::open("/dev/null").ok()
 }
 
-/// Takes the next connection.
+/// Takes the next connection, unless another process is there to take it.
 async fn accept(front: &Rc<Front>, listener: &TcpListener) {
-    match listener.accept().await {
+    // Guards against a connection that is taken when this process has given up its part of the descriptors: it would be refused.
+    let next = poll_fn(|cx| match front.is_succeeded() {
+        true => Poll::Pending,
+        false => listener.poll_accept(cx),
+    });
+    match next.await {
         Ok((stream, peer)) => {
             front.backoff.set(BACKOFF.0);
             admit(front, stream, peer.ip());
--- /dev/null
+++ b/crates/spurdrum-http/src/shutdown.rs
@@ -0,0 +1,152 @@
+//! How a process ends that has been told to: it hands over to the process that takes its place, or answers what it owes and
+//! closes. Pure: no clock and no I/O.
+//!
+//! Whether another process takes over may be known only after the signal: its confirmation may lie unread in a socket. So the
+//! state of the handover is looked at again and again, and not once.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+/// After SIGTERM connections go on coming for up to 0.4 s.
+const STILL_COMING: Duration = Duration::from_millis(450);
+/// And none has come for so long when the last one is thought to have come.
+const QUIET: Duration = Duration::from_millis(200);
+/// Past the longest deadline, the process has this long to end.
+const END: Duration = Duration::from_millis(600);
+/// So long before that nothing more is taken, and what is still owed an answer gets its last one: it has to go out.
+const LAST_CALL: Duration = Duration::from_millis(150);
+/// A confirmation that was sent before the signal has been read after this time; one that comes later still counts.
+const CONFIRMATION_MOST: Duration = Duration::from_millis(250);
+/// How often a process that is ending looks whether it can.
+const LOOK: Duration = Duration::from_millis(10);
+
+/// Whether another process takes over from this one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Succession {
+    /// None does.
+    None,
+    /// One has been sent the listening socket and has not confirmed yet that it accepts from it.
+    Offered,
+    /// It accepts from the same queue, and takes connections that rest between two requests.
+    Confirmed,
+}
+
+/// What is still there when a process looks whether it can end.
+#[derive(Clone, Copy, Debug)]
+pub struct Remaining {
+    /// Whether another process takes over.
+    pub succession: Succession,
+    /// No client's connection is open, and no request is held.
+    pub idle: bool,
+    /// All connections that were handed over are on their way.
+    pub handed_over: bool,
+}
+
+/// What is to be done.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Hand connections over as they come to rest, and accept none.
+    HandOver,
+    /// There is no process to hand over to: answers are the last on their connections.
+    Close,
+    /// No connection comes any more: close those that rest.
+    CloseIdle,
+    /// Take nothing more, and give what is owed an answer its last one.
+    LastCall,
+    /// End.
+    End,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    /// Serving as before the signal: another process may still confirm.
+    AwaitingConfirmation,
+    HandingOver,
+    Closing,
+}
+
+/// The end of one process, from the signal on.
+#[derive(Debug)]
+pub struct Shutdown {
+    began: Instant,
+    /// By then the process ends, whatever is left.
+    deadline: Instant,
+    phase: Phase,
+    accepted_at: Instant,
+    last_called: bool,
+}
+
+impl Shutdown {
+    /// The process has been told to end at `now`; its clients wait for `longest_deadline` at the most.
+    #[must_use]
+    pub fn new(now: Instant, longest_deadline: Duration) -> Self {
+        Self {
+            began: now,
+            deadline: now + longest_deadline + END,
+            phase: Phase::AwaitingConfirmation,
+            accepted_at: now,
+            last_called: false,
+        }
+    }
+
+    /// Looks at what remains and appends what is to be done.
+    pub fn look(&mut self, now: Instant, remaining: Remaining, steps: &mut Vec<Step>) {
+        let next = self.next_phase(now, remaining.succession);
+        if next != self.phase {
+            self.phase = next;
+            steps.push(if next == Phase::HandingOver { Step::HandOver } else { Step::Close });
+        }
+        if now >= self.deadline {
+            return steps.push(Step::End);
+        }
+        if self.phase == Phase::Closing && !self.last_called && self.deadline - now <= LAST_CALL {
+            self.last_called = true;
+            steps.push(Step::LastCall);
+        }
+        let over = match self.phase {
+            Phase::AwaitingConfirmation => false,
+            Phase::HandingOver => remaining.handed_over,
+            Phase::Closing => self.none_comes(now),
+        };
+        if over && self.phase == Phase::Closing {
+            steps.push(Step::CloseIdle);
+        }
+        if over && remaining.idle {
+            steps.push(Step::End);
+        }
+    }
+
+    fn next_phase(&self, now: Instant, succession: Succession) -> Phase {
+        let waits = self.phase == Phase::AwaitingConfirmation && now < self.began + CONFIRMATION_MOST;
+        match succession {
+            Succession::Confirmed => Phase::HandingOver,
+            Succession::Offered if waits => Phase::AwaitingConfirmation,
+            Succession::Offered | Succession::None => Phase::Closing,
+        }
+    }
+
+    fn none_comes(&self, now: Instant) -> bool {
+        now >= self.began + STILL_COMING && now >= self.accepted_at + QUIET
+    }
+
+    /// Whether connections are accepted, rather than left to the process that takes over.
+    #[must_use]
+    pub fn accepts(&self) -> bool {
+        self.phase != Phase::HandingOver
+    }
+
+    /// A connection was accepted.
+    pub fn accepted(&mut self, now: Instant) {
+        self.accepted_at = now;
+    }
+
+    /// When it wants to look again at the latest.
+    #[must_use]
+    pub fn next_look(&self, now: Instant) -> Instant {
+        (now + LOOK).min(self.deadline)
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/spurdrum-http/src/shutdown/tests.rs
@@ -0,0 +1,86 @@
+use super::*;
+
+const LONGEST: Duration = Duration::from_secs(2);
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn remaining(succession: Succession) -> Remaining {
+    Remaining { succession, idle: false, handed_over: false }
+}
+
+fn steps(shutdown: &mut Shutdown, now: Instant, remaining: Remaining) -> Vec<Step> {
+    let mut steps = Vec::new();
+    shutdown.look(now, remaining, &mut steps);
+    steps
+}
+
+/// Guards against a handover that is decided once, at the signal, when its confirmation lies unread in the socket.
+#[test]
+fn a_confirmation_that_is_read_after_the_signal_still_hands_over() {
+    let start = Instant::now();
+    let mut shutdown = Shutdown::new(start, LONGEST);
+    assert_eq!(steps(&mut shutdown, start, remaining(Succession::Offered)), []);
+    assert!(shutdown.accepts(), "it serves as before until then");
+    let after = steps(&mut shutdown, start + ms(1), remaining(Succession::Confirmed));
+    assert_eq!(after, [Step::HandOver]);
+    assert!(!shutdown.accepts());
+    let done = Remaining { succession: Succession::Confirmed, idle: true, handed_over: true };
+    assert_eq!(steps(&mut shutdown, start + ms(20), done), [Step::End]);
+}
+
+#[test]
+fn a_confirmation_that_does_not_come_is_not_waited_for_and_counts_all_the_same_when_it_does() {
+    let start = Instant::now();
+    let mut shutdown = Shutdown::new(start, LONGEST);
+    let offered = remaining(Succession::Offered);
+    assert_eq!(steps(&mut shutdown, start + CONFIRMATION_MOST - ms(1), offered), []);
+    assert_eq!(steps(&mut shutdown, start + CONFIRMATION_MOST, offered), [Step::Close]);
+    assert_eq!(steps(&mut shutdown, start + ms(300), offered), []);
+    assert!(shutdown.accepts());
+    let late = steps(&mut shutdown, start + ms(400), remaining(Succession::Confirmed));
+    assert_eq!(late, [Step::HandOver]);
+    assert!(!shutdown.accepts());
+}
+
+#[test]
+fn where_the_other_process_dies_this_one_closes_by_itself() {
+    let start = Instant::now();
+    for before in [Succession::Offered, Succession::Confirmed] {
+        let mut shutdown = Shutdown::new(start, LONGEST);
+        steps(&mut shutdown, start, remaining(before));
+        assert_eq!(steps(&mut shutdown, start + ms(50), remaining(Succession::None)), [Step::Close]);
+        assert!(shutdown.accepts());
+        let idle = Remaining { idle: true, ..remaining(Succession::None) };
+        assert_eq!(steps(&mut shutdown, start + STILL_COMING - ms(1), idle), []);
+        assert_eq!(steps(&mut shutdown, start + STILL_COMING, idle), [Step::CloseIdle, Step::End]);
+    }
+}
+
+#[test]
+fn connections_that_still_come_keep_it_from_closing_those_that_rest() {
+    let start = Instant::now();
+    let mut shutdown = Shutdown::new(start, LONGEST);
+    steps(&mut shutdown, start, remaining(Succession::None));
+    shutdown.accepted(start + ms(400));
+    let idle = Remaining { idle: true, ..remaining(Succession::None) };
+    assert_eq!(steps(&mut shutdown, start + ms(400) + QUIET - ms(1), idle), []);
+    assert_eq!(steps(&mut shutdown, start + ms(400) + QUIET, idle), [Step::CloseIdle, Step::End]);
+}
+
+#[test]
+fn whatever_is_left_gets_its_last_answer_before_the_end() {
+    let start = Instant::now();
+    for succession in [Succession::None, Succession::Offered] {
+        let mut shutdown = Shutdown::new(start, LONGEST);
+        steps(&mut shutdown, start, remaining(succession));
+        let end = start + LONGEST + END;
+        let called = steps(&mut shutdown, end - LAST_CALL, remaining(succession));
+        assert!(called.contains(&Step::LastCall), "{succession:?}: {called:?}");
+        assert!(!called.contains(&Step::End), "{succession:?}: {called:?}");
+        let again = steps(&mut shutdown, end - ms(1), remaining(succession));
+        assert!(!again.contains(&Step::LastCall) && !again.contains(&Step::End), "{succession:?}: {again:?}");
+        assert_eq!(steps(&mut shutdown, end, remaining(succession)), [Step::End]);
+    }
+}
--- a/crates/spurdrum/src/replace.rs
+++ b/crates/spurdrum/src/replace.rs
@@ -8,7 +8,7 @@
 use spurdrum_admission::Event;
 use spurdrum_core::{Connections, Node};
 use spurdrum_handover::{path, Estate, Identity, Inheritance, Offer, Told, FORMAT};
-use spurdrum_http::{Names, Passed, SharedNames, Successor, Upstream};
+use spurdrum_http::{Names, Passed, SharedNames, Succession, Successor, Upstream};
 use spurdrum_policy::Learned;
 use spurdrum_sources::List;
 use tokio::net::TcpListener;
@@ -165,8 +165,14 @@
 pub struct Heir(pub Rc<Offer>);
 
 impl Successor for Heir {
-    fn is_there(&self) -> bool {
-        self.0.passes()
+    fn succession(&self) -> Succession {
+        if self.0.passes() {
+            Succession::Confirmed
+        } else if self.0.awaits_confirmation() {
+            Succession::Offered
+        } else {
+            Succession::None
+        }
     }
 
     fn take(&self, connection: std::net::TcpStream) -> Result<(), std::net::TcpStream> {
--- a/crates/spurdrum/tests/node.rs
+++ b/crates/spurdrum/tests/node.rs
@@ -12,6 +12,8 @@
 mod edges;
 #[path = "node/endings.rs"]
 mod endings;
+#[path = "node/incoming.rs"]
+mod incoming;
 mod net;
 #[path = "node/ops.rs"]
 mod ops;
--- a/crates/spurdrum/tests/node/replace.rs
+++ b/crates/spurdrum/tests/node/replace.rs
@@ -1,5 +1,6 @@
 //! One process takes over from another.
 
+use super::incoming::Incoming;
 use super::ops::{call, figures, operated, until};
 use super::*;
 
@@ -255,6 +256,75 @@
     assert_eq!(served, *over.lock().expect("counted"));
 }
 
+/// The request that a client has sent on a connection that was handed over, answered here in place of a process.
+fn answer_by_hand(connection: TcpStream) {
+    connection.set_nonblocking(false).expect("set");
+    connection.set_read_timeout(Some(LONG)).expect("set");
+    let mut reader = std::io::BufReader::new(connection.try_clone().expect("cloned"));
+    Message::read(&mut reader).expect("a request");
+    let mut writer = connection;
+    writer.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nhere").expect("answered");
+}
+
+/// Guards against a handover that is decided at the signal alone: on a busy machine the confirmation lies unread then.
+#[test]
+fn a_confirmation_that_is_read_after_the_signal_hands_over_all_the_same() {
+    let server = Server::start();
+    let (config, _) = operated(&[&server]);
+    let mut old = Node::start(&config);
+    let (mut resting, mut asking) = (old.client(), old.client());
+    serve(&server, &mut resting);
+    asking.send(&request("pay", 20.0));
+    let open = server.request();
+    let (mut incoming, listener) = Incoming::offered(old.address);
+    // Both are there when the process goes on.
+    old.signal("-STOP");
+    old.terminate();
+    incoming.confirm();
+    old.signal("-CONT");
+    let connection = incoming.connection().expect("what rests is handed over");
+    resting.send(&request("update", 20.0));
+    answer_by_hand(connection);
+    assert_eq!(resting.answer().body, b"here");
+    open.answer(OK, "", b"late");
+    let answer = asking.answer();
+    assert_eq!((answer.status(), answer.header("connection")), (200, None));
+    let connection = incoming.connection().expect("so is what has been answered");
+    asking.send(&request("update", 20.0));
+    answer_by_hand(connection);
+    assert_eq!(asking.answer().body, b"here");
+    let mut next = old.client();
+    next.send(&request("update", 20.0));
+    // The socket is shared, and so is that it does not block.
+    let mut accepted = None;
+    until(|| {
+        accepted = listener.accept().ok();
+        accepted.is_some()
+    });
+    answer_by_hand(accepted.expect("accepted here").0);
+    assert_eq!(next.answer().body, b"here");
+    assert!(old.wait().success());
+    assert!(incoming.connection().is_none());
+}
+
+#[test]
+fn a_process_whose_successor_never_confirms_ends_by_itself() {
+    let server = Server::start();
+    let (config, _) = operated(&[&server]);
+    let mut old = Node::start(&config);
+    let mut client = old.client();
+    client.send(&request("pay", 20.0));
+    let open = server.request();
+    let (_incoming, _listener) = Incoming::offered(old.address);
+    old.terminate();
+    assert!(old.logged_with("the end: ").contains("no other process takes over"));
+    serve(&server, &mut old.client());
+    open.answer(OK, "", b"late");
+    let answer = client.answer();
+    assert_eq!((answer.status(), answer.header("connection")), (200, Some("close")));
+    assert!(old.wait().success());
+}
+
 /// A node that is nearly full hands all of it on: the new process has room for what comes as the old one gives it up.
 #[test]
 fn a_full_node_passes_on_all_its_connections() {
