An outgoing process keeps descriptors for the requests that it still holds

Callers saw: a request that a process had just read when it was replaced was refused with 503.

Cause: once told to end the outgoing process gave up all descriptors but those in use (`Part::shrink`). A request that had been read and not sent yet needs one more, for its connection to a server: three attempts ended "not sent" and the request was refused.

Change: the part that is kept is what is in use and one more for each client that is still here. A client has one request at a time, and a request one attempt.

Tests: `requests_that_are_half_sent_at_the_handover_reach_their_servers` (16 half-sent requests) failed with the program before.

--- a/crates/spurdrum/src/replace.rs
+++ b/crates/spurdrum/src/replace.rs
@@ -153,7 +153,9 @@
     }
 
     fn shrink(&self) -> usize {
-        self.keep(self.connections.used().0.min(self.kept.get()))
+        // Each client that is still here may have a request on its way, which needs a connection to a server.
+        let needed = self.connections.used().0 + self.connections.open();
+        self.keep(needed.min(self.kept.get()))
     }
 
     fn whole(&self) {
--- a/crates/spurdrum/tests/node/replace.rs
+++ b/crates/spurdrum/tests/node/replace.rs
@@ -307,6 +307,35 @@
     assert!(incoming.connection().is_none());
 }
 
+/// Guards against an outgoing process that gives up descriptors which what it has taken still needs: one to a server each.
+#[test]
+fn requests_that_are_half_sent_at_the_handover_reach_their_servers() {
+    let server = Server::start();
+    let (config, _) = operated(&[&server]);
+    let mut old = Node::start(&config);
+    let mut clients: Vec<_> = (0..16).map(|_| (old.client(), request("pay", 20.0))).collect();
+    for (client, whole) in &mut clients {
+        client.send(&whole[..20]);
+    }
+    let ops = own_address();
+    let _new = old.beside(&config, ops);
+    ready(ops);
+    old.terminate();
+    assert!(old.logged_with("the end: ").contains("handed over"));
+    for (client, whole) in &mut clients {
+        client.send(&whole[20..]);
+    }
+    let open: Vec<Exchange> = clients.iter().map(|_| server.request()).collect();
+    open.into_iter().for_each(|exchange| exchange.answer(OK, "", b"served"));
+    for (client, _) in &mut clients {
+        assert_eq!(client.answer().status(), 200);
+    }
+    assert!(old.wait().success());
+    for (client, _) in &mut clients {
+        serve(&server, client);
+    }
+}
+
 #[test]
 fn a_process_whose_successor_never_confirms_ends_by_itself() {
     let server = Server::start();
