A process that hands over gives what still waits its last answer

Callers saw: a request whose server hangs through the handover, and whose client waits longer than the settings' longest deadline, had its connection closed with no answer as the outgoing process ended.

Cause: the last call, 150 ms before the end, was made only where no other process takes over. Found by reading, as the end became a state machine: the same decision taken once.

Change: the last call belongs to each way to the end.

Tests: `a_process_that_hands_over_gives_what_still_waits_its_last_answer` (two processes, a server that says nothing) failed with the program before: no answer. The machine's own test has the same for every state of the handover.

--- a/crates/spurdrum-http/src/shutdown.rs
+++ b/crates/spurdrum-http/src/shutdown.rs
@@ -100,7 +100,7 @@
         if now >= self.deadline {
             return steps.push(Step::End);
         }
-        if self.phase == Phase::Closing && !self.last_called && self.deadline - now <= LAST_CALL {
+        if !self.last_called && self.deadline - now <= LAST_CALL {
             self.last_called = true;
             steps.push(Step::LastCall);
         }
--- a/crates/spurdrum-http/src/shutdown/tests.rs
+++ b/crates/spurdrum-http/src/shutdown/tests.rs
@@ -69,10 +69,11 @@
     assert_eq!(steps(&mut shutdown, start + ms(400) + QUIET, idle), [Step::CloseIdle, Step::End]);
 }
 
+/// Guards against a process that hands over, ends at its time and leaves what still waits with no answer.
 #[test]
 fn whatever_is_left_gets_its_last_answer_before_the_end() {
     let start = Instant::now();
-    for succession in [Succession::None, Succession::Offered] {
+    for succession in [Succession::None, Succession::Offered, Succession::Confirmed] {
         let mut shutdown = Shutdown::new(start, LONGEST);
         steps(&mut shutdown, start, remaining(succession));
         let end = start + LONGEST + END;
--- a/crates/spurdrum/tests/node/replace.rs
+++ b/crates/spurdrum/tests/node/replace.rs
@@ -354,6 +354,26 @@
     assert!(old.wait().success());
 }
 
+/// A server hangs, and its client would wait for longer than the process may live.
+#[test]
+fn a_process_that_hands_over_gives_what_still_waits_its_last_answer() {
+    let server = Server::start();
+    let (mut config, _) = operated(&[&server]);
+    for class in config["settings"]["classes"].as_array_mut().expect("a list") {
+        class["deadline_ms"] = json!(300.0);
+    }
+    let mut old = Node::start(&config);
+    let mut client = old.client();
+    client.send(&request("pay", 20.0));
+    let _unanswered = server.request();
+    let ops = own_address();
+    let _new = old.beside(&config, ops);
+    ready(ops);
+    old.terminate();
+    assert_eq!(client.answer().status(), 504);
+    assert!(old.wait().success());
+}
+
 /// A node that is nearly full hands all of it on: the new process has room for what comes as the old one gives it up.
 #[test]
 fn a_full_node_passes_on_all_its_connections() {
