A process in a chain of replacements hands on what the one before it still has

Callers saw: where a process is replaced while the one before it still answers a request, that answer was the last on its connection, and connections on their way between the two were closed.

Cause: the process in the middle ended as soon as it had nothing itself, though the first could still hand connections to it; and a connection that arrived while it was handing over was admitted against the part of the descriptors that it had given up.

Change: it ends once the process before it has gone (its own deadline bounds that), and what comes from there goes straight on to the next process.

Tests: `a_process_in_the_middle_of_a_chain_hands_on_what_the_one_before_it_still_has` (three processes, one request open at the first) failed without this change: the middle one had ended.

--- a/crates/spurdrum-http/src/front.rs
+++ b/crates/spurdrum-http/src/front.rs
@@ -194,7 +194,7 @@
     let mut steps = Vec::new();
     loop {
         let now = Instant::now();
-        shutdown.look(now, remaining(front), &mut steps);
+        shutdown.look(now, remaining(front, &passed), &mut steps);
         for step in steps.drain(..) {
             match step {
                 Step::HandOver => {
@@ -217,7 +217,7 @@
             }
         }
         tokio::select! {
-            Some(connection) = passed.recv() => admit_passed(front, connection),
+            Some(connection) = passed.recv() => pass_on(front, connection),
             () = accept(front, listener), if shutdown.accepts() => shutdown.accepted(Instant::now()),
             () = sleep_until(shutdown.next_look(now)) => {}
         }
@@ -225,11 +225,23 @@
 }
 
 /// What keeps a process that has been told to end.
-fn remaining(front: &Front) -> Remaining {
+fn remaining(front: &Front, passed: &Passed) -> Remaining {
+    let none_is_passed_here = passed.is_closed() && passed.is_empty();
     Remaining {
         succession: front.succession(),
         idle: front.node.connections.open() == 0 && front.node.held() == 0,
-        handed_over: front.successor.iter().all(|successor| successor.has_all()),
+        handed_over: none_is_passed_here && front.successor.iter().all(|successor| successor.has_all()),
+    }
+}
+
+/// A connection that the process before this one has passed on goes straight to the next, where there is one by now.
+fn pass_on(front: &Rc<Front>, connection: std::net::TcpStream) {
+    let rest = match &front.successor {
+        Some(successor) if front.is_succeeded() => successor.take(connection),
+        _ => Err(connection),
+    };
+    if let Err(connection) = rest {
+        admit_passed(front, connection);
     }
 }
 
--- a/crates/spurdrum-http/src/shutdown.rs
+++ b/crates/spurdrum-http/src/shutdown.rs
@@ -39,7 +39,7 @@
     pub succession: Succession,
     /// No client's connection is open, and no request is held.
     pub idle: bool,
-    /// All connections that were handed over are on their way.
+    /// All connections that were handed over are on their way, and none can come any more from the process before this one.
     pub handed_over: bool,
 }
 
--- a/crates/spurdrum/tests/node/replace.rs
+++ b/crates/spurdrum/tests/node/replace.rs
@@ -354,6 +354,33 @@
     assert!(old.wait().success());
 }
 
+/// Guards against a process that has ended when the one before it still has connections to hand over.
+#[test]
+fn a_process_in_the_middle_of_a_chain_hands_on_what_the_one_before_it_still_has() {
+    let mut clients = Vec::new();
+    let Pair { server, mut old, new: mut middle, ops } = pair(|old| clients.push(old.client()));
+    let client = &mut clients[0];
+    client.send(&request("pay", 20.0));
+    let open = server.request();
+    old.terminate();
+    assert!(old.logged_with("the end: ").contains("handed over"));
+    let (config, last_ops) = (config(&members(&[&server])), own_address());
+    let last = middle.beside(&config, last_ops);
+    ready(last_ops);
+    middle.terminate();
+    assert!(middle.logged_with("the end: ").contains("handed over"));
+    let since = Instant::now();
+    while since.elapsed() < Duration::from_millis(100) {
+        assert_eq!(call(ops, "readyz"), "NO ending\n");
+    }
+    open.answer(OK, "", b"late");
+    assert_eq!(client.answer().status(), 200);
+    assert!(old.wait().success());
+    assert!(middle.wait().success());
+    serve(&server, client);
+    drop(last);
+}
+
 /// A server hangs, and its client would wait for longer than the process may live.
 #[test]
 fn a_process_that_hands_over_gives_what_still_waits_its_last_answer() {
