--- a/crates/spurdrum-handover/src/heir.rs
+++ b/crates/spurdrum-handover/src/incoming.rs
@@ -2,9 +2,9 @@
 
 use crate::message::{Identity, Message};
 
-/// What happens to the heir.
+/// What happens to the incoming process.
 #[derive(Clone, Debug, PartialEq)]
-pub enum HeirEvent {
+pub enum IncomingEvent {
     /// There is a process to call.
     Connected,
     /// It has said this.
@@ -13,25 +13,25 @@
     Lost,
 }
 
-/// What the heir is to do.
+/// What the incoming process is to do.
 #[derive(Clone, Debug, PartialEq)]
-pub enum HeirAction {
+pub enum IncomingAction {
     /// Send this.
     Send(Message),
-    /// The listening socket that came is this process's too; the elder knows this and keeps so many descriptors.
+    /// The listening socket that came is this process's too; the outgoing process knows this and keeps so many descriptors.
     Inherit {
-        /// Descriptors that the elder keeps.
+        /// Descriptors that the outgoing process keeps.
         share: usize,
         /// What it knows.
         state: serde_json::Value,
     },
     /// Listen on a socket of its own.
     StartAlone(String),
-    /// The elder keeps so many descriptors now.
+    /// The outgoing process keeps so many descriptors now.
     Share(usize),
     /// Serve the connection that came.
     Serve,
-    /// The elder has gone: the whole budget is this process's.
+    /// The outgoing process has gone: the whole budget is this process's.
     Alone,
 }
 
@@ -43,14 +43,14 @@
     Alone,
 }
 
-/// The decisions of the heir: no clock and no I/O.
+/// The decisions of the incoming process: no clock and no I/O.
 #[derive(Debug)]
-pub struct Heir {
+pub struct Incoming {
     identity: Identity,
     state: State,
 }
 
-impl Heir {
+impl Incoming {
     /// The process of this node.
     #[must_use]
     pub fn new(identity: Identity) -> Self {
@@ -58,38 +58,40 @@
     }
 
     /// Handles an event.
-    pub fn handle(&mut self, event: HeirEvent, actions: &mut Vec<HeirAction>) {
+    pub fn handle(&mut self, event: IncomingEvent, actions: &mut Vec<IncomingAction>) {
         match (self.state, event) {
-            (State::Begun, HeirEvent::Connected) => {
+            (State::Begun, IncomingEvent::Connected) => {
                 self.state = State::Greeted;
-                actions.push(HeirAction::Send(Message::Hello(self.identity.clone())));
+                actions.push(IncomingAction::Send(Message::Hello(self.identity.clone())));
             }
-            (State::Greeted, HeirEvent::Said(Message::Offer { share, state })) => {
+            (State::Greeted, IncomingEvent::Said(Message::Offer { share, state })) => {
                 self.state = State::Inherited;
-                actions.push(HeirAction::Inherit { share, state });
-                actions.push(HeirAction::Send(Message::Confirm));
+                actions.push(IncomingAction::Inherit { share, state });
+                actions.push(IncomingAction::Send(Message::Confirm));
             }
-            (State::Greeted, HeirEvent::Said(Message::Decline(why))) => self.start_alone(why, actions),
-            (State::Inherited, HeirEvent::Said(Message::Share(share))) => {
-                actions.push(HeirAction::Share(share));
+            (State::Greeted, IncomingEvent::Said(Message::Decline(why))) => self.start_alone(why, actions),
+            (State::Inherited, IncomingEvent::Said(Message::Share(share))) => {
+                actions.push(IncomingAction::Share(share));
             }
-            (State::Inherited, HeirEvent::Said(Message::Connection)) => actions.push(HeirAction::Serve),
-            (State::Begun | State::Greeted, HeirEvent::Lost) => {
+            (State::Inherited, IncomingEvent::Said(Message::Connection)) => {
+                actions.push(IncomingAction::Serve);
+            }
+            (State::Begun | State::Greeted, IncomingEvent::Lost) => {
                 self.start_alone("no process answers".into(), actions);
             }
-            (State::Greeted, HeirEvent::Said(_)) => {
+            (State::Greeted, IncomingEvent::Said(_)) => {
                 self.start_alone("it answers out of turn".into(), actions);
             }
             (State::Inherited, _) => {
                 self.state = State::Alone;
-                actions.push(HeirAction::Alone);
+                actions.push(IncomingAction::Alone);
             }
-            (State::Begun | State::Alone, _) | (State::Greeted, HeirEvent::Connected) => {}
+            (State::Begun | State::Alone, _) | (State::Greeted, IncomingEvent::Connected) => {}
         }
     }
 
-    fn start_alone(&mut self, why: String, actions: &mut Vec<HeirAction>) {
+    fn start_alone(&mut self, why: String, actions: &mut Vec<IncomingAction>) {
         self.state = State::Alone;
-        actions.push(HeirAction::StartAlone(why));
+        actions.push(IncomingAction::StartAlone(why));
     }
 }
--- a/crates/spurdrum-handover/src/message.rs
+++ b/crates/spurdrum-handover/src/message.rs
@@ -26,20 +26,20 @@
 /// One message.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Message {
-    /// The heir's first word.
+    /// The incoming process's first word.
     Hello(Identity),
-    /// The elder's answer; the listening socket comes with it.
+    /// The outgoing process's answer; the listening socket comes with it.
     Offer {
-        /// Descriptors that the elder keeps to itself.
+        /// Descriptors that the outgoing process keeps to itself.
         share: usize,
         /// What it knows, as the program writes it.
         state: serde_json::Value,
     },
-    /// The elder's other answer: the heir starts alone.
+    /// The outgoing process's other answer: the incoming process starts alone.
     Decline(String),
-    /// The heir accepts from the listening socket from now on.
+    /// The incoming process accepts from the listening socket from now on.
     Confirm,
-    /// The elder keeps so many descriptors to itself from now on.
+    /// The outgoing process keeps so many descriptors to itself from now on.
     Share(usize),
     /// A client's connection that rests between two requests comes with it.
     Connection,
--- a/crates/spurdrum-handover/src/elder.rs
+++ b/crates/spurdrum-handover/src/outgoing.rs
@@ -4,55 +4,55 @@
 
 /// A process that has called, numbered in the order of calling.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub struct HeirId(pub u64);
+pub struct IncomingId(pub u64);
 
-/// What happens to the elder.
+/// What happens to the outgoing process.
 #[derive(Clone, Debug, PartialEq)]
-pub enum ElderEvent {
+pub enum OutgoingEvent {
     /// A process of the same user has called.
-    Called(HeirId),
+    Called(IncomingId),
     /// It has said this.
-    Said(HeirId, Message),
+    Said(IncomingId, Message),
     /// It has gone, or said what is no message.
-    Lost(HeirId),
-    /// The elder has been told to end.
+    Lost(IncomingId),
+    /// The outgoing process has been told to end.
     Stop,
 }
 
-/// What the elder is to do.
+/// What the outgoing process is to do.
 #[derive(Clone, Debug, PartialEq)]
-pub enum ElderAction {
-    /// Send the offer and the listening socket: from now on the elder keeps to its part of the budget.
-    Offer(HeirId),
+pub enum OutgoingAction {
+    /// Send the offer and the listening socket: from now on the outgoing process keeps to its part of the budget.
+    Offer(IncomingId),
     /// Send the reason, and close.
-    Decline(HeirId, &'static str),
+    Decline(IncomingId, &'static str),
     /// Close.
-    Drop(HeirId),
-    /// The heir accepts as well. Whoever starts next calls the heir.
-    Succeeded(HeirId),
+    Drop(IncomingId),
+    /// The incoming process accepts as well. Whoever starts next calls the incoming process.
+    Succeeded(IncomingId),
     /// Accept no more, and pass on what rests.
-    Pass(HeirId),
-    /// There is no heir any more: the whole budget is the elder's again, it can be called, and accepts.
+    Pass(IncomingId),
+    /// There is no incoming process any more: the whole budget is the outgoing process's again, it can be called, and accepts.
     Alone,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum State {
     Alone,
-    Greeting(HeirId),
-    Offered(HeirId),
-    Succeeded(HeirId),
+    Greeting(IncomingId),
+    Offered(IncomingId),
+    Succeeded(IncomingId),
 }
 
-/// The decisions of the elder: no clock and no I/O.
+/// The decisions of the outgoing process: no clock and no I/O.
 #[derive(Debug)]
-pub struct Elder {
+pub struct Outgoing {
     identity: Identity,
     state: State,
     stopping: bool,
 }
 
-impl Elder {
+impl Outgoing {
     /// The process of this node.
     #[must_use]
     pub fn new(identity: Identity) -> Self {
@@ -60,22 +60,22 @@
     }
 
     /// Handles an event.
-    pub fn handle(&mut self, event: ElderEvent, actions: &mut Vec<ElderAction>) {
+    pub fn handle(&mut self, event: OutgoingEvent, actions: &mut Vec<OutgoingAction>) {
         match event {
-            ElderEvent::Called(id) => match self.state {
-                _ if self.stopping => actions.push(ElderAction::Decline(id, "this process is ending")),
+            OutgoingEvent::Called(id) => match self.state {
+                _ if self.stopping => actions.push(OutgoingAction::Decline(id, "this process is ending")),
                 State::Alone => self.state = State::Greeting(id),
-                _ => actions.push(ElderAction::Decline(id, "another process is taking over")),
+                _ => actions.push(OutgoingAction::Decline(id, "another process is taking over")),
             },
-            ElderEvent::Said(id, message) => self.said(id, &message, actions),
-            ElderEvent::Lost(id) => self.lost(id, actions),
-            ElderEvent::Stop => {
+            OutgoingEvent::Said(id, message) => self.said(id, &message, actions),
+            OutgoingEvent::Lost(id) => self.lost(id, actions),
+            OutgoingEvent::Stop => {
                 self.stopping = true;
                 match self.state {
-                    State::Succeeded(id) => actions.push(ElderAction::Pass(id)),
+                    State::Succeeded(id) => actions.push(OutgoingAction::Pass(id)),
                     State::Greeting(id) => {
                         self.state = State::Alone;
-                        actions.push(ElderAction::Decline(id, "this process is ending"));
+                        actions.push(OutgoingAction::Decline(id, "this process is ending"));
                     }
                     // It confirms yet, or is lost.
                     State::Alone | State::Offered(_) => {}
@@ -84,7 +84,7 @@
         }
     }
 
-    fn said(&mut self, id: HeirId, message: &Message, actions: &mut Vec<ElderAction>) {
+    fn said(&mut self, id: IncomingId, message: &Message, actions: &mut Vec<OutgoingAction>) {
         match (self.state, message) {
             (State::Greeting(of), Message::Hello(who)) if of == id => {
                 let why = match () {
@@ -92,33 +92,33 @@
                     () if *who != self.identity => "this process is another node",
                     () => {
                         self.state = State::Offered(id);
-                        return actions.push(ElderAction::Offer(id));
+                        return actions.push(OutgoingAction::Offer(id));
                     }
                 };
                 self.state = State::Alone;
-                actions.push(ElderAction::Decline(id, why));
+                actions.push(OutgoingAction::Decline(id, why));
             }
             (State::Offered(of), Message::Confirm) if of == id => {
                 self.state = State::Succeeded(id);
-                actions.push(ElderAction::Succeeded(id));
+                actions.push(OutgoingAction::Succeeded(id));
                 if self.stopping {
-                    actions.push(ElderAction::Pass(id));
+                    actions.push(OutgoingAction::Pass(id));
                 }
             }
             // Out of turn: no process of ours says that.
             _ => {
-                actions.push(ElderAction::Drop(id));
+                actions.push(OutgoingAction::Drop(id));
                 self.lost(id, actions);
             }
         }
     }
 
-    fn lost(&mut self, id: HeirId, actions: &mut Vec<ElderAction>) {
+    fn lost(&mut self, id: IncomingId, actions: &mut Vec<OutgoingAction>) {
         match self.state {
             State::Greeting(of) if of == id => self.state = State::Alone,
             State::Offered(of) | State::Succeeded(of) if of == id => {
                 self.state = State::Alone;
-                actions.push(ElderAction::Alone);
+                actions.push(OutgoingAction::Alone);
             }
             _ => {}
         }
--- a/crates/spurdrum-handover/src/shell.rs
+++ b/crates/spurdrum-handover/src/shell.rs
@@ -20,13 +20,13 @@
 use tokio::sync::{mpsc, Notify};
 use tokio::time::{sleep, timeout};
 
-use crate::elder::{Elder, ElderAction, ElderEvent, HeirId};
-use crate::heir::{Heir, HeirAction, HeirEvent};
+use crate::incoming::{Incoming, IncomingAction, IncomingEvent};
 use crate::message::{Frames, Identity, Message};
+use crate::outgoing::{IncomingId, Outgoing, OutgoingAction, OutgoingEvent};
 
-/// An elder that does not answer by then is not waited for.
+/// An outgoing process that does not answer by then is not waited for.
 const ANSWER_MOST: Duration = Duration::from_millis(1000);
-/// What is kept is told anew so often while an elder empties.
+/// What is kept is told anew so often while an outgoing process empties.
 const TELL_EVERY: Duration = Duration::from_millis(50);
 /// Descriptors that are read at once; one comes with each message that has one.
 const AT_ONCE: usize = 8;
@@ -127,9 +127,9 @@
     }
 }
 
-/// What the elder's program does with its part of the node.
+/// What the outgoing process's program does with its part of the node.
 pub trait Estate: 'static {
-    /// Keeps to a part of the budget from now on: how many descriptors that is, and what the heir had better know.
+    /// Keeps to a part of the budget from now on: how many descriptors that is, and what the incoming process had better know.
     fn part(&self) -> (usize, serde_json::Value);
 
     /// Keeps to what is still in use: how many descriptors that is.
@@ -143,16 +143,16 @@
 
 /// The running process's side: it can be called, and hands over.
 pub struct Offer {
-    elder: RefCell<Elder>,
+    outgoing: RefCell<Outgoing>,
     path: PathBuf,
     listener: TcpListener,
     estate: Box<dyn Estate>,
-    heirs: RefCell<HashMap<HeirId, Queue>>,
+    channels: RefCell<HashMap<IncomingId, Queue>>,
     last: Cell<u64>,
     /// To whom what rests is passed.
-    passes: Cell<Option<HeirId>>,
+    passes: Cell<Option<IncomingId>>,
     changed: Notify,
-    /// What is queued for an heir and not written.
+    /// What is queued for an incoming process and not written.
     unsent: Rc<Cell<usize>>,
 }
 
@@ -170,11 +170,11 @@
     ) -> io::Result<Rc<Self>> {
         let calls = bind(&path)?;
         let offer = Rc::new(Self {
-            elder: RefCell::new(Elder::new(identity)),
+            outgoing: RefCell::new(Outgoing::new(identity)),
             path,
             listener,
             estate: Box::new(estate),
-            heirs: RefCell::default(),
+            channels: RefCell::default(),
             last: Cell::new(0),
             passes: Cell::new(None),
             changed: Notify::new(),
@@ -186,7 +186,7 @@
 
     /// This process has been told to end. Whether another accepts in its place and takes what rests.
     pub fn stop(self: &Rc<Self>) -> bool {
-        self.tell(ElderEvent::Stop);
+        self.tell(OutgoingEvent::Stop);
         self.passes.get().is_some()
     }
 
@@ -197,7 +197,7 @@
 
     /// Whether another process has been sent the listening socket and may confirm yet.
     pub fn awaits_confirmation(&self) -> bool {
-        self.elder.borrow().awaits_confirmation()
+        self.outgoing.borrow().awaits_confirmation()
     }
 
     /// Passes a connection on; it comes back where that cannot be.
@@ -206,11 +206,11 @@
     ///
     /// The connection itself.
     pub fn pass(&self, connection: TcpStream) -> Result<(), TcpStream> {
-        let heirs = self.heirs.borrow();
-        let queue = self.passes.get().and_then(|id| heirs.get(&id)).filter(|queue| !queue.is_closed());
+        let channels = self.channels.borrow();
+        let queue = self.passes.get().and_then(|id| channels.get(&id)).filter(|queue| !queue.is_closed());
         let Some(queue) = queue else { return Err(connection) };
         self.unsent.set(self.unsent.get() + 1);
-        // Closed between, it is lost with the heir, as all that that holds.
+        // Closed between, it is lost with the incoming process, as all that that holds.
         let _ = queue.send((Message::Connection, Some(connection.into())));
         Ok(())
     }
@@ -220,33 +220,33 @@
         self.unsent.get() == 0 || self.passes.get().is_none()
     }
 
-    fn tell(self: &Rc<Self>, event: ElderEvent) {
+    fn tell(self: &Rc<Self>, event: OutgoingEvent) {
         let mut actions = Vec::new();
-        self.elder.borrow_mut().handle(event, &mut actions);
+        self.outgoing.borrow_mut().handle(event, &mut actions);
         for action in actions {
             match action {
-                ElderAction::Offer(id) => {
+                OutgoingAction::Offer(id) => {
                     let (share, state) = self.estate.part();
                     let listener = self.listener.try_clone().ok().map(OwnedFd::from);
                     match listener {
                         Some(listener) => self.queue(id, Message::Offer { share, state }, Some(listener)),
-                        None => drop(self.heirs.borrow_mut().remove(&id)),
+                        None => drop(self.channels.borrow_mut().remove(&id)),
                     }
                 }
-                ElderAction::Decline(id, why) => {
+                OutgoingAction::Decline(id, why) => {
                     self.queue(id, Message::Decline(why.into()), None);
-                    self.heirs.borrow_mut().remove(&id);
+                    self.channels.borrow_mut().remove(&id);
                 }
-                ElderAction::Drop(id) => drop(self.heirs.borrow_mut().remove(&id)),
-                ElderAction::Succeeded(_) => {
+                OutgoingAction::Drop(id) => drop(self.channels.borrow_mut().remove(&id)),
+                OutgoingAction::Succeeded(_) => {
                     tracing::info!("another process serves this address as well");
                     self.changed.notify_one();
                 }
-                ElderAction::Pass(id) => {
+                OutgoingAction::Pass(id) => {
                     self.passes.set(Some(id));
                     tokio::task::spawn_local(Rc::clone(self).shrink(id));
                 }
-                ElderAction::Alone => {
+                OutgoingAction::Alone => {
                     tracing::info!("the other process has gone");
                     self.passes.set(None);
                     self.estate.whole();
@@ -256,13 +256,13 @@
         }
     }
 
-    fn queue(&self, id: HeirId, message: Message, descriptor: Option<OwnedFd>) {
-        if let Some(queue) = self.heirs.borrow().get(&id) {
+    fn queue(&self, id: IncomingId, message: Message, descriptor: Option<OwnedFd>) {
+        if let Some(queue) = self.channels.borrow().get(&id) {
             let _ = queue.send((message, descriptor));
         }
     }
 
-    async fn shrink(self: Rc<Self>, id: HeirId) {
+    async fn shrink(self: Rc<Self>, id: IncomingId) {
         let mut told = usize::MAX;
         while self.passes.get() == Some(id) {
             let share = self.estate.shrink();
@@ -282,7 +282,7 @@
                 Some(listener) => tokio::select! {
                     called = listener.accept() => match called {
                         Ok((stream, _)) => {
-                            tokio::task::spawn_local(Rc::clone(&self).heir(stream));
+                            tokio::task::spawn_local(Rc::clone(&self).serve_channel(stream));
                         }
                         Err(_) => sleep(TELL_EVERY).await,
                     },
@@ -290,7 +290,7 @@
                 },
                 None => self.changed.notified().await,
             }
-            let succeeded = self.elder.borrow().is_succeeded();
+            let succeeded = self.outgoing.borrow().is_succeeded();
             if succeeded {
                 calls = None;
             } else if calls.is_none() {
@@ -301,13 +301,13 @@
         }
     }
 
-    async fn heir(self: Rc<Self>, stream: UnixStream) {
+    async fn serve_channel(self: Rc<Self>, stream: UnixStream) {
         let Ok(wire) = Wire::new(stream) else { return };
-        let id = HeirId(self.last.get() + 1);
+        let id = IncomingId(self.last.get() + 1);
         self.last.set(id.0);
         let (queue, mut queued) = mpsc::unbounded_channel::<(Message, Option<OwnedFd>)>();
-        self.heirs.borrow_mut().insert(id, queue);
-        self.tell(ElderEvent::Called(id));
+        self.channels.borrow_mut().insert(id, queue);
+        self.tell(OutgoingEvent::Called(id));
         let writes = async {
             while let Some((message, descriptor)) = queued.recv().await {
                 wire.send(&message, descriptor.as_ref().map(AsFd::as_fd)).await?;
@@ -320,7 +320,7 @@
         let reads = async {
             loop {
                 let (message, _) = wire.receive().await?;
-                self.tell(ElderEvent::Said(id, message));
+                self.tell(OutgoingEvent::Said(id, message));
             }
             #[allow(unreachable_code)]
             Ok::<(), io::Error>(())
@@ -330,8 +330,8 @@
             _ = writes => {}
             _ = reads => {}
         }
-        self.heirs.borrow_mut().remove(&id);
-        self.tell(ElderEvent::Lost(id));
+        self.channels.borrow_mut().remove(&id);
+        self.tell(OutgoingEvent::Lost(id));
     }
 }
 
@@ -350,13 +350,13 @@
     Ok(listener)
 }
 
-/// What an heir is told once it has its listening socket.
+/// What an incoming process is told once it has its listening socket.
 pub enum Told {
-    /// The elder keeps so many descriptors now.
+    /// The outgoing process keeps so many descriptors now.
     Share(usize),
     /// A client's connection that rested between two requests.
     Connection(TcpStream),
-    /// The elder has gone.
+    /// The outgoing process has gone.
     Alone,
 }
 
@@ -364,12 +364,12 @@
 pub struct Inheritance {
     /// The listening socket.
     pub listener: TcpListener,
-    /// Descriptors that the elder keeps to itself.
+    /// Descriptors that the outgoing process keeps to itself.
     pub share: usize,
-    /// What the elder knows.
+    /// What the outgoing process knows.
     pub state: serde_json::Value,
     wire: Wire,
-    heir: Heir,
+    incoming: Incoming,
 }
 
 impl Inheritance {
@@ -386,54 +386,56 @@
     async fn call(path: &Path, identity: Identity) -> Result<Self, String> {
         let stream = UnixStream::connect(path).await.map_err(|error| format!("none runs: {error}"))?;
         let wire = Wire::new(stream).map_err(|error| error.to_string())?;
-        let mut heir = Heir::new(identity);
-        let (mut event, mut came) = (HeirEvent::Connected, None);
+        let mut incoming = Incoming::new(identity);
+        let (mut event, mut came) = (IncomingEvent::Connected, None);
         loop {
             let mut actions = Vec::new();
-            heir.handle(event, &mut actions);
+            incoming.handle(event, &mut actions);
             let mut inherited = None;
             for action in actions {
                 match action {
-                    HeirAction::Send(message) => {
+                    IncomingAction::Send(message) => {
                         wire.send(&message, None).await.map_err(|error| error.to_string())?;
                     }
-                    HeirAction::Inherit { share, state } => inherited = Some((share, state)),
-                    HeirAction::StartAlone(why) => return Err(why),
-                    HeirAction::Share(_) | HeirAction::Serve | HeirAction::Alone => {}
+                    IncomingAction::Inherit { share, state } => inherited = Some((share, state)),
+                    IncomingAction::StartAlone(why) => return Err(why),
+                    IncomingAction::Share(_) | IncomingAction::Serve | IncomingAction::Alone => {}
                 }
             }
             if let (Some((share, state)), Some(listener)) = (inherited, came.take()) {
-                return Ok(Self { listener: TcpListener::from(listener), share, state, wire, heir });
+                return Ok(Self { listener: TcpListener::from(listener), share, state, wire, incoming });
             }
             event = match wire.receive().await {
                 Ok((message, descriptor)) => {
                     came = descriptor;
-                    HeirEvent::Said(message)
+                    IncomingEvent::Said(message)
                 }
-                Err(_) => HeirEvent::Lost,
+                Err(_) => IncomingEvent::Lost,
             };
         }
     }
 
-    /// Hears the elder until it has gone.
+    /// Hears the outgoing process until it has gone.
     pub async fn follow(mut self, mut told: impl FnMut(Told)) {
         loop {
             let (event, mut came) = match self.wire.receive().await {
-                Ok((message, descriptor)) => (HeirEvent::Said(message), descriptor),
-                Err(_) => (HeirEvent::Lost, None),
+                Ok((message, descriptor)) => (IncomingEvent::Said(message), descriptor),
+                Err(_) => (IncomingEvent::Lost, None),
             };
             let mut actions = Vec::new();
-            self.heir.handle(event, &mut actions);
+            self.incoming.handle(event, &mut actions);
             for action in actions {
                 match action {
-                    HeirAction::Share(share) => told(Told::Share(share)),
-                    HeirAction::Serve => {
+                    IncomingAction::Share(share) => told(Told::Share(share)),
+                    IncomingAction::Serve => {
                         if let Some(connection) = came.take() {
                             told(Told::Connection(connection.into()));
                         }
                     }
-                    HeirAction::Alone => return told(Told::Alone),
-                    HeirAction::Send(_) | HeirAction::Inherit { .. } | HeirAction::StartAlone(_) => {}
+                    IncomingAction::Alone => return told(Told::Alone),
+                    IncomingAction::Send(_)
+                    | IncomingAction::Inherit { .. }
+                    | IncomingAction::StartAlone(_) => {}
                 }
             }
         }
--- a/crates/spurdrum-handover/tests/machines.rs
+++ b/crates/spurdrum-handover/tests/machines.rs
@@ -3,59 +3,60 @@
 use proptest::prelude::*;
 use serde_json::Value;
 use spurdrum_handover::{
-    Elder, ElderAction, ElderEvent, Frames, Heir, HeirAction, HeirEvent, HeirId, Identity, Message, Unsound,
-    FORMAT, FRAME_MOST,
+    Frames, Identity, Incoming, IncomingAction, IncomingEvent, IncomingId, Message, Outgoing, OutgoingAction,
+    OutgoingEvent, Unsound, FORMAT, FRAME_MOST,
 };
 
-const ID: HeirId = HeirId(1);
+const ID: IncomingId = IncomingId(1);
 
 fn identity() -> Identity {
     Identity { format: FORMAT, name: "n0".into(), listen: "127.0.0.1:1".into() }
 }
 
-fn elder(events: &[ElderEvent]) -> (Elder, Vec<ElderAction>) {
-    let (mut elder, mut actions) = (Elder::new(identity()), Vec::new());
+fn outgoing(events: &[OutgoingEvent]) -> (Outgoing, Vec<OutgoingAction>) {
+    let (mut outgoing, mut actions) = (Outgoing::new(identity()), Vec::new());
     for event in events {
         actions.clear();
-        elder.handle(event.clone(), &mut actions);
+        outgoing.handle(event.clone(), &mut actions);
     }
-    (elder, actions)
+    (outgoing, actions)
 }
 
-fn hello() -> ElderEvent {
-    ElderEvent::Said(ID, Message::Hello(identity()))
+fn hello() -> OutgoingEvent {
+    OutgoingEvent::Said(ID, Message::Hello(identity()))
 }
 
-fn confirm() -> ElderEvent {
-    ElderEvent::Said(ID, Message::Confirm)
+fn confirm() -> OutgoingEvent {
+    OutgoingEvent::Said(ID, Message::Confirm)
 }
 
 #[test]
 fn a_process_is_succeeded_once_the_other_has_confirmed_and_passes_when_told_to_end() {
-    let (elder, actions) = elder(&[ElderEvent::Called(ID), hello()]);
-    assert_eq!(actions, [ElderAction::Offer(ID)]);
-    assert!(!elder.is_succeeded());
-    let (mut elder, actions) = self::elder(&[ElderEvent::Called(ID), hello(), confirm()]);
-    assert_eq!(actions, [ElderAction::Succeeded(ID)]);
-    assert!(elder.is_succeeded());
+    let (outgoing, actions) = outgoing(&[OutgoingEvent::Called(ID), hello()]);
+    assert_eq!(actions, [OutgoingAction::Offer(ID)]);
+    assert!(!outgoing.is_succeeded());
+    let (mut outgoing, actions) = self::outgoing(&[OutgoingEvent::Called(ID), hello(), confirm()]);
+    assert_eq!(actions, [OutgoingAction::Succeeded(ID)]);
+    assert!(outgoing.is_succeeded());
     let mut actions = Vec::new();
-    elder.handle(ElderEvent::Stop, &mut actions);
-    assert_eq!(actions, [ElderAction::Pass(ID)]);
+    outgoing.handle(OutgoingEvent::Stop, &mut actions);
+    assert_eq!(actions, [OutgoingAction::Pass(ID)]);
     // It dies while it takes over: the old one has all of the node again.
-    elder.handle(ElderEvent::Lost(ID), &mut actions);
-    assert_eq!(actions[1..], [ElderAction::Alone]);
+    outgoing.handle(OutgoingEvent::Lost(ID), &mut actions);
+    assert_eq!(actions[1..], [OutgoingAction::Alone]);
 }
 
 #[test]
 fn told_to_end_before_the_confirmation_it_passes_once_that_comes() {
-    let (_, actions) = elder(&[ElderEvent::Called(ID), hello(), ElderEvent::Stop, confirm()]);
-    assert_eq!(actions, [ElderAction::Succeeded(ID), ElderAction::Pass(ID)]);
-    let (_, actions) = elder(&[ElderEvent::Called(ID), hello(), ElderEvent::Stop, ElderEvent::Lost(ID)]);
-    assert_eq!(actions, [ElderAction::Alone]);
-    let (_, actions) = elder(&[ElderEvent::Called(ID), ElderEvent::Stop]);
-    assert!(matches!(actions[..], [ElderAction::Decline(ID, _)]));
-    let (_, actions) = elder(&[ElderEvent::Stop, ElderEvent::Called(ID)]);
-    assert!(matches!(actions[..], [ElderAction::Decline(ID, _)]));
+    let (_, actions) = outgoing(&[OutgoingEvent::Called(ID), hello(), OutgoingEvent::Stop, confirm()]);
+    assert_eq!(actions, [OutgoingAction::Succeeded(ID), OutgoingAction::Pass(ID)]);
+    let (_, actions) =
+        outgoing(&[OutgoingEvent::Called(ID), hello(), OutgoingEvent::Stop, OutgoingEvent::Lost(ID)]);
+    assert_eq!(actions, [OutgoingAction::Alone]);
+    let (_, actions) = outgoing(&[OutgoingEvent::Called(ID), OutgoingEvent::Stop]);
+    assert!(matches!(actions[..], [OutgoingAction::Decline(ID, _)]));
+    let (_, actions) = outgoing(&[OutgoingEvent::Stop, OutgoingEvent::Called(ID)]);
+    assert!(matches!(actions[..], [OutgoingAction::Decline(ID, _)]));
 }
 
 #[test]
@@ -66,61 +67,66 @@
         Identity { listen: "127.0.0.1:2".into(), ..identity() },
     ];
     for stranger in strangers {
-        let said = ElderEvent::Said(ID, Message::Hello(stranger));
-        let (_, actions) = elder(&[ElderEvent::Called(ID), said.clone()]);
-        assert!(matches!(actions[..], [ElderAction::Decline(ID, _)]));
-        let next = HeirId(2);
-        let hello = ElderEvent::Said(next, Message::Hello(identity()));
-        let (_, actions) = elder(&[ElderEvent::Called(ID), said, ElderEvent::Called(next), hello]);
-        assert_eq!(actions, [ElderAction::Offer(next)]);
+        let said = OutgoingEvent::Said(ID, Message::Hello(stranger));
+        let (_, actions) = outgoing(&[OutgoingEvent::Called(ID), said.clone()]);
+        assert!(matches!(actions[..], [OutgoingAction::Decline(ID, _)]));
+        let next = IncomingId(2);
+        let hello = OutgoingEvent::Said(next, Message::Hello(identity()));
+        let (_, actions) = outgoing(&[OutgoingEvent::Called(ID), said, OutgoingEvent::Called(next), hello]);
+        assert_eq!(actions, [OutgoingAction::Offer(next)]);
     }
 }
 
 #[test]
 fn of_three_starts_at_once_one_takes_over() {
-    let called = [ElderEvent::Called(ID), ElderEvent::Called(HeirId(2))];
-    assert!(matches!(elder(&called).1[..], [ElderAction::Decline(HeirId(2), _)]));
+    let called = [OutgoingEvent::Called(ID), OutgoingEvent::Called(IncomingId(2))];
+    assert!(matches!(outgoing(&called).1[..], [OutgoingAction::Decline(IncomingId(2), _)]));
     // One that dies before it confirms leaves its place to the next.
-    let (_, actions) = elder(&[ElderEvent::Called(ID), hello(), ElderEvent::Lost(ID)]);
-    assert_eq!(actions, [ElderAction::Alone]);
-    let next = HeirId(3);
-    let hello_3 = ElderEvent::Said(next, Message::Hello(identity()));
-    let (_, actions) =
-        elder(&[ElderEvent::Called(ID), hello(), ElderEvent::Lost(ID), ElderEvent::Called(next), hello_3]);
-    assert_eq!(actions, [ElderAction::Offer(next)]);
+    let (_, actions) = outgoing(&[OutgoingEvent::Called(ID), hello(), OutgoingEvent::Lost(ID)]);
+    assert_eq!(actions, [OutgoingAction::Alone]);
+    let next = IncomingId(3);
+    let hello_3 = OutgoingEvent::Said(next, Message::Hello(identity()));
+    let (_, actions) = outgoing(&[
+        OutgoingEvent::Called(ID),
+        hello(),
+        OutgoingEvent::Lost(ID),
+        OutgoingEvent::Called(next),
+        hello_3,
+    ]);
+    assert_eq!(actions, [OutgoingAction::Offer(next)]);
 }
 
 #[test]
-fn an_heir_starts_alone_unless_it_is_offered_the_socket() {
-    let run = |events: Vec<HeirEvent>| {
-        let (mut heir, mut actions) = (Heir::new(identity()), Vec::new());
+fn an_incoming_starts_alone_unless_it_is_offered_the_socket() {
+    let run = |events: Vec<IncomingEvent>| {
+        let (mut incoming, mut actions) = (Incoming::new(identity()), Vec::new());
         for event in events {
-            heir.handle(event, &mut actions);
+            incoming.handle(event, &mut actions);
         }
         actions
     };
-    let alone = |actions: &[HeirAction]| matches!(actions.last(), Some(HeirAction::StartAlone(_)));
-    assert!(alone(&run(vec![HeirEvent::Lost])));
-    assert!(alone(&run(vec![HeirEvent::Connected, HeirEvent::Lost])));
-    assert!(alone(&run(vec![HeirEvent::Connected, HeirEvent::Said(Message::Decline("no".into()))])));
-    assert!(alone(&run(vec![HeirEvent::Connected, HeirEvent::Said(Message::Share(3))])));
-    let offer = HeirEvent::Said(Message::Offer { share: 9, state: Value::Null });
+    let alone = |actions: &[IncomingAction]| matches!(actions.last(), Some(IncomingAction::StartAlone(_)));
+    assert!(alone(&run(vec![IncomingEvent::Lost])));
+    assert!(alone(&run(vec![IncomingEvent::Connected, IncomingEvent::Lost])));
+    assert!(alone(&run(vec![IncomingEvent::Connected, IncomingEvent::Said(Message::Decline("no".into()))])));
+    assert!(alone(&run(vec![IncomingEvent::Connected, IncomingEvent::Said(Message::Share(3))])));
+    let offer = IncomingEvent::Said(Message::Offer { share: 9, state: Value::Null });
     let actions = run(vec![
-        HeirEvent::Connected,
+        IncomingEvent::Connected,
         offer,
-        HeirEvent::Said(Message::Connection),
-        HeirEvent::Said(Message::Share(2)),
-        HeirEvent::Lost,
-        HeirEvent::Said(Message::Connection),
+        IncomingEvent::Said(Message::Connection),
+        IncomingEvent::Said(Message::Share(2)),
+        IncomingEvent::Lost,
+        IncomingEvent::Said(Message::Connection),
     ]);
     assert_eq!(
         actions[1..],
         [
-            HeirAction::Inherit { share: 9, state: Value::Null },
-            HeirAction::Send(Message::Confirm),
-            HeirAction::Serve,
-            HeirAction::Share(2),
-            HeirAction::Alone
+            IncomingAction::Inherit { share: 9, state: Value::Null },
+            IncomingAction::Send(Message::Confirm),
+            IncomingAction::Serve,
+            IncomingAction::Share(2),
+            IncomingAction::Alone
         ]
     );
 }
@@ -175,34 +181,34 @@
 
     /// Whatever is said in whatever order: nothing is passed to anyone but the one process that has confirmed.
     #[test]
-    fn only_a_confirmed_heir_is_passed_to(
+    fn only_a_confirmed_process_is_handed_connections(
         events in prop::collection::vec((1_u64..4, 0_u8..4, message()), 0..40),
     ) {
-        let (mut elder, mut confirmed) = (Elder::new(identity()), None);
+        let (mut outgoing, mut confirmed) = (Outgoing::new(identity()), None);
         let mut offered = std::collections::HashSet::new();
         for (id, kind, message) in events {
-            let id = HeirId(id);
+            let id = IncomingId(id);
             let event = match kind {
-                0 => ElderEvent::Called(id),
-                1 => ElderEvent::Lost(id),
-                2 => ElderEvent::Said(id, message),
-                _ => ElderEvent::Stop,
+                0 => OutgoingEvent::Called(id),
+                1 => OutgoingEvent::Lost(id),
+                2 => OutgoingEvent::Said(id, message),
+                _ => OutgoingEvent::Stop,
             };
             let mut actions = Vec::new();
-            elder.handle(event, &mut actions);
+            outgoing.handle(event, &mut actions);
             for action in actions {
                 match action {
-                    ElderAction::Offer(id) => drop(offered.insert(id)),
-                    ElderAction::Succeeded(id) => {
+                    OutgoingAction::Offer(id) => drop(offered.insert(id)),
+                    OutgoingAction::Succeeded(id) => {
                         prop_assert!(offered.contains(&id) && confirmed.is_none());
                         confirmed = Some(id);
                     }
-                    ElderAction::Pass(id) => prop_assert_eq!(confirmed, Some(id)),
-                    ElderAction::Alone => confirmed = None,
-                    ElderAction::Decline(..) | ElderAction::Drop(_) => {}
+                    OutgoingAction::Pass(id) => prop_assert_eq!(confirmed, Some(id)),
+                    OutgoingAction::Alone => confirmed = None,
+                    OutgoingAction::Decline(..) | OutgoingAction::Drop(_) => {}
                 }
             }
-            prop_assert_eq!(elder.is_succeeded(), confirmed.is_some());
+            prop_assert_eq!(outgoing.is_succeeded(), confirmed.is_some());
         }
     }
 }
--- a/crates/spurdrum/src/main.rs
+++ b/crates/spurdrum/src/main.rs
@@ -337,7 +337,7 @@
         list + &shown.unwrap_or_default()
     };
     let front = Front::new(node, names, status).with_keys(keys);
-    let successor = offer.clone().map(|offer| Rc::new(replace::Heir(offer)) as Rc<dyn Successor>);
+    let successor = offer.clone().map(|offer| Rc::new(replace::Incoming(offer)) as Rc<dyn Successor>);
     let front = front.with_successor(successor);
     spurdrum_http::run(front, listener, passed, async move {
         stop.recv().await;
--- a/crates/spurdrum/src/replace.rs
+++ b/crates/spurdrum/src/replace.rs
@@ -164,9 +164,9 @@
 }
 
 /// The process that takes over, as the front sees it.
-pub struct Heir(pub Rc<Offer>);
+pub struct Incoming(pub Rc<Offer>);
 
-impl Successor for Heir {
+impl Successor for Incoming {
     fn succession(&self) -> Succession {
         if self.0.passes() {
             Succession::Confirmed
