Test: what crosses the end of a resting connection is answered or never taken

The protocol allows a node to end a connection between two requests; a client whose request crosses that end sends it once more on a new connection. So the node must surely not have taken it. 24 clients each send six requests round the idle limit (0.4 s here), and none that ended without an answer may have reached the server.

--- a/crates/spurdrum/tests/node/endings.rs
+++ b/crates/spurdrum/tests/node/endings.rs
@@ -301,3 +301,59 @@
     let [Some(first), Some(0), None, Some(last)] = waits[..] else { panic!("{waits:?}") };
     assert!(last < first / 4, "{last} ms after {first}");
 }
+
+/// Sends a request on a connection that has rested until its node may be closing it: its id, where the connection ended with no
+/// byte of an answer.
+fn closed_under(client: &mut Client, request: &str) -> Option<String> {
+    // It fails where the end has come already.
+    let sent = client.stream.get_mut().write_all(request.as_bytes());
+    match sent.ok().and_then(|()| Message::read(&mut client.stream)) {
+        // A busy machine refuses some: that is an answer.
+        Some(answer) => {
+            assert!(matches!(answer.status(), 200 | 503), "{}", answer.first);
+            None
+        }
+        None => request.lines().find_map(|line| line.strip_prefix("x-request-id: ").map(str::to_owned)),
+    }
+}
+
+/// A client sends such a request once more: it must surely not have been taken.
+#[test]
+fn a_request_that_crosses_the_end_of_a_resting_connection_is_answered_or_never_taken() {
+    const IDLE: Duration = Duration::from_millis(400);
+    const CLIENTS: u32 = 24;
+    const ROUNDS: u32 = 6;
+    let server = Server::start();
+    let file = format!("[connections]\nidle_ms = {0}\nreturn_within_ms = {0}\n", IDLE.as_millis());
+    let node = Node::start_with(&config(&members(&[&server])), Some(&file));
+    let address = node.address;
+    let play = move |client: u32| {
+        let mut closed = Vec::new();
+        for round in 0..ROUNDS {
+            let mut kept = Client::connect(address);
+            kept.send(&request("update", 20.0));
+            kept.answer();
+            // From a while before its time until a while after: the node looks a little late.
+            let later = Duration::from_micros(250) * (client * ROUNDS + round);
+            std::thread::sleep(IDLE - Duration::from_millis(16) + later);
+            closed.extend(closed_under(&mut kept, &request("update", 20.0)));
+        }
+        closed
+    };
+    let clients: Vec<_> = (0..CLIENTS).map(|client| std::thread::spawn(move || play(client))).collect();
+    let mut taken = std::collections::HashSet::new();
+    while clients.iter().any(|client| !client.is_finished()) {
+        match server.poll() {
+            Some(got) => {
+                taken.insert(got.request.header("x-request-id").expect("passed on").to_owned());
+                got.answer(OK, "", b"x");
+            }
+            None => std::thread::sleep(Duration::from_micros(200)),
+        }
+    }
+    let closed: Vec<String> =
+        clients.into_iter().flat_map(|client| client.join().expect("answered or closed")).collect();
+    assert!(!closed.is_empty(), "no connection was closed");
+    let lost: Vec<&String> = closed.iter().filter(|id| taken.contains(*id)).collect();
+    assert!(lost.is_empty(), "of {} closed ones these reached a server: {lost:?}", closed.len());
+}
