A retry waits until the server before it has heard that its attempt was given up

Cause: a server ends its side of a kept connection, some 27 ms after an answer, while a request that has come meanwhile is at work there. The node sees the end with no answer, closes its side and sends the request to another server at once. Where it has a connection there already, that request arrives before the first server has heard of the close. Where a connection has to be made first the close has had its time, and after a reset both sides know.

Change: an attempt that had been written and ended otherwise than by a whole answer, a reset or its time is over for the decisions only when its end must have arrived: after the shortest time in which a connection to that server came up, 1 ms to 100 ms. That holds for cut attempts and answers that break off as well, which leave the same way.

Tests: `endings::a_retry_begins_once_the_server_before_it_must_have_heard_of_the_end` failed without the change (0.9 ms, 100 ms wanted).

--- a/crates/spurdrum-http/src/upstream.rs
+++ b/crates/spurdrum-http/src/upstream.rs
@@ -3,6 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
 use std::future::pending;
+use std::io;
 use std::net::{Shutdown, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
@@ -42,6 +43,9 @@
 const REST: Duration = Duration::from_millis(5);
 /// Part of a request's time that a connection to a server may take to come up: another may be had after it.
 const DIAL_PART: f64 = 0.25;
+/// The end of an attempt is taken to reach its server within the shortest time in which a connection to it came up, and in between
+/// these: a clock has its grain, and one that came up late says little.
+const END_ARRIVES: (Duration, Duration) = (Duration::from_millis(1), Duration::from_millis(100));
 /// The head of an answer may be this long.
 const HEAD_MOST: usize = 16 * 1024;
 
@@ -149,6 +153,8 @@
     address: Cell<SocketAddr>,
     /// Whether the list lets it have new requests.
     ready: Cell<bool>,
+    /// The shortest time in which a connection to it came up: a round trip.
+    round_trip: Cell<Duration>,
     /// Connections that stand idle; the one used last is at the back.
     idle: RefCell<VecDeque<Connection>>,
 }
@@ -170,6 +176,16 @@
         idle.drain(..young);
     }
 
+    /// Notes how long a connection took to come up.
+    fn came_up(&self, took: Duration) {
+        self.round_trip.set(self.round_trip.get().min(took));
+    }
+
+    /// In what time the end of an attempt reaches it.
+    fn end_arrives(&self) -> Duration {
+        self.round_trip.get().clamp(END_ARRIVES.0, END_ARRIVES.1)
+    }
+
     fn keep(&self, mut connection: Connection) {
         let usable = !connection.sender.is_closed() && self.address.get() == connection.address;
         if self.ready.get() && usable {
@@ -226,6 +242,7 @@
         // Without a place the attempt ends unsent, and that is not the server's fault.
         let slot = self.slot().ok_or(Ending::NotSent)?;
         let address = server.address.get();
+        let begun = Instant::now();
         let stream = match timeout(dial_timeout, TcpStream::connect(address)).await {
             Ok(Ok(stream)) => stream,
             Ok(Err(error)) if is_starved(&error) => {
@@ -236,6 +253,7 @@
             }
             Ok(Err(_)) | Err(_) => return Err(Ending::Unreachable),
         };
+        server.came_up(begun.elapsed());
         stream.set_nodelay(true).map_err(|_| Ending::Unreachable)?;
         let (writing, figures) = (Cell::new(false), Rc::clone(&self.figures));
         let (written_at, moved) = (Cell::new(None), Cell::new(Instant::now()));
@@ -251,15 +269,39 @@
     }
 }
 
+/// How far an attempt has come, as what makes it and what may end it share that.
+#[derive(Default)]
+struct Progress {
+    /// All of the request may have gone out.
+    sent: Rc<Cell<bool>>,
+    /// While the server may work on it: in what time it would hear that the attempt has ended.
+    unheard: Cell<Option<Duration>>,
+}
+
+impl Progress {
+    /// In what time the server hears of an attempt's end that is not its own, where another attempt may follow.
+    fn unheard_end(&self, ending: Ending) -> Option<Duration> {
+        let given_up = matches!(ending, Ending::Reset | Ending::Cancelled);
+        self.unheard.get().filter(|_| given_up && self.sent.get())
+    }
+}
+
+/// Whether the other side has reset the connection: it knows of the end.
+fn is_reset(error: &hyper::Error) -> bool {
+    let source = std::error::Error::source(error).and_then(|source| source.downcast_ref::<io::Error>());
+    let ends = [io::ErrorKind::ConnectionReset, io::ErrorKind::BrokenPipe, io::ErrorKind::ConnectionAborted];
+    source.is_some_and(|error| ends.contains(&error.kind()))
+}
+
 impl Upstream {
-    /// Sends a request, or a probe where there is none, and reads the answer. `sent` is set while all of it may have gone
-    /// out.
+    /// Sends a request, or a probe where there is none, and reads the answer. `progress` tells how far that has come.
     async fn exchange(
         &self,
         server: ServerId,
         attempt: Option<(&Forward, &Cancellation)>,
-        sent: &Rc<Cell<bool>>,
+        progress: &Progress,
     ) -> Ended {
+        let sent = &progress.sent;
         let forward = attempt.map(|(forward, _)| forward);
         // It may have gone since the decision.
         let Some(server) = self.servers.borrow().get(&server).cloned() else {
@@ -293,6 +335,7 @@
             };
             // It came to its end meanwhile, or more of it is gone than is held.
             let Some(request) = request else { return Reply::none(Ending::NotSent) };
+            progress.unheard.set(Some(server.end_arrives()));
             let through = forward.and_then(Forward::through);
             let sending = connection.sender.try_send_request(request);
             let response = tokio::select! {
@@ -307,6 +350,9 @@
                     if returned {
                         sent.set(false);
                     }
+                    if returned || is_reset(error.error()) {
+                        progress.unheard.set(None);
+                    }
                     return match (sent.get(), kept && returned) {
                         (true, _) => Reply::none(Ending::Reset),
                         (false, true) => continue,
@@ -322,6 +368,9 @@
             let took =
                 through.map(|_| connection.socket.written_at.get().map_or(Duration::ZERO, |at| at.elapsed()));
             let mut reply = read(response, connection, &server, forward).await;
+            if reply.ending != Ending::Reset {
+                progress.unheard.set(None);
+            }
             reply.took = took;
             let naming = forward.and_then(|forward| forward.naming.as_ref());
             if let (Some(given), Some(naming), Some(body)) = (given, naming, &mut reply.body) {
@@ -347,7 +396,8 @@
         let mut servers = self.servers.borrow_mut();
         let known = servers.entry(server).or_insert_with(|| {
             let (address, ready) = (Cell::new(address), Cell::new(ready));
-            Rc::new(Server { address, ready, idle: RefCell::default() })
+            let round_trip = Cell::new(Duration::MAX);
+            Rc::new(Server { address, ready, round_trip, idle: RefCell::default() })
         });
         let moved = known.address.replace(address) != address;
         known.ready.set(ready);
@@ -377,20 +427,29 @@
     }
 
     async fn attempt(&self, server: ServerId, forward: &Forward, cancellation: &Cancellation) -> Ended {
-        let sent = Rc::new(Cell::new(false));
+        let progress = Progress::default();
+        let sent = Rc::clone(&progress.sent);
         let unless_sent = |ending| Reply::none(if sent.get() { ending } else { Ending::NotSent });
         // The exchange holds the connection; it is dropped, and that closed, before this returns.
-        tokio::select! {
+        let reply = tokio::select! {
             biased;
-            reply = self.exchange(server, Some((forward, cancellation)), &sent) => reply,
+            reply = self.exchange(server, Some((forward, cancellation)), &progress) => reply,
             () = cancellation.cancelled(&sent) => unless_sent(Ending::Cancelled),
             () = forward.deadline.passed(Duration::ZERO) => unless_sent(Ending::TimedOut),
+        };
+        if let Some(arrives) = progress.unheard_end(reply.ending) {
+            // Guards against a retry that reaches its server while this one, which has not heard of the end, works on the request.
+            tokio::select! {
+                () = sleep(arrives) => {}
+                () = forward.deadline.passed(Duration::ZERO) => {}
+            }
         }
+        reply
     }
 
     async fn probe(&self, server: ServerId) -> Ended {
-        let sent = Rc::new(Cell::new(false));
-        let reply = timeout(self.dial_timeout.get(), self.exchange(server, None, &sent)).await;
+        let progress = Progress::default();
+        let reply = timeout(self.dial_timeout.get(), self.exchange(server, None, &progress)).await;
         let mut reply = reply.unwrap_or_else(|_| Reply::none(Ending::TimedOut));
         if let Some(Served { body: Answered::Whole(body), .. }) = reply.body.take() {
             let text = body.collect().await.map_or_else(|never| match never {}, |body| body.to_bytes());
--- a/crates/spurdrum/tests/node/endings.rs
+++ b/crates/spurdrum/tests/node/endings.rs
@@ -357,3 +357,50 @@
     let lost: Vec<&String> = closed.iter().filter(|id| taken.contains(*id)).collect();
     assert!(lost.is_empty(), "of {} closed ones these reached a server: {lost:?}", closed.len());
 }
+
+/// Clients that ask until the request of the last one waits for a connection to the far server.
+fn clients_until_one_is_sent_far(node: &Node, far: SocketAddr, near: &Server) -> Vec<Client> {
+    let mut clients = Vec::new();
+    while dials(far) == 0 {
+        let mut client = node.client();
+        client.send(&request("update", 60.0));
+        clients.push(client);
+        let sent_near = || near.poll().map(|got| got.answer(OK, "", b"x")).is_some();
+        until("it is sent to neither", || sent_near() || dials(far) > 0);
+    }
+    clients
+}
+
+/// Guards against a second copy: the end of an attempt needs its time to reach the server, and a retry on a kept connection to a
+/// nearer one would be there first. Here the first server is far: a connection to it takes a second to come up.
+#[test]
+fn a_retry_begins_once_the_server_before_it_must_have_heard_of_the_end() {
+    type Ends = fn(&mut TcpStream);
+    let ways: [(&str, Ends); 2] = [
+        ("an end with no answer", |stream| stream.shutdown(Shutdown::Write).expect("ended")),
+        ("half an answer", |stream| {
+            stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nhalf").expect("begun");
+            stream.shutdown(Shutdown::Write).expect("ended");
+        }),
+    ];
+    for (name, end) in ways {
+        let (far, address, filler) = full_listener();
+        let near = Server::start();
+        let members = [member("far", address, "active"), member("near", near.address, "active")];
+        let node = Node::start(&config(&members));
+        // Both start with the same count: of a few sends one is for the far one.
+        let mut clients = clients_until_one_is_sent_far(&node, address, &near);
+        drop((far.accept().expect("the filler"), filler));
+        let (mut stream, _) = far.accept().expect("the node's connection");
+        Message::read(&mut std::io::BufReader::new(stream.try_clone().expect("cloned"))).expect("a request");
+        let since = Instant::now();
+        end(&mut stream);
+        let retry = near.request();
+        assert!(since.elapsed() >= Duration::from_millis(100), "{name}: {:?}", since.elapsed());
+        assert_eq!(stream.read(&mut [0; 1]).ok(), Some(0), "{name}: the attempt was not ended");
+        retry.answer(OK, "", b"done");
+        for client in &mut clients {
+            assert_eq!(client.answer().status(), 200, "{name}");
+        }
+    }
+}
