An ending process hands over what rests before it reads it

What callers saw: 504 ("the node is ending") for a request that they had sent to a process that stood still past its end, though another process was there to serve it.

Cause: hyper was polled before the connection looked whether it is to be handed over. A process that went on past its end with a request unread in each socket read them all, and had 20 ms from there to its last call; an attempt waits 20 ms after a pause before it begins.

Evidence: traces of the load test with SIGSTOP right after SIGTERM (trials, 8 copies on two cores, times of one request): TERM 393.1503, goes on and HandOver 395.8599, reads the request 395.8608, last call 395.8804, sends it 395.8807, answers it 504 395.8808.

Change: a connection that rests with nothing read of its next request is passed on before hyper is polled, wherever another process has confirmed and this one ends.

Test: a_process_that_stands_still_past_its_end_hands_over_unread_what_has_come_meanwhile failed in 3 of 3 runs ("who asks again: it is begun here"); now it passed, with all 62 of stalled::, replace::, pauses:: and endings::.

--- a/crates/spurdrum-http/src/connection.rs
+++ b/crates/spurdrum-http/src/connection.rs
@@ -1,10 +1,12 @@
 //! One client's connection: hyper drives it, and what the node decides on connections is carried out on it.
 
 use std::convert::Infallible;
+use std::future::poll_fn;
 use std::io;
 use std::net::Shutdown;
 use std::pin::pin;
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::Duration;
 
 use hyper::body::{Body, Incoming};
@@ -126,6 +128,11 @@
     }
 }
 
+/// Whether a connection rests between two requests, and nothing of the next one has been read.
+fn rests_unread(seat: &Seat, socket: &Socket) -> bool {
+    matches!(seat.state(), Some(State::New | State::Silent | State::Idle)) && !socket.has_ahead()
+}
+
 async fn serve(front: &Rc<Front>, seat: &Rc<Seat>, socket: &Rc<Socket>) -> End {
     let service = service_fn(|request: Request<Incoming>| {
         let framing = socket.take_head();
@@ -184,9 +191,14 @@
     // Guards against a reset over the last answer, also where it is the client that wanted no more: what it sent all the same is
     // unread. hyper ends well, too, where a client has closed a connection that rested.
     let ended = |well| if well && !socket.is_closed() { End::Last } else { End::Over };
+    // Guards against a request that this process begins as it ends, though another one is there to serve it: what rests is passed
+    // on before hyper reads.
+    let can_pass = || front.is_succeeded() && rests_unread(seat, socket);
+    let may_be_passed = || poll_fn(|_| if can_pass() { Poll::Ready(()) } else { Poll::Pending });
     loop {
         tokio::select! {
             biased;
+            () = may_be_passed() => return End::Pass,
             // An error is the client's: it has left, or does not speak HTTP.
             result = served.as_mut() => {
                 return ended(result.is_ok());
@@ -209,11 +221,7 @@
             }
         }
         match (order, seat.state()) {
-            (Order::Pass, Some(State::New | State::Silent | State::Idle))
-                if !socket.has_ahead() && front.is_succeeded() =>
-            {
-                return End::Pass;
-            }
+            (Order::Pass, _) if can_pass() => return End::Pass,
             // One that came too late is answered as too late, whether or not more of it has come.
             (Order::Expire(reason), Some(State::Head | State::Closing)) => return End::Expire(reason),
             (Order::Close, Some(State::Closing)) => return End::Close,
--- a/crates/spurdrum/tests/node/stalled.rs
+++ b/crates/spurdrum/tests/node/stalled.rs
@@ -384,6 +384,43 @@
     assert!(!clients.server.has_request(), "it was sent again");
 }
 
+/// Guards against a process that goes on past its end and begins what it reads only then, with no time left to answer it.
+#[test]
+fn a_process_that_stands_still_past_its_end_hands_over_unread_what_has_come_meanwhile() {
+    let server = Server::start();
+    let (config, ops) = operated(&[&server]);
+    let mut old = Node::start(&config);
+    let mut clients = Clients::of(&old, server);
+    let mut anew = old.client();
+    // The process has accepted it.
+    serve(&mut clients.resting, &clients.server, &mut clients.ran, "who rested");
+    let (mut incoming, _listener) = Incoming::offered(old.address);
+    old.terminate();
+    until("it is not ending", || call(ops, "readyz") == "NO ending\n");
+    old.stand_still();
+    incoming.confirm();
+    clients.resting.send(&request("pay", 20.0));
+    anew.send(&request("pay", 20.0));
+    std::thread::sleep(PAST_THE_END);
+    old.go_on();
+    for who in ["who asks again", "who asks for the first time"] {
+        let mut connection = None;
+        until("it is not handed over", || {
+            connection = incoming.poll_connection();
+            assert!(!clients.server.has_request(), "{who}: it is begun here");
+            connection.is_some()
+        });
+        answer_by_hand(connection.expect("handed over"));
+    }
+    for client in [&mut clients.resting, &mut anew] {
+        goes_on(client, "who asked meanwhile");
+    }
+    let last = Message::read(&mut clients.asking.stream).expect("a last answer");
+    assert_eq!(last.status(), 504);
+    assert!(old.wait().success());
+    assert!(!clients.server.has_request(), "it was sent on");
+}
+
 /// Guards against the same where all that rests has been handed over, and one request is at the server.
 #[test]
 fn a_process_that_stands_still_past_its_end_passes_on_an_answer_that_has_come() {
