What no server has been sent at a process's end is handed over with its connection, or refused

What callers saw: 504 ("the node is ending") for a request that no server had been sent, from a process that went on past its end; and its server, now and then, was sent the request in that same moment all the same.

Cause: an attempt waits 20 ms after a pause until the news that came has been read, and a kept connection rests 5 ms. A process past its end has 20 ms to its last call. So what had been taken and not sent was sent within some ms of the last call and answered 504 before its server could.

Change: Node::withdraw takes a request back of which no attempt has begun; Cancellation::begin, asked right before the first byte, is what tells. From the last call on, and past the end of a process that stood still at once, nothing begins any more. Where another process takes over and says that it accepts them (Identity::accepts_requests; a process of an older version does not say so and is not sent any), the request goes to it with its connection, with the time that is left (Message::Request); else it is refused, as trying again is harmless. The messages' format is as it was.

--- a/crates/spurdrum-core/src/lib.rs
+++ b/crates/spurdrum-core/src/lib.rs
@@ -8,6 +8,7 @@
 mod connections;
 mod figures;
 mod node;
+mod passed;
 mod pause;
 mod transport;
 mod waiting;
@@ -15,5 +16,6 @@
 pub use connections::{is_starved, Connections, Order, Seat, ServerSlot};
 pub use figures::{ClassCounts, Fate, Figures, Open, Times};
 pub use node::{unix_ms, Answer, Config, Listed, Node, NotTaken, Sign};
+pub use passed::PassedConnection;
 pub use pause::{attentive_timeout, look_again, sleep_and_read_first, Attention, PauseWatch};
 pub use transport::{Asked, Cancellation, Reply, Transport};
--- a/crates/spurdrum-core/src/node.rs
+++ b/crates/spurdrum-core/src/node.rs
@@ -99,9 +99,16 @@
     answer: Option<oneshot::Sender<Answer<T::Body>>>,
     /// Each attempt, while it is out.
     attempts: Vec<Option<OpenAttempt>>,
+    /// Any of an attempt that has ended may have been written.
+    has_begun: bool,
 }
 
 impl<T: Transport> Held<T> {
+    /// Whether a server may have been sent any of it.
+    fn may_have_been_sent(&self) -> bool {
+        self.has_begun || self.attempts.iter().flatten().any(|open| open.cancellation.has_begun())
+    }
+
     /// What its client calls it, as traces have it.
     fn shown(&self) -> String {
         String::from_utf8_lossy(self.request.name().as_ref()).into_owned()
@@ -395,7 +402,8 @@
         let id = RequestId(self.last_id.get());
         let prefers = self.affinity.as_ref().zip(asked.affinity());
         let prefers = prefers.and_then(|(affinity, ask)| affinity.borrow_mut().prefers(self.now(), ask));
-        let held = Held { request: Rc::new(asked), answer: Some(answer), attempts: Vec::new() };
+        let held =
+            Held { request: Rc::new(asked), answer: Some(answer), attempts: Vec::new(), has_begun: false };
         self.requests.borrow_mut().insert(id, held);
         self.saw(id, |id| Seen::Asked { id, class: request.class });
         let request = Request { id, prefers, ..request };
@@ -422,6 +430,17 @@
         }
     }
 
+    /// Takes a request back that has surely not been sent to any server: no attempt of it begins any more, and its answer is the
+    /// caller's. `None` where a server may have been sent any of it, or it has been answered.
+    pub fn withdraw(self: &Rc<Self>, id: RequestId) -> Option<Rc<T::Request>> {
+        let requests = self.requests.borrow();
+        let held = requests.get(&id).filter(|held| held.answer.is_some() && !held.may_have_been_sent())?;
+        let request = Rc::clone(&held.request);
+        drop(requests);
+        self.client_gone(id);
+        Some(request)
+    }
+
     /// Part of its body is gone for good: it cannot be sent again.
     pub fn spent(self: &Rc<Self>, id: RequestId) {
         self.handle(Event::Spent(id));
@@ -463,7 +482,8 @@
         let mut ask = None;
         self.saw(id, |id| Seen::Ended { id, attempt, how: format!("{:?}", reply.ending) });
         if let Some(held) = self.requests.borrow_mut().get_mut(&id) {
-            held.attempts[attempt] = None;
+            let ended = held.attempts[attempt].take();
+            held.has_begun |= ended.is_some_and(|ended| ended.cancellation.has_begun());
             ask = held.request.affinity();
         }
         if let Some(affinity) = self.affinity.as_ref().filter(|_| reply.ending == Ending::Served) {
--- a/crates/spurdrum-core/src/transport.rs
+++ b/crates/spurdrum-core/src/transport.rs
@@ -41,9 +41,24 @@
 pub struct Cancellation {
     state: Cell<Cancelled>,
     raised: Notify,
+    has_begun: Cell<bool>,
 }
 
 impl Cancellation {
+    /// The transport is about to write the first byte of the attempt. Whether it may; if so, the attempt counts as begun.
+    #[must_use]
+    pub fn begin(&self) -> bool {
+        let may_begin = !self.is_raised();
+        self.has_begun.set(self.has_begun.get() || may_begin);
+        may_begin
+    }
+
+    /// Whether any of the attempt may have been written.
+    #[must_use]
+    pub fn has_begun(&self) -> bool {
+        self.has_begun.get()
+    }
+
     /// The attempt must not begin any more. What has begun goes on.
     pub fn cancel_unsent(&self) {
         self.raise(Cancelled::Unsent);
--- a/crates/spurdrum-handover/src/incoming.rs
+++ b/crates/spurdrum-handover/src/incoming.rs
@@ -29,8 +29,8 @@
     StartAlone(String),
     /// The outgoing process now keeps this many descriptors.
     Share(usize),
-    /// Serve the connection that was received.
-    Serve,
+    /// Serve the connection that was received; these bytes have been read from it already.
+    Serve(Vec<u8>),
     /// The outgoing process has gone; the whole budget belongs to this process.
     Alone,
 }
@@ -74,7 +74,10 @@
                 actions.push(IncomingAction::Share(share));
             }
             (State::TakenOver, IncomingEvent::Said(Message::Connection)) => {
-                actions.push(IncomingAction::Serve);
+                actions.push(IncomingAction::Serve(Vec::new()));
+            }
+            (State::TakenOver, IncomingEvent::Said(Message::Request { read })) => {
+                actions.push(IncomingAction::Serve(read));
             }
             (State::Begun | State::Greeted, IncomingEvent::Lost) => {
                 self.start_alone("no process answers".into(), actions);
--- a/crates/spurdrum-handover/src/lib.rs
+++ b/crates/spurdrum-handover/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! The running process is the [`Outgoing`] side, the one that starts beside it the [`Incoming`] side; each is a pure state machine,
 //! `handle(event) -> actions`. They exchange [`Message`]s over a Unix socket, which also carries descriptors: first the listening
-//! socket, and once the outgoing process is shutting down, clients' idle connections. The two processes share one node's descriptor
+//! socket, and once the outgoing process is shutting down, clients' connections: idle ones, and such from which a request has been
+//! read that no server has been sent. The two processes share one node's descriptor
 //! budget; the outgoing process lowers its own share before it reports it, so the sum never exceeds the budget.
 //!
 //! [`Offer`] (with a [`BudgetOwner`]) and [`Takeover`] (with its [`TakeoverEvent`]s) drive the state machines over the socket.
--- a/crates/spurdrum-handover/src/message.rs
+++ b/crates/spurdrum-handover/src/message.rs
@@ -21,6 +21,17 @@
     pub name: String,
     /// The address that clients connect to.
     pub listen: String,
+    /// Whether this process accepts [`Message::Request`]. Older processes do not say so.
+    #[serde(default)]
+    pub accepts_requests: bool,
+}
+
+impl Identity {
+    /// Whether both processes serve the same node.
+    #[must_use]
+    pub fn is_same_node(&self, other: &Self) -> bool {
+        self.name == other.name && self.listen == other.listen
+    }
 }
 
 /// A message between the two processes.
@@ -43,13 +54,18 @@
     Share(usize),
     /// Carries a client's idle connection.
     Connection,
+    /// Carries a client's connection from which a request has been read that no server has been sent.
+    Request {
+        /// The bytes to serve before those that the socket still holds.
+        read: Vec<u8>,
+    },
 }
 
 impl Message {
     /// Whether the message carries a descriptor.
     #[must_use]
     pub fn has_descriptor(&self) -> bool {
-        matches!(self, Self::Offer { .. } | Self::Connection)
+        matches!(self, Self::Offer { .. } | Self::Connection | Self::Request { .. })
     }
 
     /// Encodes the message as a frame: magic bytes, the payload's length, its checksum, the payload.
--- a/crates/spurdrum-handover/src/offer.rs
+++ b/crates/spurdrum-handover/src/offer.rs
@@ -4,12 +4,13 @@
 use std::collections::HashMap;
 use std::convert::Infallible;
 use std::io;
-use std::net::{TcpListener, TcpStream};
+use std::net::TcpListener;
 use std::os::fd::{AsFd, OwnedFd};
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
 
+use spurdrum_core::PassedConnection;
 use tokio::net::{UnixListener, UnixStream};
 use tokio::sync::{mpsc, Notify};
 use tokio::time::sleep;
@@ -98,18 +99,28 @@
         self.outgoing.borrow().awaits_confirmation()
     }
 
-    /// Passes an idle connection on.
+    /// Whether connections from which a request has been read can be passed on now.
+    pub fn passes_requests(&self) -> bool {
+        self.passes() && self.outgoing.borrow().passes_requests()
+    }
+
+    /// Passes a connection on.
     ///
     /// # Errors
     ///
-    /// Returns the connection if there is no process to pass it to.
-    pub fn pass(&self, connection: TcpStream) -> Result<(), TcpStream> {
+    /// Returns the connection if there is no process that accepts it.
+    pub fn pass(&self, connection: PassedConnection) -> Result<(), PassedConnection> {
+        if connection.has_request() && !self.passes_requests() {
+            return Err(connection);
+        }
         let channels = self.channels.borrow();
         let queue = self.successor.get().and_then(|id| channels.get(&id)).filter(|queue| !queue.is_closed());
         let Some(queue) = queue else { return Err(connection) };
         self.unsent.set(self.unsent.get() + 1);
+        let PassedConnection { stream, read } = connection;
+        let message = if read.is_empty() { Message::Connection } else { Message::Request { read } };
         // If the queue is closed after the check, the connection is lost with the incoming process, as are all that it holds.
-        let _ = queue.send((Message::Connection, Some(connection.into())));
+        let _ = queue.send((message, Some(stream.into())));
         Ok(())
     }
 
@@ -238,7 +249,7 @@
     ) -> io::Result<()> {
         while let Some((message, descriptor)) = queued.recv().await {
             channel.send(&message, descriptor.as_ref().map(AsFd::as_fd)).await?;
-            if message == Message::Connection {
+            if matches!(message, Message::Connection | Message::Request { .. }) {
                 self.unsent.set(self.unsent.get() - 1);
             }
         }
--- a/crates/spurdrum-handover/src/outgoing.rs
+++ b/crates/spurdrum-handover/src/outgoing.rs
@@ -50,13 +50,15 @@
     identity: Identity,
     state: State,
     stopping: bool,
+    /// Whether the process that was last offered the listening socket accepts requests that were read here.
+    accepts_requests: bool,
 }
 
 impl Outgoing {
     /// The outgoing process of this node.
     #[must_use]
     pub fn new(identity: Identity) -> Self {
-        Self { identity, state: State::Alone, stopping: false }
+        Self { identity, state: State::Alone, stopping: false, accepts_requests: false }
     }
 
     /// Handles an event and appends the resulting actions.
@@ -89,8 +91,9 @@
             (State::Greeting(of), Message::Hello(who)) if of == id => {
                 let why = match () {
                     () if who.format != self.identity.format => "this process speaks another format",
-                    () if *who != self.identity => "this process is another node",
+                    () if !who.is_same_node(&self.identity) => "this process is another node",
                     () => {
+                        self.accepts_requests = who.accepts_requests;
                         self.state = State::Offered(id);
                         return actions.push(OutgoingAction::Offer(id));
                     }
@@ -130,6 +133,12 @@
         matches!(self.state, State::Offered(_))
     }
 
+    /// Whether the process that takes over accepts requests that were read here.
+    #[must_use]
+    pub fn passes_requests(&self) -> bool {
+        self.is_succeeded() && self.accepts_requests
+    }
+
     /// Whether another process accepts connections as well.
     #[must_use]
     pub fn is_succeeded(&self) -> bool {
--- a/crates/spurdrum-handover/src/takeover.rs
+++ b/crates/spurdrum-handover/src/takeover.rs
@@ -5,7 +5,7 @@
 use std::path::Path;
 use std::time::Duration;
 
-use spurdrum_core::attentive_timeout;
+use spurdrum_core::{attentive_timeout, PassedConnection};
 use tokio::net::UnixStream;
 
 use crate::channel::Channel;
@@ -20,8 +20,8 @@
 pub enum TakeoverEvent {
     /// The outgoing process now keeps this many descriptors.
     OutgoingShare(usize),
-    /// A client's idle connection.
-    Connection(TcpStream),
+    /// A client's connection.
+    Connection(PassedConnection),
     /// The outgoing process has gone.
     OutgoingGone,
 }
@@ -31,7 +31,10 @@
     fn from_action(action: IncomingAction, descriptor: &mut Option<OwnedFd>) -> Option<Self> {
         match action {
             IncomingAction::Share(share) => Some(Self::OutgoingShare(share)),
-            IncomingAction::Serve => descriptor.take().map(|connection| Self::Connection(connection.into())),
+            IncomingAction::Serve(read) => {
+                let stream = descriptor.take().map(TcpStream::from);
+                stream.map(|stream| Self::Connection(PassedConnection { stream, read }))
+            }
             IncomingAction::Alone => Some(Self::OutgoingGone),
             IncomingAction::Send(_) | IncomingAction::TakeOver { .. } | IncomingAction::StartAlone(_) => None,
         }
@@ -92,7 +95,7 @@
                 }
                 IncomingAction::TakeOver { share, state } => offered = Some((share, state)),
                 IncomingAction::StartAlone(why) => return Err(why),
-                IncomingAction::Share(_) | IncomingAction::Serve | IncomingAction::Alone => {}
+                IncomingAction::Share(_) | IncomingAction::Serve(_) | IncomingAction::Alone => {}
             }
         }
         Ok(offered)
--- a/crates/spurdrum-handover/tests/machines.rs
+++ b/crates/spurdrum-handover/tests/machines.rs
@@ -10,7 +10,7 @@
 const ID: IncomingId = IncomingId(1);
 
 fn identity() -> Identity {
-    Identity { format: FORMAT, name: "n0".into(), listen: "127.0.0.1:1".into() }
+    Identity { format: FORMAT, name: "n0".into(), listen: "127.0.0.1:1".into(), accepts_requests: true }
 }
 
 fn outgoing(events: &[OutgoingEvent]) -> (Outgoing, Vec<OutgoingAction>) {
@@ -46,6 +46,21 @@
     assert_eq!(actions[1..], [OutgoingAction::Alone]);
 }
 
+/// Guards against requests that are handed to a process of an older version, which would take them for noise.
+#[test]
+fn requests_go_only_to_a_process_that_says_that_it_accepts_them() {
+    for accepts_requests in [true, false] {
+        let hello = Message::Hello(Identity { accepts_requests, ..identity() });
+        let (mut outgoing, _) = outgoing(&[OutgoingEvent::Called(ID), OutgoingEvent::Said(ID, hello)]);
+        assert!(!outgoing.passes_requests(), "it has not confirmed");
+        outgoing.handle(confirm(), &mut Vec::new());
+        assert_eq!(outgoing.passes_requests(), accepts_requests);
+    }
+    let older = r#"{"format":1,"name":"n0","listen":"127.0.0.1:1"}"#;
+    let older: Identity = serde_json::from_str(older).expect("still understood");
+    assert!(older.is_same_node(&identity()) && !older.accepts_requests);
+}
+
 #[test]
 fn told_to_end_before_the_confirmation_it_passes_once_that_comes() {
     let (_, actions) = outgoing(&[OutgoingEvent::Called(ID), hello(), OutgoingEvent::Stop, confirm()]);
@@ -115,6 +130,7 @@
         IncomingEvent::Connected,
         offer,
         IncomingEvent::Said(Message::Connection),
+        IncomingEvent::Said(Message::Request { read: b"GET".to_vec() }),
         IncomingEvent::Said(Message::Share(2)),
         IncomingEvent::Lost,
         IncomingEvent::Said(Message::Connection),
@@ -124,7 +140,8 @@
         [
             IncomingAction::TakeOver { share: 9, state: Value::Null },
             IncomingAction::Send(Message::Confirm),
-            IncomingAction::Serve,
+            IncomingAction::Serve(Vec::new()),
+            IncomingAction::Serve(b"GET".to_vec()),
             IncomingAction::Share(2),
             IncomingAction::Alone
         ]
@@ -156,6 +173,7 @@
         Just(Message::Hello(identity())),
         Just(Message::Confirm),
         Just(Message::Connection),
+        proptest::collection::vec(any::<u8>(), 0..40).prop_map(|read| Message::Request { read }),
         (0_usize..9).prop_map(Message::Share),
         ".{0,40}".prop_map(Message::Decline),
         (0_usize..9).prop_map(|share| Message::Offer { share, state: serde_json::json!({"a": [1, 2]}) }),
--- a/crates/spurdrum-http/src/client.rs
+++ b/crates/spurdrum-http/src/client.rs
@@ -42,6 +42,8 @@
     ahead: RefCell<Vec<u8>>,
     /// What has been read of the socket that hyper has not asked for yet.
     unasked: RefCell<BytesMut>,
+    /// A request that is to be served by another process, as it is to read it.
+    given_back: RefCell<Option<Vec<u8>>>,
     /// Whether a request has been taken whose answer is not there yet.
     pub owes: Cell<bool>,
     /// Whether an answer has been begun and not all written.
@@ -76,12 +78,37 @@
             body: Cell::new(Left::Length(0)),
             ahead: RefCell::default(),
             unasked: RefCell::default(),
+            given_back: RefCell::default(),
             owes: Cell::new(false),
             answering: Cell::new(false),
             given: Cell::new(false),
         }
     }
 
+    /// These bytes have been read from it already.
+    pub fn with_read(self, read: Vec<u8>) -> Self {
+        Self { unasked: RefCell::new(BytesMut::from(&read[..])), ..self }
+    }
+
+    /// The present request is not answered here: these bytes say the same. Its connection is to be passed on.
+    pub fn give_back(&self, request: Vec<u8>) {
+        self.given_back.replace(Some(request));
+        self.seat.ordered.notify_one();
+    }
+
+    /// Whether the present request has been given back.
+    pub fn has_given_back(&self) -> bool {
+        self.given_back.borrow().is_some()
+    }
+
+    /// What another process is to read before the socket itself: a request that was given back, and what came behind it.
+    pub fn take_read(&self) -> Vec<u8> {
+        let mut read = self.given_back.take().unwrap_or_default();
+        read.append(&mut self.ahead.borrow_mut());
+        read.extend_from_slice(&self.unasked.take());
+        read
+    }
+
     /// Whether bytes beyond the present request have been read.
     pub fn has_ahead(&self) -> bool {
         !self.ahead.borrow().is_empty() || !self.unasked.borrow().is_empty()
--- a/crates/spurdrum-http/src/connection.rs
+++ b/crates/spurdrum-http/src/connection.rs
@@ -17,7 +17,7 @@
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
 use spurdrum_admission::{Event, Reason, State, Verdict};
-use spurdrum_core::{Order, Seat};
+use spurdrum_core::{Order, PassedConnection, Seat};
 use tokio::net::TcpStream;
 use tokio::time::{sleep, Instant};
 
@@ -45,7 +45,7 @@
     Last,
     /// It is to be closed.
     Close,
-    /// It rests, and another process takes over.
+    /// It rests, or its request is to be served by another process, and that takes over.
     Pass,
     /// What is half sent is to be answered first.
     Expire(Reason),
@@ -53,15 +53,17 @@
     Abort(Reason),
 }
 
-pub(crate) async fn connection(front: Rc<Front>, seat: Rc<Seat>, stream: TcpStream) {
+/// Serves a client's connection of which `read` has been read already, until it has ended or another process has it.
+pub(crate) async fn connection(front: Rc<Front>, seat: Rc<Seat>, stream: TcpStream, read: Vec<u8>) {
     // Guards against answers that the system holds for clients that never read them.
     let unread = front.node.connections.unread_most;
     if stream.set_nodelay(true).is_err() || SockRef::from(&stream).set_tcp_user_timeout(Some(unread)).is_err()
     {
         return;
     }
-    let socket = Rc::new(Socket::new(stream, Rc::clone(&seat)));
+    let socket = Rc::new(Socket::new(stream, Rc::clone(&seat)).with_read(read));
     let end = serve(&front, &seat, &socket).await;
+    let owes = socket.has_given_back();
     let socket = match (end, &front.successor) {
         (End::Pass, Some(successor)) => match pass(&**successor, socket) {
             Ok(()) => return,
@@ -78,6 +80,8 @@
             }
             return;
         }
+        // No server has been sent it.
+        End::Pass if owes => Some(refusal_text(front.node.connections.retry_after_ms())),
         End::Last | End::Close | End::Pass => None,
         End::Expire(Reason::SlowHead) => Some(TOO_SLOW.to_owned()),
         End::Expire(_) => Some(refusal_text(front.node.connections.retry_after_ms())),
@@ -114,14 +118,16 @@
     }
 }
 
-/// Lets another process have a connection that nothing has been read of since its last answer.
+/// Lets another process have a connection, with the request that was given back, if there is one.
 fn pass(successor: &dyn Successor, socket: Rc<Socket>) -> Result<(), Rc<Socket>> {
-    let Socket { stream, seat, .. } = Rc::try_unwrap(socket)?;
+    let socket = Rc::try_unwrap(socket)?;
+    let read = socket.take_read();
+    let Socket { stream, seat, .. } = socket;
     // It fails where the event loop has trouble with it: then it is over.
-    let Ok(connection) = stream.into_std() else { return Ok(()) };
-    match successor.take(connection) {
+    let Ok(stream) = stream.into_std() else { return Ok(()) };
+    match successor.take(PassedConnection { stream, read }) {
         Ok(()) => Ok(()),
-        Err(connection) => match TcpStream::from_std(connection) {
+        Err(connection) => match TcpStream::from_std(connection.stream) {
             Ok(stream) => Err(Rc::new(Socket::new(stream, seat))),
             Err(_) => Ok(()),
         },
@@ -193,7 +199,7 @@
     let ended = |well| if well && !socket.is_closed() { End::Last } else { End::Over };
     // Guards against a request that this process begins as it ends, though another one is there to serve it: what rests is passed
     // on before hyper reads.
-    let can_pass = || front.is_succeeded() && rests_unread(seat, socket);
+    let can_pass = || socket.has_given_back() || front.is_succeeded() && rests_unread(seat, socket);
     let may_be_passed = || poll_fn(|_| if can_pass() { Poll::Ready(()) } else { Poll::Pending });
     loop {
         tokio::select! {
--- a/crates/spurdrum-http/src/context.rs
+++ b/crates/spurdrum-http/src/context.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use spurdrum_admission::Event;
+use spurdrum_core::PassedConnection;
 use tokio::sync::Notify;
 
 use crate::keys::Keys;
@@ -36,17 +37,32 @@
     /// Whether there is one.
     fn succession(&self) -> Succession;
 
-    /// Takes a connection that rests between two requests.
+    /// Whether it takes connections from which a request has been read.
+    fn takes_requests(&self) -> bool;
+
+    /// Takes a connection that rests between two requests, or from which a request has been read that no server has been sent.
     ///
     /// # Errors
     ///
     /// The connection, where it cannot.
-    fn take(&self, connection: std::net::TcpStream) -> Result<(), std::net::TcpStream>;
+    fn take(&self, connection: PassedConnection) -> Result<(), PassedConnection>;
 
     /// Whether it has been sent all that it was to take.
     fn has_all(&self) -> bool;
 }
 
+/// How far the end of this process has come for the requests that it holds; the later goes further.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum EndStage {
+    /// They are served as ever.
+    #[default]
+    Serving,
+    /// Those that no server has been sent are not sent any more: they are handed over, or refused.
+    NothingBegins,
+    /// Nothing more is taken, and what is owed an answer gets its last one.
+    LastCall,
+}
+
 /// Clients' connections.
 pub struct Front {
     pub(crate) node: Rc<Node>,
@@ -56,9 +72,9 @@
     /// What `/_health` says beside its own.
     pub(crate) status: Box<dyn Fn() -> String>,
     pub(crate) ending: Cell<bool>,
-    /// Set when the process ends in a moment, and raised then for those that wait for an answer.
-    pub(crate) last_call: Cell<bool>,
-    called: Notify,
+    end_stage: Cell<EndStage>,
+    /// Raised with each stage for those that wait for an answer.
+    end_advanced: Notify,
     pub(crate) successor: Option<Rc<dyn Successor>>,
     /// Held so that a connection can be answered, and not left waiting, when the system has no more descriptors.
     pub(crate) reserve: RefCell<Option<File>>,
@@ -74,8 +90,8 @@
             keys: None,
             status: Box::new(status),
             ending: Cell::new(false),
-            last_call: Cell::new(false),
-            called: Notify::new(),
+            end_stage: Cell::default(),
+            end_advanced: Notify::new(),
             successor: None,
             reserve: RefCell::new(spare_descriptor()),
             backoff: Cell::new(BACKOFF.0),
@@ -96,18 +112,40 @@
         self.succession() == Succession::Confirmed
     }
 
+    /// Whether another process takes over, and takes connections from which a request has been read.
+    pub(crate) fn passes_requests(&self) -> bool {
+        self.successor.as_ref().is_some_and(|successor| successor.takes_requests())
+    }
+
+    /// What no server has been sent is not sent any more.
+    pub(crate) fn begin_nothing(&self) {
+        self.advance_to(EndStage::NothingBegins);
+    }
+
     /// Nothing more is taken, and what is owed an answer gets its last one.
     pub(crate) fn call_last(&self) {
-        self.last_call.set(true);
-        self.called.notify_waiters();
+        self.advance_to(EndStage::LastCall);
         self.node.connections.tell(Event::LastCall);
     }
 
-    /// Waits for the last call.
-    pub(crate) async fn last_called(&self) {
-        let called = self.called.notified();
-        if !self.last_call.get() {
-            called.await;
+    fn advance_to(&self, stage: EndStage) {
+        self.end_stage.set(self.end_stage.get().max(stage));
+        self.end_advanced.notify_waiters();
+    }
+
+    /// Whether the last call has come.
+    pub(crate) fn has_called_last(&self) -> bool {
+        self.end_stage.get() == EndStage::LastCall
+    }
+
+    /// Waits until the end has come so far.
+    pub(crate) async fn reached(&self, stage: EndStage) {
+        loop {
+            let advanced = self.end_advanced.notified();
+            if self.end_stage.get() >= stage {
+                return;
+            }
+            advanced.await;
         }
     }
 
--- a/crates/spurdrum-http/src/front.rs
+++ b/crates/spurdrum-http/src/front.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use spurdrum_admission::Event;
-use spurdrum_core::{is_starved, Fate};
+use spurdrum_core::{is_starved, Fate, PassedConnection};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 use tokio::task::yield_now;
@@ -24,7 +24,7 @@
 const TURN_AWAY_MOST: usize = 64;
 
 /// Where the connections come from that another process passes on.
-pub type Passed = mpsc::UnboundedReceiver<std::net::TcpStream>;
+pub type Passed = mpsc::UnboundedReceiver<PassedConnection>;
 
 /// Serves clients until `stop` is done and all that was taken is answered. What another process passes on is served as if
 /// it had been accepted here.
@@ -68,6 +68,7 @@
                 Step::CloseIdle => {
                     node.connections.tell(Event::NoneComes);
                 }
+                Step::BeginNothing => front.begin_nothing(),
                 Step::LastCall => {
                     tracing::info!("the end: last answers for {} requests", node.held());
                     front.call_last();
@@ -96,7 +97,7 @@
 }
 
 /// A connection that the process before this one has passed on goes straight to the next, where there is one by now.
-fn pass_on(front: &Rc<Front>, connection: std::net::TcpStream) {
+fn pass_on(front: &Rc<Front>, connection: PassedConnection) {
     let rest = match &front.successor {
         Some(successor) if front.is_succeeded() => successor.take(connection),
         _ => Err(connection),
@@ -116,7 +117,7 @@
     match next.await {
         Ok((stream, peer)) => {
             front.backoff.set(BACKOFF.0);
-            admit(front, stream, peer.ip());
+            admit(front, stream, peer.ip(), Vec::new());
             // Guards against a burst that finds no place because those who make room have had no turn.
             if front.node.connections.is_closing() {
                 yield_now().await;
@@ -133,26 +134,26 @@
     }
 }
 
-fn admit_passed(front: &Rc<Front>, connection: std::net::TcpStream) {
-    let peer = connection.peer_addr().map(|peer| peer.ip());
+fn admit_passed(front: &Rc<Front>, connection: PassedConnection) {
+    let PassedConnection { stream, read } = connection;
+    let peer = stream.peer_addr().map(|peer| peer.ip());
     // It fails where the client has left meanwhile.
-    if let (Ok(peer), Ok(())) = (peer, connection.set_nonblocking(true)) {
-        if let Ok(stream) = TcpStream::from_std(connection) {
-            admit(front, stream, peer);
+    if let (Ok(peer), Ok(())) = (peer, stream.set_nonblocking(true)) {
+        if let Ok(stream) = TcpStream::from_std(stream) {
+            admit(front, stream, peer, read);
         }
     }
 }
 
-fn admit(front: &Rc<Front>, stream: TcpStream, peer: IpAddr) {
-    if front.last_call.get() {
-        return turn_away(front, stream);
-    }
-    match front.node.connections.accept(peer) {
+/// Serves a connection of which `read` has been read already, or turns it away.
+fn admit(front: &Rc<Front>, stream: TcpStream, peer: IpAddr, read: Vec<u8>) {
+    let seat = if front.has_called_last() { None } else { front.node.connections.accept(peer) };
+    match seat {
         Some(seat) => {
-            tokio::task::spawn_local(connection(Rc::clone(front), seat, stream));
+            tokio::task::spawn_local(connection(Rc::clone(front), seat, stream, read));
         }
         // Guards against waiting in vain: who is turned away at once can turn to another node.
-        None => turn_away(front, stream),
+        None => turn_away(front, stream, &read),
     }
 }
 
@@ -164,7 +165,7 @@
         let next = poll_fn(|cx| Poll::Ready(listener.poll_accept(cx))).await;
         let came = match next {
             Poll::Ready(Ok((stream, _))) => {
-                turn_away(front, stream);
+                turn_away(front, stream, &[]);
                 true
             }
             _ => false,
@@ -176,14 +177,14 @@
     }
 }
 
-/// Ends a connection that there is no place for; where its request has come, with a refusal.
+/// Ends a connection that there is no place for; where its request has come, with a refusal. `before` has been read of it already.
 /// Guards against the loss of a request that was written before its connection could be refused.
-fn turn_away(front: &Front, stream: TcpStream) {
+fn turn_away(front: &Front, stream: TcpStream, before: &[u8]) {
     // The event loop has not looked at this socket yet, so it is read as it is.
     let Ok(mut stream) = stream.into_std() else { return };
     let mut read = [0; 4096];
-    let mut came = 0;
-    let mut class = None;
+    let mut came = before.len();
+    let mut class = class_of(before);
     // What is unread when a socket closes destroys the answer on its way.
     while let Ok(n) = stream.read(&mut read) {
         class = class.or_else(|| class_of(&read[..n]));
--- a/crates/spurdrum-http/src/lib.rs
+++ b/crates/spurdrum-http/src/lib.rs
@@ -5,6 +5,7 @@
 mod connection;
 mod context;
 pub mod front;
+mod handed;
 pub mod keys;
 mod request;
 mod shutdown;
--- a/crates/spurdrum-http/src/request.rs
+++ b/crates/spurdrum-http/src/request.rs
@@ -1,6 +1,7 @@
 //! One request: what its head and body say, and the answer it gets.
 
 use std::cell::Cell;
+use std::future::pending;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -16,7 +17,8 @@
 use tokio::time::Instant;
 
 use crate::client::Socket;
-use crate::context::{Front, Node};
+use crate::context::{EndStage, Front, Node};
+use crate::handed::HandedRequest;
 use crate::stream::{joined, Answered, Deadline, Listener, Source};
 use crate::upstream::{Carried, Forward, BODY_MOST};
 
@@ -54,7 +56,7 @@
             plain(StatusCode::SERVICE_UNAVAILABLE, format!("starting\n{}\n", (front.status)()))
         }
         "/_health" => plain(StatusCode::OK, format!("ready\n{}\n", (front.status)())),
-        _ if place == Verdict::Refuse || front.last_call.get() => {
+        _ if place == Verdict::Refuse || front.has_called_last() => {
             *ends = true;
             *open = Some(front.node.figures.open());
             refusal(front.node.connections.retry_after_ms())
@@ -224,6 +226,7 @@
     asked.budget_ms = if long { WAIT_MOST } else { wait }.as_secs_f64() * 1000.0;
     let forward =
         Forward { method: head.method, uri, headers, body, deadline: Rc::clone(&deadline), ask, naming };
+    let handed = HandedRequest::new(head.version, &head.headers, &asked);
     let (answer, answered) = oneshot::channel();
     let id = match node.take(forward, asked, answer) {
         Ok(id) => id,
@@ -240,9 +243,25 @@
         coming
     });
     let comes = || coming.as_ref().is_some_and(|coming| !coming.whole.get());
+    // Guards against an attempt that begins when there is no time left for its answer.
+    let withdrawn = async {
+        front.reached(EndStage::NothingBegins).await;
+        match node.withdraw(id) {
+            Some(forward) => forward,
+            None => pending().await,
+        }
+    };
     let answer = tokio::select! {
         biased;
         answer = answered => answer.unwrap_or(Answer::Failed),
+        forward = withdrawn => {
+            *ends |= comes();
+            let request = handed.filter(|_| front.passes_requests()).and_then(|handed| handed.encode(&forward));
+            let Some(request) = request else { return refusal(node.connections.retry_after_ms()) };
+            socket.give_back(request);
+            // The connection is passed on before there is an answer here.
+            return pending().await;
+        }
         reason = seat.body_expired(), if comes() => {
             seat.reading_body.set(false);
             *ends = true;
@@ -250,7 +269,9 @@
             return expired(node, reason);
         }
         // Guards against a process that ends before the client's time does: the client may wait longer than the settings say.
-        () = front.last_called() => return plain(StatusCode::GATEWAY_TIMEOUT, "the node is ending\n"),
+        () = front.reached(EndStage::LastCall) => {
+            return plain(StatusCode::GATEWAY_TIMEOUT, "the node is ending\n")
+        }
         // Guards against decisions that leave a request without an answer.
         () = deadline.passed(MARGIN / 2) => return plain(StatusCode::GATEWAY_TIMEOUT, "no answer in time\n"),
     };
--- a/crates/spurdrum-http/src/shutdown.rs
+++ b/crates/spurdrum-http/src/shutdown.rs
@@ -56,6 +56,8 @@
     Close,
     /// No connection comes any more: close those that rest.
     CloseIdle,
+    /// Send no server any more what none has been sent: another process serves it, or it is refused.
+    BeginNothing,
     /// Take nothing more, and give what is owed an answer its last one.
     LastCall,
     /// End.
@@ -86,6 +88,8 @@
     last_called: bool,
     /// The deadline has been put off for a pause, which is done once.
     is_put_off: bool,
+    /// Nothing begins any more.
+    begins_nothing: bool,
 }
 
 impl Shutdown {
@@ -102,6 +106,7 @@
             awaited_confirmation: Duration::ZERO,
             last_called: false,
             is_put_off: false,
+            begins_nothing: false,
         }
     }
 
@@ -121,7 +126,15 @@
             steps.push(if next == Phase::HandingOver { Step::HandOver } else { Step::Close });
         }
         if resumed {
-            return self.leave_out(unseen, now);
+            self.leave_out(unseen, now);
+        }
+        // Past its end it has a moment to read and to answer, and none for what begins only now.
+        if self.is_put_off && !self.begins_nothing && self.phase != Phase::AwaitingConfirmation {
+            self.begins_nothing = true;
+            steps.push(Step::BeginNothing);
+        }
+        if resumed {
+            return;
         }
         if !self.last_called && now + LAST_CALL >= self.deadline {
             self.last_called = true;
--- a/crates/spurdrum-http/src/shutdown/tests.rs
+++ b/crates/spurdrum-http/src/shutdown/tests.rs
@@ -138,7 +138,8 @@
         let mut shutdown = Shutdown::new(start, LONGEST);
         steps(&mut shutdown, start, remaining(succession));
         let resumed = start + LONGEST + END + ms(500);
-        assert_eq!(steps_after_pause(&mut shutdown, resumed, remaining(succession)), []);
+        let begins_nothing = [Step::BeginNothing];
+        assert_eq!(steps_after_pause(&mut shutdown, resumed, remaining(succession)), begins_nothing);
         let end = resumed + RESUMED_LEAST;
         assert_eq!(ending(&mut shutdown, end - LAST_CALL - ms(1), succession), []);
         assert_eq!(ending(&mut shutdown, end - LAST_CALL, succession), [Step::LastCall]);
@@ -147,6 +148,21 @@
     }
 }
 
+/// Guards against a request that is refused though another process is there: its confirmation lies unread as this one goes on.
+#[test]
+fn past_its_end_a_process_waits_for_the_confirmation_before_it_gives_up_what_has_not_begun() {
+    let start = Instant::now();
+    let mut shutdown = Shutdown::new(start, LONGEST);
+    let offered = remaining(Succession::Offered);
+    assert_eq!(steps(&mut shutdown, start + ms(50), offered), []);
+    let resumed = start + LONGEST + END + ms(500);
+    assert_eq!(steps_after_pause(&mut shutdown, resumed, offered), []);
+    let after = steps(&mut shutdown, resumed + ms(5), remaining(Succession::Confirmed));
+    assert_eq!(after, [Step::HandOver, Step::BeginNothing]);
+    let again = steps(&mut shutdown, resumed + ms(15), remaining(Succession::Confirmed));
+    assert_eq!(again, [], "it is told once");
+}
+
 /// Guards against a process that is slow, takes that for pauses over and over and never gives its last answers: SIGKILL may come
 /// 0.7 s after the longest deadline.
 #[test]
--- a/crates/spurdrum-http/src/upstream.rs
+++ b/crates/spurdrum-http/src/upstream.rs
@@ -332,7 +332,7 @@
             }
             // Time has passed since the decision: a server that drains by now gets nothing new, and nothing begins for a client
             // that has left.
-            if attempt.is_some_and(|(_, cancellation)| !server.ready.get() || cancellation.is_raised()) {
+            if attempt.is_some_and(|(_, cancellation)| !server.ready.get() || !cancellation.begin()) {
                 return Reply::none(Ending::NotSent);
             }
             let request = match forward {
--- a/crates/spurdrum/src/replace.rs
+++ b/crates/spurdrum/src/replace.rs
@@ -6,7 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 use spurdrum_admission::Event;
-use spurdrum_core::{Connections, Node};
+use spurdrum_core::{Connections, Node, PassedConnection};
 use spurdrum_handover::{path, BudgetOwner, Identity, Offer, Takeover, TakeoverEvent, FORMAT};
 use spurdrum_http::{Names, Passed, SharedNames, Succession, Successor, Upstream};
 use spurdrum_policy::Learned;
@@ -73,7 +73,7 @@
 
 /// Identifies this process's node to the other process.
 pub fn identity(name: &str, listen: SocketAddr) -> Identity {
-    Identity { format: FORMAT, name: name.to_owned(), listen: listen.to_string() }
+    Identity { format: FORMAT, name: name.to_owned(), listen: listen.to_string(), accepts_requests: true }
 }
 
 /// Takes over from the process that serves this address, if there is one that grants it.
@@ -179,7 +179,11 @@
         }
     }
 
-    fn take(&self, connection: std::net::TcpStream) -> Result<(), std::net::TcpStream> {
+    fn takes_requests(&self) -> bool {
+        self.0.passes_requests()
+    }
+
+    fn take(&self, connection: PassedConnection) -> Result<(), PassedConnection> {
         self.0.pass(connection)
     }
 
--- a/crates/spurdrum/tests/node/incoming.rs
+++ b/crates/spurdrum/tests/node/incoming.rs
@@ -30,6 +30,7 @@
             format: FORMAT,
             name: "n0".into(),
             listen: address.to_string(),
+            accepts_requests: true,
         }));
         match incoming.next() {
             Some((Message::Offer { .. }, Some(listener))) => (incoming, listener.into()),
@@ -51,6 +52,16 @@
         }
     }
 
+    /// The next connection that is handed over with a request that was read from it.
+    pub fn request(&mut self) -> (TcpStream, Vec<u8>) {
+        loop {
+            match self.next().expect("it is not handed over") {
+                (Message::Request { read }, Some(descriptor)) => return (descriptor.into(), read),
+                (message, _) => assert!(!message.has_descriptor(), "it is handed over unread: {message:?}"),
+            }
+        }
+    }
+
     /// A connection that has been handed over by now, if one has.
     pub fn poll_connection(&mut self) -> Option<TcpStream> {
         loop {
--- a/crates/spurdrum/tests/node/replace.rs
+++ b/crates/spurdrum/tests/node/replace.rs
@@ -401,6 +401,51 @@
     assert!(old.wait().success());
 }
 
+/// A request whose connection to a server does not come up.
+fn unsent(config: &mut Value) -> (Node, Client, TcpListener, TcpStream) {
+    let (slow, address, filler) = full_listener();
+    config["known"] = list(1, true, &[member("slow", address, "active")]);
+    for class in config["settings"]["classes"].as_array_mut().expect("a list") {
+        class["deadline_ms"] = json!(300.0);
+    }
+    let old = Node::start(config);
+    let mut client = old.client();
+    client.send(&request("pay", 20.0));
+    until(|| dials(address) > 0);
+    (old, client, slow, filler)
+}
+
+/// Guards against a last answer that promises nothing where no server has been sent the request.
+#[test]
+fn what_no_server_has_been_sent_at_the_last_call_is_served_by_the_new_process() {
+    let (server, (mut old_config, _)) = (Server::start(), operated(&[]));
+    let (mut old, mut client, _slow, _filler) = unsent(&mut old_config);
+    let ops = own_address();
+    let new = old.beside(&old_config, ops);
+    // The new process is told of another server.
+    let told = list(9, true, &[member("s0", server.address, "active")]);
+    new.discovery.request().answer(OK, "", told.to_string().as_bytes());
+    ready(ops);
+    old.terminate();
+    let exchange = server.request();
+    assert_eq!(exchange.request.body, b"work");
+    exchange.answer(OK, "", b"served");
+    let answer = client.answer();
+    assert_eq!((answer.status(), answer.header("connection")), (200, None));
+    assert!(old.wait().success());
+    serve(&server, &mut client);
+}
+
+/// The same where no other process is there: trying again is harmless.
+#[test]
+fn what_no_server_has_been_sent_at_the_last_call_is_refused_where_no_process_takes_over() {
+    let (mut config, _) = operated(&[]);
+    let (mut old, mut client, _slow, _filler) = unsent(&mut config);
+    old.terminate();
+    assert_eq!(client.answer().status(), 503);
+    assert!(old.wait().success());
+}
+
 /// A node that is nearly full hands all of it on: the new process has room for what comes as the old one gives it up.
 #[test]
 fn a_full_node_passes_on_all_its_connections() {
--- a/crates/spurdrum/tests/node/stalled.rs
+++ b/crates/spurdrum/tests/node/stalled.rs
@@ -421,6 +421,40 @@
     assert!(!clients.server.has_request(), "it was sent on");
 }
 
+/// Guards against an attempt that a process which goes on past its end begins with no time left for its answer: here a connection
+/// to the server comes up in that moment.
+#[test]
+fn a_process_that_stands_still_past_its_end_hands_over_what_no_server_has_been_sent() {
+    let (slow, address, filler) = full_listener();
+    let (mut config, ops) = operated(&[]);
+    config["known"] = list(1, true, &[member("slow", address, "active")]);
+    let mut old = Node::start(&config);
+    let mut client = old.client();
+    client.send(&request("pay", 20.0));
+    until("the node does not connect", || dials(address) > 0);
+    let (mut incoming, _listener) = Incoming::offered(old.address);
+    old.terminate();
+    until("it is not ending", || call(ops, "readyz") == "NO ending\n");
+    old.stand_still();
+    incoming.confirm();
+    drop(slow.accept().expect("the filler"));
+    drop(filler);
+    let (mut upstream, _) = slow.accept().expect("the node's connection");
+    std::thread::sleep(PAST_THE_END);
+    old.go_on();
+    let (mut connection, read) = incoming.request();
+    let text = String::from_utf8(read).expect("text");
+    let handed = Message::read(&mut std::io::BufReader::new(text.as_bytes())).expect("a whole request");
+    assert!(handed.first.starts_with("POST /api"), "{text}");
+    let left: f64 = handed.header("x-deadline").and_then(|left| left.parse().ok()).expect("told");
+    assert!(left > 10.0 && left < 20.0 - PAST_THE_END.as_secs_f64(), "{left}");
+    connection.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nhere").expect("answered");
+    assert_eq!(client.answer().body, b"here");
+    assert!(old.wait().success());
+    upstream.set_read_timeout(Some(LONG)).expect("set");
+    assert_eq!(upstream.read(&mut [0; 1]).ok(), Some(0), "it was sent on");
+}
+
 /// Guards against the same where all that rests has been handed over, and one request is at the server.
 #[test]
 fn a_process_that_stands_still_past_its_end_passes_on_an_answer_that_has_come() {
