A class of which few answers have come is believed in part to take longer than others

Cause: the longest expected answer with which a request is still taken is divided by how much longer its class takes than the mean. One answer was enough for that: a first one that came on a busy machine.

Evidence, at two refusals: all 6.98 ms (64 seen), class 75.0 ms (1 seen), limit 22.6 ms, expected 80; all 8.0, class 48.4 (1 seen), limit 42.9, 4 out. So a ratio of 10.7 and of 6 from one answer each.

Test: one_slow_answer_of_a_class_does_not_have_it_refused failed without it.

--- a/crates/spurdrum-policy/src/rules.rs
+++ b/crates/spurdrum-policy/src/rules.rs
@@ -797,10 +797,18 @@
         (aim * part).max((alone * UNQUEUED).min(aim))
     }
 
-    /// How much longer a class takes than the mean request.
+    /// How much longer a class takes than the mean request, as far as enough answers of it tell.
+    /// Guards against a class whose few answers came at a bad moment: an idle server would not get it.
     fn relative(&self, class: usize) -> f64 {
-        let ratio = self.classes.get(class).map(|class| class.latency / self.all.latency);
-        ratio.filter(|r| r.is_finite() && *r > 0.0).unwrap_or(1.0)
+        let Some(class) = self.classes.get(class) else { return 1.0 };
+        let ratio = class.latency / self.all.latency;
+        let told = (class.seen / RECENT).min(1.0);
+        let known = ratio.is_finite() && ratio > 0.0;
+        if known {
+            1.0 + (ratio - 1.0) * told
+        } else {
+            1.0
+        }
     }
 
     fn send(&mut self, now: f64, id: RequestId, held: &mut Held, at: usize, actions: &mut Vec<Action>) {
--- a/crates/spurdrum-policy/tests/rules.rs
+++ b/crates/spurdrum-policy/tests/rules.rs
@@ -569,6 +569,26 @@
     assert!(refusals[1] > 2 * refusals[0], "{refusals:?}");
 }
 
+/// Guards against a class that is refused before an idle server because its first answer came at a bad moment.
+#[test]
+fn one_slow_answer_of_a_class_does_not_have_it_refused() {
+    let class = || Class::new(1_000.0, 2_000.0, Effect::Unsafe);
+    let mut node = Node::new(Settings::new(vec![class(), class()]), 1);
+    node.servers(ready(0..1));
+    for id in 0..200 {
+        node.sent_to(id);
+        node.now += 7.0;
+        node.end(id, 0, 7.0, Ending::Served);
+    }
+    assert!(send_of(&node.request(200, 1, 2_000.0)).is_some());
+    node.now += 75.0;
+    node.end(200, 0, 75.0, Ending::Served);
+    // Four are out: the next answer is expected in some 35 ms, of an aim of a second.
+    (201..205).for_each(|id| drop(node.sent_to(id)));
+    let actions = node.request(205, 1, 2_000.0);
+    assert!(send_of(&actions).is_some(), "{actions:?}");
+}
+
 // ---- Generated days
 
 /// Keeps the four rules' books from events and actions alone.
