Each pause of an ending process counts as one, not only the first

What callers saw: nothing that a trace shows. A process that had stood still once took later pauses for slowness of others: it closed though a confirmation was on its way, and took a pause for a time in which nobody connects.

Cause: whether the last look was late was replaced behind an && and so never set back.

Change: it is set at every look. Late looks in a row still are no pauses, and the deadline is put off once.

Test: each_pause_of_this_process_counts_and_not_only_the_first failed without it: [Close, CloseIdle] after the second pause of 0.4 s, where nothing was due.

--- a/crates/spurdrum-http/src/shutdown.rs
+++ b/crates/spurdrum-http/src/shutdown.rs
@@ -115,8 +115,9 @@
         let unseen = now - self.looked_at;
         self.looked_at = now;
         let is_late = unseen >= LATE_LOOK;
+        let was_late = std::mem::replace(&mut self.was_late, is_late);
         // Guards against a process that is slow at each step and never gives its last answers: late looks in a row are no pauses.
-        let resumed = is_late && !std::mem::replace(&mut self.was_late, is_late) && !self.is_put_off;
+        let resumed = is_late && !was_late && !self.is_put_off;
         if !resumed {
             self.awaited_confirmation += unseen;
         }
--- a/crates/spurdrum-http/src/shutdown/tests.rs
+++ b/crates/spurdrum-http/src/shutdown/tests.rs
@@ -113,6 +113,22 @@
     assert_eq!(after.first(), Some(&Step::Close));
 }
 
+/// Guards against a second pause that counts as slowness of others, because the first one has been seen.
+#[test]
+fn each_pause_of_this_process_counts_and_not_only_the_first() {
+    let start = Instant::now();
+    let mut shutdown = Shutdown::new(start, LONGEST);
+    let offered = remaining(Succession::Offered);
+    let mut now = start;
+    for _ in 0..3 {
+        now += ms(50);
+        assert_eq!(steps(&mut shutdown, now, offered), []);
+        now += ms(400);
+        assert_eq!(steps_after_pause(&mut shutdown, now, offered), [], "it still waits for the confirmation");
+    }
+    assert_eq!(steps(&mut shutdown, now + ms(10), remaining(Succession::Confirmed)), [Step::HandOver]);
+}
+
 /// Guards against a pause of this process that it takes for a time in which nobody connects: who did would be reset.
 #[test]
 fn a_pause_of_this_process_is_no_quiet_time() {
