--- a/crates/spurdrum-policy/tests/rules.rs
+++ b/crates/spurdrum-policy/tests/rules.rs
@@ -584,7 +584,9 @@
     node.now += 75.0;
     node.end(200, 0, 75.0, Ending::Served);
     // Four are out: the next answer is expected in some 35 ms, of an aim of a second.
-    (201..205).for_each(|id| drop(node.sent_to(id)));
+    for id in 201..205 {
+        node.sent_to(id);
+    }
     let actions = node.request(205, 1, 2_000.0);
     assert!(send_of(&actions).is_some(), "{actions:?}");
 }
