A rollout's stage is not fine while its changed nodes plainly do worse than the others

Cause: a stage was fine as soon as 30 requests had been seen and little spoke against it. What is gross, from half of the requests on, is said at once; a node that refuses less went on to the next stage.

Change: no stage is fine while more of the last five seconds' requests ended badly at changed nodes than at the others, each beside its own past, by the part that holds a rollout (Settings::trouble). It is watched until the evidence says what it is.

Test: a_stage_is_not_fine_while_its_node_plainly_does_worse failed without it (Fine after 2 s).

--- a/crates/spurdrum-rollout/src/judge/mod.rs
+++ b/crates/spurdrum-rollout/src/judge/mod.rs
@@ -156,6 +156,8 @@
     fresh: BTreeMap<Key, Part>,
     /// What it did before any was changed.
     before: BTreeMap<Key, Part>,
+    /// How many of all its requests ended badly then.
+    before_overall: Part,
     /// Answers by time, then, by class.
     times: BTreeMap<String, BTreeMap<u64, u64>>,
     /// Seconds of that, and requests.
@@ -182,7 +184,7 @@
     waiting: BTreeMap<Key, Vec<Sums>>,
     /// Of all, before; and the last seconds.
     all_before: Part,
-    recent: Vec<Second>,
+    recent: Vec<Sums>,
     troubled: bool,
     /// A node was changed: what came until then is the time before, for all of them alike.
     begun: bool,
@@ -190,14 +192,7 @@
     seen: f64,
 }
 
-/// All that ended in a second, badly or not.
-#[derive(Clone, Copy, Debug, Default)]
-struct Second {
-    new: Part,
-    old: Part,
-}
-
-/// One zone's part of a comparison.
+/// What new and old nodes did, and how much of it would have ended badly by their past: of one zone, or of all.
 #[derive(Clone, Copy, Debug, Default)]
 struct Sums {
     new: Part,
@@ -207,6 +202,14 @@
 }
 
 impl Sums {
+    /// One node's part, and how much of it would have ended badly by its past.
+    fn of_node(new: bool, part: Part, past: f64) -> Self {
+        match new {
+            true => Self { new: part, new_before: past, ..Self::default() },
+            false => Self { old: part, old_before: past, ..Self::default() },
+        }
+    }
+
     fn add(&mut self, other: Self) {
         self.new.add(other.new);
         self.old.add(other.old);
@@ -370,11 +373,12 @@
         }
         let new = node.new;
         if before {
+            node.before_overall.add(overall);
             self.all_before.add(overall);
         }
+        let past = node.before_overall.shrunk(self.all_before.rate()) * overall.all;
         if let Some(last) = self.recent.last_mut() {
-            let of = if new { &mut last.new } else { &mut last.old };
-            of.add(overall);
+            last.add(Sums::of_node(new, overall, past));
         }
         requests
     }
@@ -383,7 +387,7 @@
     pub fn look(&mut self) -> Verdict {
         self.compare();
         let trouble = self.trouble();
-        self.recent.push(Second::default());
+        self.recent.push(Sums::default());
         if self.recent.len() > RECENT {
             self.recent.remove(0);
         }
@@ -395,7 +399,7 @@
         }
         // Guards against a changed node whose process has ended and that the many other measures outweigh in the mean.
         let doubt = self.evidence_mean().max(self.crashes.worth()) >= DOUBT;
-        match self.seen >= self.settings.least_requests as f64 && !doubt {
+        match self.seen >= self.settings.least_requests as f64 && !doubt && !self.looks_worse() {
             true => Verdict::Fine,
             false => Verdict::Open,
         }
@@ -415,14 +419,7 @@
             for node in &mut self.nodes {
                 let Some(part) = node.fresh.remove(&key) else { continue };
                 let past = node.before.get(&key).copied().unwrap_or_default().shrunk(usual);
-                let sum = &mut sums[node.zone];
-                let mut one = Sums::default();
-                if node.new {
-                    (one.new, one.new_before) = (part, past * part.all);
-                } else {
-                    (one.old, one.old_before) = (part, past * part.all);
-                }
-                sum.add(one);
+                sums[node.zone].add(Sums::of_node(node.new, part, past * part.all));
             }
             match difference(&sums) {
                 Some(value) => {
@@ -492,8 +489,8 @@
     /// What all have to do now, beside before.
     fn load(&self) -> f64 {
         let before: f64 = self.nodes.iter().map(|node| node.before_requests / node.before_s.max(1.0)).sum();
-        let (new, old) = self.lately();
-        let now = (new.all + old.all) / self.recent.len().max(1) as f64;
+        let lately = self.lately();
+        let now = (lately.new.all + lately.old.all) / self.recent.len().max(1) as f64;
         if before > 0.0 {
             (now / before).min(1.0)
         } else {
@@ -502,18 +499,15 @@
     }
 
     /// What ended in the last seconds, at changed nodes and at the others.
-    fn lately(&self) -> (Part, Part) {
-        let (mut new, mut old) = (Part::default(), Part::default());
-        for second in &self.recent {
-            new.add(second.new);
-            old.add(second.old);
-        }
-        (new, old)
+    fn lately(&self) -> Sums {
+        let mut all = Sums::default();
+        self.recent.iter().for_each(|second| all.add(*second));
+        all
     }
 
     /// Whether all do worse than before, and by what: those that were not changed, while there are any.
     fn trouble(&mut self) -> Option<String> {
-        let (new, old) = self.lately();
+        let Sums { new, old, .. } = self.lately();
         let recent = if old.all >= FEW_OLD { old } else { new };
         let more = recent.rate() - self.all_before.rate();
         let bound = if self.troubled { self.settings.trouble / 2.0 } else { self.settings.trouble };
@@ -523,9 +517,16 @@
         self.troubled.then(|| format!("{is:.1} % refused or failed, {was:.1} % before"))
     }
 
+    /// Whether more of the last requests ended badly at changed nodes than at the others, each beside its past, by as much as holds
+    /// a rollout.
+    /// Guards against a stage that is fine because little has been gathered yet.
+    fn looks_worse(&self) -> bool {
+        difference(&[self.lately()]).is_some_and(|more| more > self.settings.trouble)
+    }
+
     /// What need not be gathered any longer.
     fn gross(&self) -> Option<String> {
-        let (new, old) = self.lately();
+        let Sums { new, old, .. } = self.lately();
         let seen = new.all >= GROSS_LEAST && old.all >= FEW_OLD && new.rate() - old.rate() >= GROSS;
         let (is, was) = (100.0 * new.rate(), 100.0 * old.rate());
         seen.then(|| format!("{is:.0} % refused or failed at changed nodes, {was:.0} % at the others"))
--- a/crates/spurdrum-rollout/tests/judge.rs
+++ b/crates/spurdrum-rollout/tests/judge.rs
@@ -233,3 +233,27 @@
     let (verdict, _) = fleet.seconds(1, |_| WELL);
     assert_ne!(verdict, Verdict::Fine);
 }
+
+/// Guards against a stage that is fine because little has been gathered yet: a third of the requests is refused at its node.
+#[test]
+fn a_stage_is_not_fine_while_its_node_plainly_does_worse() {
+    for bad in [(20, 10, 0), (20, 0, 10)] {
+        let mut fleet = Fleet::new(8);
+        let settings = Settings { least_requests: 30, settle_s: 1.0, ..Settings::default() };
+        fleet.judge = Judge::new(settings, &vec!["z".to_owned(); 8]);
+        fleet.seconds(4, |_| WELL);
+        fleet.change(0);
+        fleet.judge.watch();
+        let mut looks = 0;
+        let verdict = loop {
+            let (verdict, _) = fleet.seconds(1, |at| if at == 0 { bad } else { WELL });
+            looks += 1;
+            match verdict {
+                Verdict::Open if looks < 60 => {}
+                verdict => break verdict,
+            }
+        };
+        let at_changed = |why: &String| why.ends_with("points more at changed nodes");
+        assert!(matches!(&verdict, Verdict::Worse(why) if at_changed(why)), "{verdict:?} after {looks} s");
+    }
+}
