Load generator: a kept connection whose end has come is not used, whoever has heard of it

Cause: in the rig's client. On a busy machine its event loop turns late. A connection whose end lay in the socket already was taken for sound, as hyper looks only where the loop has told it to, and the request was written behind that end.

Change: the pool looks at the socket itself before it uses a kept connection.

--- a/crates/spurdrum-load/src/lib.rs
+++ b/crates/spurdrum-load/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod report;
 pub mod run;
 pub mod schedule;
+mod stream;
 pub mod trace;
 pub mod transport;
 
--- a/crates/spurdrum-load/src/transport.rs
+++ b/crates/spurdrum-load/src/transport.rs
@@ -14,6 +14,7 @@
 use tokio::net::TcpStream;
 
 use crate::client::Outcome;
+use crate::stream::SharedStream;
 
 struct Slot(Rc<Cell<usize>>);
 
@@ -25,6 +26,7 @@
 
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
+    stream: SharedStream,
     _slot: Slot,
 }
 
@@ -57,7 +59,10 @@
                     None => return Outcome::Unreached,
                 },
             };
-            if connection.sender.ready().await.is_err() {
+            // Guards against a request on a connection whose end has come and which hyper has not been told of: the end was first, so
+            // nothing of the request is the target's to answer.
+            let has_ended = was_kept && connection.stream.has_input();
+            if has_ended || connection.sender.ready().await.is_err() {
                 if was_kept {
                     continue;
                 }
@@ -104,9 +109,10 @@
         let slot = Slot(Rc::clone(&self.open));
         let stream = TcpStream::connect(self.target).await.ok()?;
         stream.set_nodelay(true).ok()?;
-        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+        let stream = SharedStream::new(stream);
+        let (sender, connection) = http1::handshake(TokioIo::new(stream.clone())).await.ok()?;
         tokio::task::spawn_local(connection);
         self.made.set(self.made.get() + 1);
-        Some(Connection { sender, _slot: slot })
+        Some(Connection { sender, stream, _slot: slot })
     }
 }
--- a/crates/spurdrum-load/tests/transport.rs
+++ b/crates/spurdrum-load/tests/transport.rs
@@ -2,6 +2,7 @@
 
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::mpsc;
 use std::thread;
 
 use bytes::Bytes;
@@ -71,3 +72,36 @@
     assert_eq!(ask(target(&[&[Does::End]]), 1), [Outcome::Broken]);
     assert_eq!(ask(target(&[&[Does::Answer, Does::Break]]), 2), [Outcome::Served, Outcome::Broken]);
 }
+
+/// Guards against a request that is sent on a connection whose end has come, and counts as broken by its target.
+#[test]
+fn a_connection_whose_end_has_come_is_not_used_though_the_event_loop_has_not_heard_of_it() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("bound");
+    let address = listener.local_addr().expect("bound");
+    let (served, is_served) = mpsc::channel();
+    let (ended, has_ended) = mpsc::channel();
+    let target = thread::spawn(move || {
+        let (mut first, _) = listener.accept().expect("accepted");
+        play(&mut first, Does::Answer);
+        is_served.recv().expect("told");
+        first.shutdown(Shutdown::Write).expect("ended");
+        ended.send(()).expect("heard");
+        let (mut second, _) = listener.accept().expect("accepted");
+        play(&mut second, Does::Answer);
+        first.read(&mut [0; 1]).expect("the client's end")
+    });
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    let pool = Pool::new(address, 10);
+    let outcomes = LocalSet::new().block_on(&runtime, async {
+        let request =
+            || Request::get("/").header("host", "origin").body(Full::new(Bytes::new())).expect("sound");
+        let first = pool.ask(request(), true).await;
+        served.send(()).expect("heard");
+        // The event loop stands still until the end has come.
+        has_ended.recv().expect("told");
+        (first, pool.ask(request(), true).await)
+    });
+    assert_eq!(outcomes, (Outcome::Served, Outcome::Served));
+    drop(pool);
+    assert_eq!(target.join().expect("played"), 0, "something was sent on it");
+}
