HTTP front: a request's way in short functions: take_body, Taken, hand_over, respond, is_last

Behaviour is unchanged. The pair of mutable references that was handed down with each request is Disposition now; api and the service's closure, of 150 and 50 lines, are split by what they do.

--- a/crates/spurdrum-http/src/connection.rs
+++ b/crates/spurdrum-http/src/connection.rs
@@ -13,7 +13,7 @@
 use hyper::header::{HeaderValue, CONNECTION};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Request, StatusCode};
+use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
 use spurdrum_admission::{Event, Reason, State, Verdict};
@@ -21,9 +21,9 @@
 use tokio::net::TcpStream;
 use tokio::time::{sleep, Instant};
 
-use crate::client::{Framing, Socket, Tally};
+use crate::client::{Answering, Framing, Socket, Tally};
 use crate::context::{refusal_text, Front, Successor, DISCARD_MOST};
-use crate::request::{answer, fate, plain, LONG_HOLDS};
+use crate::request::{answer, fate, plain, Disposition, LONG_HOLDS};
 use crate::socket::Io;
 use crate::stream::Answered;
 use crate::upstream::BUFFER;
@@ -139,55 +139,70 @@
     matches!(seat.state(), Some(State::New | State::Silent | State::Idle)) && !socket.has_ahead()
 }
 
+/// The answer to a request, as it goes out; whether it is the connection's last is decided with it.
+async fn respond(
+    front: &Rc<Front>,
+    socket: &Rc<Socket>,
+    request: Request<Incoming>,
+    framing: Framing,
+) -> Response<Answering> {
+    let came = Instant::now();
+    let class = request.headers().get("x-class").filter(|_| request.uri().path() == "/api").cloned();
+    let class = class.as_ref().and_then(|class| class.to_str().ok());
+    let mut disposition = Disposition::default();
+    let mut response = match framing {
+        Framing::Unsound => {
+            disposition.closes = true;
+            plain(StatusCode::BAD_REQUEST, "the length is unclear\n")
+        }
+        Framing::Length(length) => answer(front, socket, request, Some(length), &mut disposition).await,
+        Framing::Chunked => answer(front, socket, request, None, &mut disposition).await,
+    };
+    disposition.closes |= !socket.is_whole();
+    let is_long = matches!(response.body(), Answered::Through(_));
+    let tally = match is_long {
+        // Its end counts.
+        true => {
+            let (figures, class) = (Rc::clone(&front.node.figures), class.map(str::to_owned));
+            Some(Tally { figures, class, open: disposition.open.take(), came })
+        }
+        false => {
+            // Who never finished its request has not asked.
+            if let Some(class) = class.filter(|_| disposition.open.is_some()) {
+                front.node.figures.ended(class, fate(response.status()));
+                front.node.figures.took(class, came);
+            }
+            None
+        }
+    };
+    let bytes = if is_long { LONG_HOLDS } else { response.body().size_hint().exact().unwrap_or(0) };
+    if is_last(socket, bytes, disposition.closes) {
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    if is_long {
+        socket.seat.tell(Event::Long { id: socket.seat.id });
+    }
+    response.map(|body| socket.begin_answer(body, tally))
+}
+
+/// Tells the decisions of an answer of this length. Whether the connection ends with it, as it does where it `closes` in any case.
+fn is_last(socket: &Socket, bytes: u64, closes: bool) -> bool {
+    let seat = &socket.seat;
+    let ends = |more| seat.tell(Event::Answer { id: seat.id, bytes, more }) == Verdict::Last;
+    let is_last = ends(!closes && socket.has_ahead());
+    // Guards against the loss of a request that has come behind this one: it is answered first.
+    if is_last && !closes && socket.has_input() {
+        return ends(true);
+    }
+    is_last || closes
+}
+
+/// Has hyper serve a connection, and carries out what is decided on it. How that ended.
 async fn serve(front: &Rc<Front>, seat: &Rc<Seat>, socket: &Rc<Socket>) -> End {
     let service = service_fn(|request: Request<Incoming>| {
+        // What came is looked at before hyper reads on.
         let framing = socket.take_head();
-        let came = Instant::now();
-        async move {
-            // Where the next head begins is known only where the body's end is.
-            let mut ends = matches!(framing, Framing::Unsound);
-            let class = request.headers().get("x-class").filter(|_| request.uri().path() == "/api").cloned();
-            let mut open = None;
-            let mut response = match framing {
-                Framing::Unsound => plain(StatusCode::BAD_REQUEST, "the length is unclear\n"),
-                Framing::Length(length) => {
-                    answer(front, socket, request, Some(length), (&mut ends, &mut open)).await
-                }
-                Framing::Chunked => answer(front, socket, request, None, (&mut ends, &mut open)).await,
-            };
-            ends |= !socket.is_whole();
-            let class = class.as_ref().and_then(|class| class.to_str().ok());
-            let (id, mut bytes) = (seat.id, response.body().size_hint().exact().unwrap_or(0));
-            let tally = match response.body() {
-                // Its end counts.
-                Answered::Through(_) => {
-                    bytes = LONG_HOLDS;
-                    let (figures, class) = (Rc::clone(&front.node.figures), class.map(str::to_owned));
-                    Some(Tally { figures, class, open: open.take(), came })
-                }
-                Answered::Whole(_) => {
-                    // Who never finished its request has not asked.
-                    if let Some(class) = class.filter(|_| open.is_some()) {
-                        front.node.figures.ended(class, fate(response.status()));
-                        front.node.figures.took(class, came);
-                    }
-                    None
-                }
-            };
-            let asked = |more| seat.tell(Event::Answer { id, bytes, more });
-            let mut last = asked(!ends && socket.has_ahead()) == Verdict::Last;
-            // Guards against the loss of a request that has come behind this one: it is answered first.
-            if last && !ends && socket.has_input() {
-                last = asked(true) == Verdict::Last;
-            }
-            if last || ends {
-                response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
-            }
-            if tally.is_some() {
-                seat.tell(Event::Long { id });
-            }
-            Ok::<_, Infallible>(response.map(|body| socket.begin_answer(body, tally)))
-        }
+        async move { Ok::<_, Infallible>(respond(front, socket, request, framing).await) }
     });
     let served = http1::Builder::new()
         .max_buf_size(BUFFER)
--- a/crates/spurdrum-http/src/request.rs
+++ b/crates/spurdrum-http/src/request.rs
@@ -20,7 +20,7 @@
 use crate::context::{EndStage, Front, Node};
 use crate::handed::HandedRequest;
 use crate::stream::{joined, Answered, Deadline, Listener, Source};
-use crate::upstream::{Carried, Forward, BODY_MOST};
+use crate::upstream::{Carried, Forward, Served, BODY_MOST};
 
 /// Taken off a client's time: its request and the answer are under way for a part of that.
 const MARGIN: Duration = Duration::from_millis(10);
@@ -40,12 +40,22 @@
     "x-cost-hint",
 ];
 
+/// What becomes of a connection with the answer to its present request.
+#[derive(Default)]
+pub(crate) struct Disposition {
+    /// The answer is its last: where the next request begins is not known.
+    pub(crate) closes: bool,
+    /// The request is counted as open until the answer has gone out; none: its client never finished it.
+    pub(crate) open: Option<Open>,
+}
+
+/// The answer to a request whose head has come.
 pub(crate) async fn answer(
     front: &Front,
     socket: &Socket,
     request: Request<Incoming>,
     length: Option<u64>,
-    (ends, open): (&mut bool, &mut Option<Open>),
+    disposition: &mut Disposition,
 ) -> Response<Answered> {
     let seat = &socket.seat;
     let body = length.map_or(BODY_MOST as u64, |length| length.min(LONG_HOLDS));
@@ -57,11 +67,10 @@
         }
         "/_health" => plain(StatusCode::OK, format!("ready\n{}\n", (front.status)())),
         _ if place == Verdict::Refuse || front.has_called_last() => {
-            *ends = true;
-            *open = Some(front.node.figures.open());
+            *disposition = Disposition { closes: true, open: Some(front.node.figures.open()) };
             refusal(front.node.connections.retry_after_ms())
         }
-        "/api" => api(front, socket, request, length, (ends, open)).await,
+        "/api" => api(front, socket, request, length, disposition).await,
         _ => plain(StatusCode::NOT_FOUND, "no such path\n"),
     }
 }
@@ -135,85 +144,47 @@
     socket: &Socket,
     request: Request<Incoming>,
     length: Option<u64>,
-    (ends, open): (&mut bool, &mut Option<Open>),
+    disposition: &mut Disposition,
 ) -> Response<Answered> {
     let (node, seat) = (&front.node, &socket.seat);
     let (head, body) = request.into_parts();
     let names = Rc::clone(&front.names.borrow());
     let mut asked = read_head(front, &head.method, &head.headers);
-    seat.reading_body.set(true);
-    let body = tokio::select! {
-        biased;
-        body = read_body(body, length) => Ok(body),
-        reason = seat.body_expired() => Err(reason),
-    };
-    let body = match body {
-        Ok(Ok(body)) => body,
-        Ok(Err(status)) => {
-            seat.reading_body.set(false);
-            *ends = true;
-            return plain(status, "the body is broken\n");
-        }
-        Err(reason) => {
-            seat.reading_body.set(false);
-            *ends = true;
-            return expired(node, reason);
+    let body = match take_body(node, seat, body, length).await {
+        Ok(body) => body,
+        Err(response) => {
+            disposition.closes = true;
+            return response;
         }
     };
-    *open = Some(node.figures.open());
-    let long = matches!(body, Came::Long(..));
-    if long {
-        seat.tell(Event::Long { id: seat.id });
-    } else {
-        seat.reading_body.set(false);
-        // It may have had its time just as it was whole: that counts.
-        seat.take_order();
-        seat.tell(Event::Taken { id: seat.id });
-    }
+    disposition.open = Some(node.figures.open());
     if !Rc::ptr_eq(&names, &front.names.borrow()) {
         // Other settings hold by now: a request has those under which it is taken.
         asked = read_head(front, &head.method, &head.headers);
     }
-    let bodied = long || matches!(&body, Came::Whole(bytes) if !bytes.is_empty());
-    let asked = asked.and_then(|asked| match head.method == Method::GET && bodied {
+    let asked = asked.and_then(|asked| match head.method == Method::GET && body.has_bytes() {
         true => Err("GET has no body\n"),
         false => Ok(asked),
     });
     let (wait, mut asked) = match asked {
         Ok(asked) => asked,
         Err(why) => {
-            *ends |= long;
+            disposition.closes |= body.is_long();
             return plain(StatusCode::BAD_REQUEST, why);
         }
     };
     let wait = wait.saturating_sub(MARGIN).max(wait / 2);
-    // A whole URL names the host that is meant; servers get the short form.
+    // How long a long body takes to come is not known, and not the servers' affair.
+    asked.budget_ms = if body.is_long() { WAIT_MOST } else { wait }.as_secs_f64() * 1000.0;
     let keyed = front
         .keys
         .as_ref()
         .map(|keys| keys.of((&head.headers, &head.uri), (asked.class, asked.tenant), seat.peer));
     let (ask, naming) = keyed.unwrap_or_default();
-    let mut uri = head.uri.into_parts();
-    let authority = uri.authority.take().and_then(|host| HeaderValue::from_str(host.as_str()).ok());
-    uri.scheme = None;
-    let Ok(uri) = Uri::from_parts(uri) else { return plain(StatusCode::BAD_REQUEST, "a bad target\n") };
-    let mut headers = HeaderMap::new();
-    for name in ["host", "x-request-id", "idempotency-key", "content-type", "x-class", "x-tenant"] {
-        if let Some(value) = head.headers.get(name) {
-            headers.insert(name, value.clone());
-        }
-    }
-    if let Some(keys) = &front.keys {
-        for name in keys.fields() {
-            if let Some(value) = head.headers.get(name) {
-                headers.insert(name, value.clone());
-            }
-        }
-    }
-    if let Some(host) = authority {
-        headers.insert(HOST, host);
-    }
-    headers.entry(HOST).or_insert(HeaderValue::from_static("origin"));
+    let Some((uri, authority)) = short_form(head.uri) else {
+        return plain(StatusCode::BAD_REQUEST, "a bad target\n");
+    };
+    let headers = forwarded_headers(front, &head.headers, authority);
     let (body, source, deadline) = match body {
         Came::Whole(bytes) => (Carried::Whole(bytes), None, Deadline::at(Instant::now() + wait)),
         Came::Long(came, rest) => {
@@ -222,8 +193,6 @@
         }
     };
     let deadline = Rc::new(deadline);
-    // How long a long body takes to come is not known, and not the servers' affair.
-    asked.budget_ms = if long { WAIT_MOST } else { wait }.as_secs_f64() * 1000.0;
     let forward =
         Forward { method: head.method, uri, headers, body, deadline: Rc::clone(&deadline), ask, naming };
     let handed = HandedRequest::new(head.version, &head.headers, &asked);
@@ -242,42 +211,142 @@
         source.listen(Rc::clone(&coming));
         coming
     });
-    let comes = || coming.as_ref().is_some_and(|coming| !coming.whole.get());
-    // Guards against an attempt that begins when there is no time left for its answer.
-    let withdrawn = async {
-        front.reached(EndStage::NothingBegins).await;
-        match node.withdraw(id) {
-            Some(forward) => forward,
-            None => pending().await,
-        }
-    };
-    let answer = tokio::select! {
+    let taken = Taken { front, socket, id, handed, deadline, coming };
+    taken.final_answer(answered, disposition).await
+}
+
+/// Reads a request's body, or the beginning of a long one; from then on the request is owed its answer. The error is the answer where
+/// that does not come.
+async fn take_body(
+    node: &Node,
+    seat: &Seat,
+    body: Incoming,
+    length: Option<u64>,
+) -> Result<Came, Response<Answered>> {
+    seat.reading_body.set(true);
+    let body = tokio::select! {
         biased;
-        answer = answered => answer.unwrap_or(Answer::Failed),
-        forward = withdrawn => {
-            *ends |= comes();
-            let request = handed.filter(|_| front.passes_requests()).and_then(|handed| handed.encode(&forward));
-            let Some(request) = request else { return refusal(node.connections.retry_after_ms()) };
-            socket.give_back(request);
-            // The connection is passed on before there is an answer here.
-            return pending().await;
+        body = read_body(body, length) => body.map_err(|status| plain(status, "the body is broken\n")),
+        reason = seat.body_expired() => Err(expired(node, reason)),
+    };
+    if matches!(body, Ok(Came::Long(..))) {
+        seat.tell(Event::Long { id: seat.id });
+        return body;
+    }
+    seat.reading_body.set(false);
+    if body.is_ok() {
+        // It may have had its time just as it was whole: that counts.
+        seat.take_order();
+        seat.tell(Event::Taken { id: seat.id });
+    }
+    body
+}
+
+/// A target as servers get it, and the host that a whole URL names. `None` where it has no such form.
+fn short_form(uri: Uri) -> Option<(Uri, Option<HeaderValue>)> {
+    let mut parts = uri.into_parts();
+    let authority = parts.authority.take().and_then(|host| HeaderValue::from_str(host.as_str()).ok());
+    parts.scheme = None;
+    Some((Uri::from_parts(parts).ok()?, authority))
+}
+
+/// The fields that go on to servers.
+fn forwarded_headers(front: &Front, headers: &HeaderMap, authority: Option<HeaderValue>) -> HeaderMap {
+    let mut forwarded = HeaderMap::new();
+    for name in ["host", "x-request-id", "idempotency-key", "content-type", "x-class", "x-tenant"] {
+        if let Some(value) = headers.get(name) {
+            forwarded.insert(name, value.clone());
         }
-        reason = seat.body_expired(), if comes() => {
-            seat.reading_body.set(false);
-            *ends = true;
-            *open = None;
-            return expired(node, reason);
+    }
+    for name in front.keys.iter().flat_map(|keys| keys.fields()) {
+        if let Some(value) = headers.get(name) {
+            forwarded.insert(name, value.clone());
         }
-        // Guards against a process that ends before the client's time does: the client may wait longer than the settings say.
-        () = front.reached(EndStage::LastCall) => {
-            return plain(StatusCode::GATEWAY_TIMEOUT, "the node is ending\n")
+    }
+    if let Some(host) = authority {
+        forwarded.insert(HOST, host);
+    }
+    forwarded.entry(HOST).or_insert(HeaderValue::from_static("origin"));
+    forwarded
+}
+
+/// A request that the node has taken and owes its answer.
+struct Taken<'a> {
+    front: &'a Front,
+    socket: &'a Socket,
+    id: RequestId,
+    /// What another process is told of it, where it could serve it.
+    handed: Option<HandedRequest>,
+    deadline: Rc<Deadline>,
+    /// A long body, which may still be coming.
+    coming: Option<Rc<Coming>>,
+}
+
+impl Taken<'_> {
+    /// Waits for the decisions' answer, for as long as the client waits and the process goes on.
+    async fn final_answer(
+        self,
+        answered: oneshot::Receiver<Answer<Served>>,
+        disposition: &mut Disposition,
+    ) -> Response<Answered> {
+        let (front, seat) = (self.front, &self.socket.seat);
+        let answer = tokio::select! {
+            biased;
+            answer = answered => answer.unwrap_or(Answer::Failed),
+            forward = self.withdrawn() => {
+                disposition.closes |= self.comes();
+                return self.hand_over(&forward).await;
+            }
+            reason = seat.body_expired(), if self.comes() => {
+                seat.reading_body.set(false);
+                *disposition = Disposition { closes: true, open: None };
+                return expired(&front.node, reason);
+            }
+            // Guards against a process that ends before the client's time does: the client may wait longer than the settings say.
+            () = front.reached(EndStage::LastCall) => {
+                return plain(StatusCode::GATEWAY_TIMEOUT, "the node is ending\n")
+            }
+            // Guards against decisions that leave a request without an answer.
+            () = self.deadline.passed(MARGIN / 2) => {
+                return plain(StatusCode::GATEWAY_TIMEOUT, "no answer in time\n")
+            }
+        };
+        seat.reading_body.set(false);
+        // What is still to come of the request would be taken for another.
+        disposition.closes |= self.comes();
+        response(front, answer)
+    }
+
+    /// Whether a part of its body is still to come.
+    fn comes(&self) -> bool {
+        self.coming.as_ref().is_some_and(|coming| !coming.whole.get())
+    }
+
+    /// Waits until the process ends and begins nothing more, where no server has been sent the request by then.
+    /// Guards against an attempt that begins when there is no time left for its answer.
+    async fn withdrawn(&self) -> Rc<Forward> {
+        self.front.reached(EndStage::NothingBegins).await;
+        match self.front.node.withdraw(self.id) {
+            Some(forward) => forward,
+            None => pending().await,
         }
-        // Guards against decisions that leave a request without an answer.
-        () = deadline.passed(MARGIN / 2) => return plain(StatusCode::GATEWAY_TIMEOUT, "no answer in time\n"),
-    };
-    seat.reading_body.set(false);
-    // What is still to come of the request would be taken for another.
-    *ends |= comes();
+    }
+
+    /// Gives a request that no server has been sent to the process that takes over, with its connection, and does not return then.
+    /// Where none takes it, the answer is a refusal.
+    async fn hand_over(&self, forward: &Forward) -> Response<Answered> {
+        let handed = self.handed.filter(|_| self.front.passes_requests());
+        let Some(request) = handed.and_then(|handed| handed.encode(forward)) else {
+            return refusal(self.front.node.connections.retry_after_ms());
+        };
+        self.socket.give_back(request);
+        // The connection is passed on before there is an answer here.
+        pending().await
+    }
+}
+
+/// What a final answer says to its client.
+fn response(front: &Front, answer: Answer<Served>) -> Response<Answered> {
     match answer {
         Answer::Served(served) => {
             let mut response = Response::new(served.body);
@@ -356,6 +425,21 @@
     Long(Vec<Bytes>, Incoming),
 }
 
+impl Came {
+    /// Whether it is too long to be held.
+    fn is_long(&self) -> bool {
+        matches!(self, Self::Long(..))
+    }
+
+    /// Whether there is a body at all.
+    fn has_bytes(&self) -> bool {
+        match self {
+            Self::Whole(bytes) => !bytes.is_empty(),
+            Self::Long(..) => true,
+        }
+    }
+}
+
 /// Reads a body that is short enough to be held.
 async fn read_body(mut body: Incoming, length: Option<u64>) -> Result<Came, StatusCode> {
     let mut came: Vec<Bytes> = Vec::new();
