Past the longest deadline an ending process begins nothing that another one has time for

What callers saw: 504 for a request that was sent to its server some ms before the last call, from a process that stood still until shortly before its end (forced, 2.4 s after SIGTERM of 2.6: 1 of 16 copies, two clients).

Cause: what had not begun was handed over at the last call, or at once by a process that went on past its end; one that went on shortly before it began attempts that had no time.

Change: where another process takes over, nothing begins from the longest deadline on, 0.45 s before the last call: no client that the settings know of still waits for what was taken before the signal. With no other process it stays the last call.

Test: past_the_longest_deadline_nothing_begins_where_another_process_takes_over failed without it. Two tests by real processes are named after the process's end now, not the last call; they are as strict.

--- a/crates/spurdrum-http/src/shutdown.rs
+++ b/crates/spurdrum-http/src/shutdown.rs
@@ -76,6 +76,8 @@
 #[derive(Debug)]
 pub struct Shutdown {
     began: Instant,
+    /// No client waits for longer, by the settings.
+    longest_deadline_over: Instant,
     /// By then the process ends, whatever is left.
     deadline: Instant,
     phase: Phase,
@@ -98,6 +100,7 @@
     pub fn new(now: Instant, longest_deadline: Duration) -> Self {
         Self {
             began: now,
+            longest_deadline_over: now + longest_deadline,
             deadline: now + longest_deadline + END,
             phase: Phase::AwaitingConfirmation,
             accepted_at: now,
@@ -129,15 +132,15 @@
         if resumed {
             self.leave_out(unseen, now);
         }
-        // Past its end it has a moment to read and to answer, and none for what begins only now.
-        if self.is_put_off && !self.begins_nothing && self.phase != Phase::AwaitingConfirmation {
+        let calls_last = !resumed && !self.last_called && now + LAST_CALL >= self.deadline;
+        if !self.begins_nothing && (calls_last || self.has_no_time_to_begin(now)) {
             self.begins_nothing = true;
             steps.push(Step::BeginNothing);
         }
         if resumed {
             return;
         }
-        if !self.last_called && now + LAST_CALL >= self.deadline {
+        if calls_last {
             self.last_called = true;
             // Last answers have to go out, however late the last call comes.
             self.deadline = self.deadline.max(now + LAST_CALL);
@@ -163,12 +166,17 @@
     fn leave_out(&mut self, pause: Duration, now: Instant) {
         // Who connected during the pause waits to be accepted: it was no quiet time.
         self.accepted_at = (self.accepted_at + pause).min(now);
-        if !self.is_put_off && !self.last_called && now + RESUMED_LEAST > self.deadline {
+        if !self.is_put_off && self.has_too_little_time(now) {
             self.is_put_off = true;
             self.deadline = now + RESUMED_LEAST;
         }
     }
 
+    /// Whether the deadline leaves less time than a process wants that goes on after a pause.
+    fn has_too_little_time(&self, now: Instant) -> bool {
+        !self.last_called && now + RESUMED_LEAST > self.deadline
+    }
+
     fn next_phase(&self, succession: Succession) -> Phase {
         let waits =
             self.phase == Phase::AwaitingConfirmation && self.awaited_confirmation < CONFIRMATION_MOST;
@@ -179,6 +187,16 @@
         }
     }
 
+    /// Whether an attempt that begins now might not be answered before the last call, and somebody else has time for it: another
+    /// process, or after a pause past the end of this one, at least another node.
+    fn has_no_time_to_begin(&self, now: Instant) -> bool {
+        match self.phase {
+            Phase::AwaitingConfirmation => false,
+            Phase::HandingOver => self.is_put_off || now >= self.longest_deadline_over,
+            Phase::Closing => self.is_put_off,
+        }
+    }
+
     fn none_comes(&self, now: Instant) -> bool {
         now >= self.began + STILL_COMING && now >= self.accepted_at + QUIET
     }
--- a/crates/spurdrum-http/src/shutdown/tests.rs
+++ b/crates/spurdrum-http/src/shutdown/tests.rs
@@ -164,6 +164,23 @@
     }
 }
 
+/// Guards against an attempt that begins right before the last call, where another process has time for it.
+#[test]
+fn past_the_longest_deadline_nothing_begins_where_another_process_takes_over() {
+    let start = Instant::now();
+    let first_told = |succession| {
+        let mut shutdown = Shutdown::new(start, LONGEST);
+        let mut now = start;
+        while !steps(&mut shutdown, now, remaining(succession)).contains(&Step::BeginNothing) {
+            assert!(now < start + LONGEST + END, "{succession:?}: it never is told");
+            now += ms(10);
+        }
+        now - start
+    };
+    assert_eq!(first_told(Succession::Confirmed), LONGEST);
+    assert_eq!(first_told(Succession::None), LONGEST + END - LAST_CALL, "nobody else has time for it");
+}
+
 /// Guards against a request that is refused though another process is there: its confirmation lies unread as this one goes on.
 #[test]
 fn past_its_end_a_process_waits_for_the_confirmation_before_it_gives_up_what_has_not_begun() {
--- a/crates/spurdrum/tests/node/replace.rs
+++ b/crates/spurdrum/tests/node/replace.rs
@@ -417,7 +417,7 @@
 
 /// Guards against a last answer that promises nothing where no server has been sent the request.
 #[test]
-fn what_no_server_has_been_sent_at_the_last_call_is_served_by_the_new_process() {
+fn what_no_server_has_been_sent_as_a_process_ends_is_served_by_the_new_one() {
     let (server, (mut old_config, _)) = (Server::start(), operated(&[]));
     let (mut old, mut client, _slow, _filler) = unsent(&mut old_config);
     let ops = own_address();
@@ -438,7 +438,7 @@
 
 /// The same where no other process is there: trying again is harmless.
 #[test]
-fn what_no_server_has_been_sent_at_the_last_call_is_refused_where_no_process_takes_over() {
+fn what_no_server_has_been_sent_as_a_process_ends_is_refused_where_no_other_takes_over() {
     let (mut config, _) = operated(&[]);
     let (mut old, mut client, _slow, _filler) = unsent(&mut config);
     old.terminate();
