A pause past the end counts right after a late look, too

A process that had been slow in one look and stood still past its end in the next gave last answers at once, before it had read what came meanwhile.

Change: past the end a late look is a pause whatever the one before was. It puts the deadline off once, as before.

Test: a_pause_past_the_deadline_counts_right_after_a_late_look_too failed without it: [BeginNothing, LastCall] in the look that goes on.

--- a/crates/spurdrum-http/src/shutdown.rs
+++ b/crates/spurdrum-http/src/shutdown.rs
@@ -119,8 +119,9 @@
         self.looked_at = now;
         let is_late = unseen >= LATE_LOOK;
         let was_late = std::mem::replace(&mut self.was_late, is_late);
-        // Guards against a process that is slow at each step and never gives its last answers: late looks in a row are no pauses.
-        let resumed = is_late && !was_late && !self.is_put_off;
+        // Guards against a process that is slow at each step and never gives its last answers: late looks in a row are no pauses. Past
+        // its end a late one still is, once.
+        let resumed = is_late && !self.is_put_off && (!was_late || self.has_too_little_time(now));
         if !resumed {
             self.awaited_confirmation += unseen;
         }
--- a/crates/spurdrum-http/src/shutdown/tests.rs
+++ b/crates/spurdrum-http/src/shutdown/tests.rs
@@ -196,6 +196,19 @@
     assert_eq!(again, [], "it is told once");
 }
 
+/// Guards against last answers before what came during a pause is read, where the process had been slow just before it.
+#[test]
+fn a_pause_past_the_deadline_counts_right_after_a_late_look_too() {
+    let start = Instant::now();
+    let mut shutdown = Shutdown::new(start, LONGEST);
+    let confirmed = remaining(Succession::Confirmed);
+    assert_eq!(steps(&mut shutdown, start + ms(50), confirmed), [Step::HandOver]);
+    assert_eq!(steps_after_pause(&mut shutdown, start + ms(200), confirmed), []);
+    let resumed = start + LONGEST + END + ms(100);
+    assert_eq!(steps_after_pause(&mut shutdown, resumed, confirmed), [Step::BeginNothing]);
+    assert_eq!(steps(&mut shutdown, resumed + RESUMED_LEAST - LAST_CALL, confirmed), [Step::LastCall]);
+}
+
 /// Guards against a process that is slow, takes that for pauses over and over and never gives its last answers: SIGKILL may come
 /// 0.7 s after the longest deadline.
 #[test]
