What has come is handled before an ending process gives its last answers

Cause: the task that ends the process is told of the time before other tasks have read what the event loop found in the same turn: LocalSet polls the outer future first. So a last call that came with an answer went first, and the request took its 504.

Evidence: SEND 2340.5939, SIGTERM 2340.6023, goes on 2343.3339, last call 2343.3599, 504 2343.3604 to 2343.3608, and the answers of all three requests 2343.361, 0.2 to 0.6 ms later. A test of the event loop alone shows the order.

Change: before the last call the task lets others run until no request has been answered for eight turns, 64 at most.

Test: what_has_come_is_handled_before_the_last_call failed without the wait.

--- a/crates/spurdrum-http/src/front.rs
+++ b/crates/spurdrum-http/src/front.rs
@@ -23,6 +23,11 @@
 /// With no descriptor left, so many of those that wait to be accepted are answered at a time.
 const TURN_AWAY_MOST: usize = 64;
 
+/// With no request answered in so many turns of the event loop, what has come is handled.
+const QUIET_TURNS: usize = 8;
+/// It is waited for so many turns at most: each answers some dozens.
+const TURNS_MOST: usize = 64;
+
 /// Where the connections come from that another process passes on.
 pub type Passed = mpsc::UnboundedReceiver<PassedConnection>;
 
@@ -70,6 +75,7 @@
                 }
                 Step::BeginNothing => front.begin_nothing(),
                 Step::LastCall => {
+                    handled(|| node.held()).await;
                     tracing::info!("the end: last answers for {} requests", node.held());
                     front.call_last();
                 }
@@ -86,6 +92,21 @@
     }
 }
 
+/// Waits until what has come by now is handled: until no request is answered any more.
+/// Guards against last answers where the answers themselves lie in sockets: this task is told of the time before others have read.
+async fn handled(held: impl Fn() -> usize) {
+    let (mut quiet_turns, mut last) = (0, held());
+    for _ in 0..TURNS_MOST {
+        yield_now().await;
+        let left = held();
+        quiet_turns = if left < last { 0 } else { quiet_turns + 1 };
+        last = left;
+        if quiet_turns == QUIET_TURNS {
+            return;
+        }
+    }
+}
+
 /// What keeps a process that has been told to end.
 fn remaining(front: &Front, passed: &Passed) -> Remaining {
     let none_is_passed_here = passed.is_closed() && passed.is_empty();
@@ -211,3 +232,6 @@
     let field = head.headers.iter().find(|field| whole && field.name.eq_ignore_ascii_case("x-class"))?;
     std::str::from_utf8(field.value).ok().map(|class| class.trim().to_owned())
 }
+
+#[cfg(test)]
+mod tests;
