The rig leases its block of addresses, so that two at once never share one

What was seen: a rollout that was to be stopped for what its changed nodes do "ended before it could serve" instead; a test of the rig that failed beside another. No caller of a node is concerned: the fault is in the rig.

Cause: the second byte of a rig's addresses was its process's number modulo 200, and a port was let go once it had been found free. Of two rigs at once whose numbers are equal modulo 200 the second was dealt the port that the first keeps for the other process of a node.

Why it works: a process listens at the last address of a block before it uses any other, and takes the next block where another process does. The system lets one process at a time listen there, and ends the lease with the process, however that ends.

Test: rigs_that_begin_with_the_same_block_have_different_addresses. There was no lease to test before.

--- a/crates/spurdrum-fleet/src/kept.rs
+++ b/crates/spurdrum-fleet/src/kept.rs
@@ -12,11 +12,12 @@
 use spurdrum_harness::healthy;
 use spurdrum_standin::Fleet;
 
+use crate::addresses::{address, free};
 use crate::clients;
 use crate::files::{node_part, shared_part};
 use crate::history::{Away, History};
 use crate::links::Relays;
-use crate::process::{address, beside, call, free, held, sweep, Node};
+use crate::process::{beside, call, held, sweep, Node};
 use crate::run::{history, Folder, Options};
 use crate::scenario::{Kind, Scenario};
 
@@ -193,7 +194,7 @@
             kept.prepare(me, &program, &first)?;
         }
         let wanted = kept.keepers.iter().enumerate().map(|(me, keeper)| ((me, vec![me]), keeper.address));
-        kept.relays = Relays::start(wanted.collect::<Vec<_>>());
+        kept.relays = Relays::start(address(0)?, wanted.collect::<Vec<_>>());
         for me in 0..scenario.nodes {
             kept.start_keeper(me)?;
         }
@@ -214,7 +215,7 @@
     }
 
     fn prepare(&mut self, me: usize, program: &Path, settings: &Path) -> Result<(), String> {
-        let on = address(me + 1);
+        let on = address(me + 1)?;
         let listen = free(on, 0)?;
         let mut taken = listen.port();
         let mut next = || -> Result<SocketAddr, String> {
@@ -290,7 +291,7 @@
     ) -> Result<PathBuf, String> {
         self.plans += 1;
         // Each has one of its own: a conductor may still run.
-        let listen = free(address(0), 20_000 + self.plans as u16)?;
+        let listen = free(address(0)?, 20_000 + self.plans as u16)?;
         let mut text = format!("[rollout]\nlisten = '{listen}'\n{times}\n[change]\n");
         text += &format!(
             "program = '{}'\nsettings = '{}'\nhow = '{how}'\n",
--- a/crates/spurdrum-fleet/src/lib.rs
+++ b/crates/spurdrum-fleet/src/lib.rs
@@ -4,6 +4,7 @@
 //! plays it and joins what clients, servers and nodes saw into a [`history::History`]. What that shows, [`figures`] and the
 //! [`verdict`] on the rules, is computed without clock or I/O. The program is started by its path and not linked.
 
+pub mod addresses;
 pub mod chart;
 pub mod clients;
 pub mod disks;
--- a/crates/spurdrum-fleet/src/links.rs
+++ b/crates/spurdrum-fleet/src/links.rs
@@ -12,7 +12,6 @@
 use tokio::sync::{mpsc, oneshot, watch, Notify};
 use tokio::task::LocalSet;
 
-use crate::process::address;
 use crate::scenario::Kind;
 
 /// Bytes that a relay holds for one direction of a connection.
@@ -96,9 +95,9 @@
 }
 
 impl Relays {
-    /// Before these addresses; none where there are none.
+    /// On this address, before these; none where there are none.
     #[must_use]
-    pub fn start(wanted: impl IntoIterator<Item = (Relay, SocketAddr)>) -> Self {
+    pub fn start(on: IpAddr, wanted: impl IntoIterator<Item = (Relay, SocketAddr)>) -> Self {
         let wanted: Vec<(Relay, SocketAddr)> = wanted.into_iter().collect();
         if wanted.is_empty() {
             return Self::default();
@@ -113,7 +112,7 @@
             LocalSet::new().block_on(&runtime, async move {
                 let mut relays = Vec::new();
                 for (relay, to) in wanted {
-                    let Ok(link) = Link::start(address(0), to).await else { return };
+                    let Ok(link) = Link::start(on, to).await else { return };
                     let _ = told.send((relay.clone(), link.address));
                     relays.push((relay.1, link));
                 }
--- a/crates/spurdrum-fleet/src/process.rs
+++ b/crates/spurdrum-fleet/src/process.rs
@@ -3,7 +3,7 @@
 use std::ffi::OsString;
 use std::fs::File;
 use std::io::{Read, Write};
-use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitCode, ExitStatus, Stdio};
@@ -14,26 +14,9 @@
 
 /// A node has this long until it is healthy.
 const READY_MOST: Duration = Duration::from_secs(30);
-/// Nodes listen on ports of these.
-const PORTS: std::ops::Range<u16> = 20_000..20_100;
 /// What is shown of a log where a node does not come up.
 const LINES: usize = 8;
 
-/// The `n`th address of a run: in 127.0.0.0/8, and another for each rig that runs.
-#[must_use]
-pub fn address(n: usize) -> IpAddr {
-    let rig = (std::process::id() % 200) as u8;
-    IpAddr::V4(Ipv4Addr::new(127, 20 + rig, (n / 250) as u8, (n % 250) as u8 + 1))
-}
-
-/// A port above another that is free now on an address of the run's own, and that no connection is given by the system:
-/// those are dealt out from higher ones.
-pub fn free(on: IpAddr, above: u16) -> Result<SocketAddr, String> {
-    let ports = above.max(PORTS.start) + 1..PORTS.end;
-    let found = ports.map(|port| SocketAddr::new(on, port)).find(|at| TcpListener::bind(at).is_ok());
-    found.ok_or_else(|| format!("no free port on {on}"))
-}
-
 /// What is needed to start a node, also again.
 #[derive(Clone, Debug)]
 pub struct Start {
--- a/crates/spurdrum-fleet/src/run.rs
+++ b/crates/spurdrum-fleet/src/run.rs
@@ -12,12 +12,13 @@
 use spurdrum_standin::{Fleet, Tally};
 use spurdrum_trace::{Line, Seen, State};
 
+use crate::addresses::{address, free};
 use crate::clients;
 use crate::disks;
 use crate::files::{node_part, shared_part};
 use crate::history::{Asked, Away, Blind, Chosen, Cold, History, Server, Told, Worked};
 use crate::links::{Relay, Relays};
-use crate::process::{address, free, Node, Start};
+use crate::process::{Node, Start};
 use crate::scenario::{workers, Fault, Kind, Scenario};
 use crate::schedule::{Schedule, Step};
 
@@ -59,7 +60,7 @@
     let schedule = Schedule::new(scenario, servers.len());
     let mut links_to = servers.clone();
     links_to.push(("catalog".into(), fleet.catalog));
-    let links = Links::start(scenario, &schedule, &links_to);
+    let links = Links::start(scenario, &schedule, &links_to)?;
     let folder = Folder::make(options)?;
     let mut world = World {
         scenario,
@@ -168,7 +169,7 @@
         servers: &[(String, SocketAddr)],
     ) -> Result<Start, String> {
         let scenario = self.scenario;
-        let (on, name) = (address(me + 1), format!("n{me}"));
+        let (on, name) = (address(me + 1)?, format!("n{me}"));
         let listen = free(on, 0)?;
         let ops = free(on, listen.port())?;
         let mut file = node_part(scenario, me, listen);
@@ -370,7 +371,11 @@
 }
 
 impl Links {
-    fn start(scenario: &Scenario, schedule: &Schedule, servers: &[(String, SocketAddr)]) -> Self {
+    fn start(
+        scenario: &Scenario,
+        schedule: &Schedule,
+        servers: &[(String, SocketAddr)],
+    ) -> Result<Self, String> {
         let of_links = |(fault, befalls): (&Fault, &(Vec<usize>, Vec<usize>))| match fault.kind.is_of_links()
         {
             true => befalls.clone(),
@@ -383,8 +388,9 @@
             .map(|(node, server)| (server, links.faults(node, server)))
             .filter(|(_, faults)| !faults.is_empty())
             .collect();
-        links.relays = Relays::start(wanted.into_iter().map(|relay| (relay.clone(), servers[relay.0].1)));
-        links
+        let wanted = wanted.into_iter().map(|relay| (relay.clone(), servers[relay.0].1));
+        links.relays = Relays::start(address(0)?, wanted);
+        Ok(links)
     }
 
     /// The faults that befall the link between a node and a server.
