Rig: what is shown of a request without an answer: its connection, its node's sockets and logs

A run that broke a rule left a request's id and time alone. Now it tells which connection the request was on, whether that was kept or new and when it came up, what the system's table of sockets has of both its sides a while before the client gives up (whether the node has accepted it, how much is unread), the requests that were not served by node and second, and the nodes' logs.

--- a/crates/spurdrum-fleet/src/clients.rs
+++ b/crates/spurdrum-fleet/src/clients.rs
@@ -1,10 +1,12 @@
 //! Clients in an open loop: each request goes to a node by that node's part of the load, at its time.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
+use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -13,14 +15,15 @@
 use spurdrum_load::client::Outcome;
 use spurdrum_load::plan::{Class, Effect, Keys, Phase, Plan, Shape};
 use spurdrum_load::schedule::Schedule as Arrivals;
-use spurdrum_load::transport::Pool;
+use spurdrum_load::transport::{Pool, Progress};
 use spurdrum_load::Arrival;
 use spurdrum_standin::draw::normal;
 use tokio::task::LocalSet;
-use tokio::time::{sleep_until, timeout};
+use tokio::time::{sleep_until, timeout_at};
 
 use crate::history::{Asked, End};
 use crate::scenario::Scenario;
+use crate::witness::{Statement, Witness};
 
 /// Event loops of the clients.
 const LOOPS: usize = 4;
@@ -78,16 +81,14 @@
     }
 }
 
-/// A thread that plays a share of the clients.
-pub type Client = std::thread::JoinHandle<Result<Vec<Asked>, String>>;
+/// The threads of clients that play.
+pub struct Playing {
+    threads: Vec<JoinHandle<Result<Vec<Asked>, String>>>,
+    statements: JoinHandle<Vec<Statement>>,
+}
 
 /// Starts the threads of all clients; they begin at once, and end with the scenario or with `stop`.
-pub fn start(
-    scenario: &Scenario,
-    nodes: &[SocketAddr],
-    start: Instant,
-    stop: &Arc<AtomicBool>,
-) -> Vec<Client> {
+pub fn start(scenario: &Scenario, nodes: &[SocketAddr], start: Instant, stop: &Arc<AtomicBool>) -> Playing {
     let rate = scenario.capacity() * scenario.load;
     let (shape, arrivals) = (Shape::Constant, spurdrum_load::plan::Arrivals::Poisson);
     let phase = Phase {
@@ -110,16 +111,19 @@
         let node = deal.deal(arrival.due_us as f64 / 1e6);
         shares[n % LOOPS].push((arrival, node));
     }
+    let (witness, statements) = Witness::start();
     let begin = |(n, share): (usize, Vec<(Arrival, usize)>)| {
         let (nodes, scenario, seed) = (nodes.to_vec(), scenario.clone(), scenario.seed + n as u64);
-        let stop = Arc::clone(stop);
+        let (stop, witness) = (Arc::clone(stop), witness.clone());
         std::thread::spawn(move || {
             let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
             let runtime = runtime.map_err(|error| error.to_string())?;
-            Ok(LocalSet::new().block_on(&runtime, play(share, &nodes, &scenario, start, seed, &stop)))
+            Ok(LocalSet::new()
+                .block_on(&runtime, play(share, &nodes, &scenario, start, seed, &stop, witness)))
         })
     };
-    shares.into_iter().enumerate().map(begin).collect()
+    let threads = shares.into_iter().enumerate().map(begin).collect();
+    Playing { threads, statements }
 }
 
 /// Waits for all clients: what became of their requests, in the order in which they were due.
@@ -127,10 +131,15 @@
 /// # Errors
 ///
 /// A client's thread could not play.
-pub fn gather(clients: Vec<Client>) -> Result<Vec<Asked>, String> {
+pub fn gather(playing: Playing) -> Result<Vec<Asked>, String> {
     let mut asked = Vec::new();
-    for client in clients {
-        asked.extend(client.join().map_err(|_| "a client's thread died".to_owned())??);
+    for thread in playing.threads {
+        asked.extend(thread.join().map_err(|_| "a client's thread died".to_owned())??);
+    }
+    let statements = playing.statements.join().map_err(|_| "the witness's thread died".to_owned())?;
+    for Statement { request, sockets } in statements {
+        let of = asked.iter_mut().filter(|asked| asked.id == request);
+        of.for_each(|asked| asked.connection.get_or_insert_default().push_str(&format!("; {sockets}")));
     }
     asked.sort_by(|a, b| a.due.total_cmp(&b.due));
     Ok(asked)
@@ -144,11 +153,18 @@
     start: Instant,
     seed: u64,
     stop: &AtomicBool,
+    witness: Witness,
 ) -> Vec<Asked> {
     let pools: Vec<Pool> = nodes.iter().map(|node| Pool::new(*node, CONNECTIONS)).collect();
     let rng = RefCell::new(fastrand::Rng::with_seed(seed));
-    let clients =
-        Rc::new(Clients { pools, classes: scenario.classes.clone(), slack: scenario.slack_s, rng, start });
+    let clients = Rc::new(Clients {
+        pools,
+        classes: scenario.classes.clone(),
+        slack: scenario.slack_s,
+        rng,
+        start,
+        witness,
+    });
     let mut tasks = Vec::with_capacity(arrivals.len());
     for (arrival, node) in arrivals {
         if stop.load(Ordering::Relaxed) {
@@ -175,6 +191,7 @@
     slack: f64,
     rng: RefCell<fastrand::Rng>,
     start: Instant,
+    witness: Witness,
 }
 
 async fn one(arrival: Arrival, mut node: usize, clients: &Clients) -> Asked {
@@ -182,13 +199,20 @@
     let now = || start.elapsed().as_secs_f64();
     let due = arrival.due_us as f64 / 1e6;
     let lag = now() - due;
-    let ends = start + Duration::from_secs_f64(due + class.deadline_s + clients.slack);
+    let patience = |slack: f64| start + Duration::from_secs_f64(due + class.deadline_s + slack);
+    let (overdue, ends) = (patience(clients.slack / 2.0), patience(clients.slack));
     let mut end = End::Unreached;
+    let progress = Cell::default();
     for _ in 0..=OTHERS {
         let left = (due + class.deadline_s - now()).max(0.001);
         let request = request(&arrival, class, left);
-        let outcome =
-            timeout(ends.saturating_duration_since(Instant::now()), pools[node].ask(request, true)).await;
+        let mut asked = pin!(pools[node].ask_traced(request, true, &progress));
+        let mut outcome = timeout_at(overdue.into(), &mut asked).await;
+        if outcome.is_err() {
+            // While its connection is still there.
+            clients.witness.look(arrival.id, pools[node].target(), progress.get());
+            outcome = timeout_at(ends.into(), asked).await;
+        }
         end = match outcome {
             Ok(Outcome::Served) => End::Served,
             Ok(Outcome::Refused { .. }) => End::Refused,
@@ -203,6 +227,8 @@
         // What stands before nodes notices that one is dead, and asks another.
         node = clients.rng.borrow_mut().usize(..pools.len());
     }
+    let is_unanswered = matches!(end, End::Broken | End::Nothing);
+    let connection = is_unanswered.then(|| shown(progress.get(), start));
     Asked {
         id: arrival.id,
         node,
@@ -212,6 +238,21 @@
         ended: now(),
         end,
         deadline: class.deadline_s,
+        connection,
+    }
+}
+
+/// A request's connection, as its client saw it.
+fn shown(progress: Progress, start: Instant) -> String {
+    let at = |time: Instant| time.saturating_duration_since(start).as_secs_f64();
+    match progress {
+        Progress::Unsent => "no connection".to_owned(),
+        Progress::Dialing(since) => format!("connecting since {:.3} s", at(since)),
+        Progress::Sent(seen) => {
+            let (dialed, connected) = (at(seen.dialed_at), at(seen.connected_at));
+            let (client, answered) = (seen.client, seen.answered);
+            format!("{client}, dialed at {dialed:.3} s, up at {connected:.3} s, {answered} answers before")
+        }
     }
 }
 
--- a/crates/spurdrum-fleet/src/figures.rs
+++ b/crates/spurdrum-fleet/src/figures.rs
@@ -1,10 +1,11 @@
 //! What a run shows of the spread. Each figure's definition stands in `docs/design/spread.md`.
 
-use std::fmt;
+use std::collections::BTreeMap;
+use std::fmt::{self, Write as _};
 
 use hdrhistogram::Histogram;
 
-use crate::history::{End, History, Server};
+use crate::history::{Asked, End, History, Server};
 
 /// Latencies are counted up to this many microseconds.
 const MOST: u64 = 600_000_000;
@@ -257,6 +258,26 @@
     edges.map(|at| between(history, at, at + 1.0).herd).fold(0.0, f64::max)
 }
 
+/// How many requests were not served of how many, a row for each second and a column for each node.
+#[must_use]
+pub fn not_served(asked: &[Asked]) -> String {
+    let mut counts: BTreeMap<u64, BTreeMap<usize, (u32, u32)>> = BTreeMap::new();
+    for asked in asked {
+        let count = counts.entry(asked.due as u64).or_default().entry(asked.node).or_default();
+        count.0 += u32::from(asked.end != End::Served);
+        count.1 += 1;
+    }
+    let mut table = "second: not served of all, by node\n".to_owned();
+    for (second, nodes) in counts {
+        let _ = write!(table, "{second:>5}:");
+        for (node, (not_served, all)) in nodes {
+            let _ = write!(table, "  n{node} {not_served}/{all}");
+        }
+        table.push('\n');
+    }
+    table
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -343,6 +364,7 @@
             ended: 3.0 + 0.1 * (n + 1) as f64,
             end: *end,
             deadline: 0.8,
+            connection: None,
         });
         let figures = of(&History { asked: asked.collect(), ..history(&[]) });
         assert_eq!((figures.offered, figures.refused, figures.failed, figures.nothing), (5, 0.2, 0.2, 0.2));
--- a/crates/spurdrum-fleet/src/history.rs
+++ b/crates/spurdrum-fleet/src/history.rs
@@ -40,6 +40,8 @@
     pub end: End,
     /// What its client waits in all, in seconds.
     pub deadline: f64,
+    /// Where it was broken off or left without an answer: its connection, for people.
+    pub connection: Option<String>,
 }
 
 /// One attempt, as its server saw it.
--- a/crates/spurdrum-fleet/src/kept.rs
+++ b/crates/spurdrum-fleet/src/kept.rs
@@ -14,15 +14,19 @@
 
 use crate::addresses::{address, free};
 use crate::clients;
+use crate::figures::not_served;
 use crate::files::{node_part, shared_part};
 use crate::history::{Away, History};
 use crate::links::Relays;
 use crate::process::{beside, call, held, sweep, Node};
 use crate::run::{history, Folder, Options};
 use crate::scenario::{Kind, Scenario};
+use crate::verdict;
 
 /// Nodes have this long until all are healthy.
 const READY_MOST: Duration = Duration::from_secs(60);
+/// What is shown of a log where a run failed.
+const LOG_LINES_MOST: usize = 60;
 /// How often is looked whether something has come.
 const LOOK: Duration = Duration::from_millis(20);
 
@@ -155,12 +159,19 @@
     let said = script(&mut kept);
     stop.store(true, Ordering::Relaxed);
     let asked = clients::gather(playing)?;
-    let said = said.map_err(|why| format!("{why}\n{}", kept.logs()))?;
+    let said = said.map_err(|why| format!("{why}\n{}{}", not_served(&asked), kept.logs()))?;
     let length = kept.at();
     let away = std::mem::take(&mut kept.away);
+    let logs = kept.logs();
     drop(kept);
+    // A test shows this where it fails.
+    eprintln!("{}", not_served(&asked));
     let seen = history(scenario, &fleet.tally(), begins, asked, away, Default::default());
-    Ok((History { length, ..seen }, said))
+    let seen = History { length, ..seen };
+    if !verdict::judge(&seen).is_empty() {
+        eprintln!("a rule was broken; the nodes' logs:\n{logs}");
+    }
+    Ok((seen, said))
 }
 
 impl Kept {
@@ -381,7 +392,7 @@
             let tail = |name: &str| {
                 let text = std::fs::read_to_string(folder.join(name)).unwrap_or_default();
                 let lines: Vec<&str> = text.lines().collect();
-                lines[lines.len().saturating_sub(6)..].join("\n  ")
+                lines[lines.len().saturating_sub(LOG_LINES_MOST)..].join("\n  ")
             };
             format!("n{me}:\n  {}\n  {}\n", tail("keeper.log"), tail("node.log"))
         };
--- a/crates/spurdrum-fleet/src/lib.rs
+++ b/crates/spurdrum-fleet/src/lib.rs
@@ -19,4 +19,6 @@
 pub mod run;
 pub mod scenario;
 pub mod schedule;
+pub mod sockets;
 pub mod verdict;
+pub mod witness;
--- a/crates/spurdrum-fleet/src/references.rs
+++ b/crates/spurdrum-fleet/src/references.rs
@@ -214,7 +214,17 @@
         while due < 200.0 {
             due += -(1.0 - rng.f64()).ln() / 160.0;
             let (effect, end) = (Effect::Safe, End::Nothing);
-            asked.push(Asked { id: 0, node: 0, effect, due, lag: 0.0, ended: due, end, deadline: 1.0 });
+            asked.push(Asked {
+                id: 0,
+                node: 0,
+                effect,
+                due,
+                lag: 0.0,
+                ended: due,
+                end,
+                deadline: 1.0,
+                connection: None,
+            });
         }
         let history =
             History { length: 200.0, asked, servers: vec![server(0), server(1)], ..History::default() };
--- a/crates/spurdrum-fleet/src/verdict.rs
+++ b/crates/spurdrum-fleet/src/verdict.rs
@@ -71,7 +71,8 @@
         };
         if matches!(asked.end, End::Nothing | End::Broken) && !history.away.iter().any(|a| away(&a)) {
             let what = if asked.end == End::Broken { "broke off after" } else { "said nothing for" };
-            let seen = format!("node {} {what} {:.3} s", asked.node, asked.ended - asked.due);
+            let connection = asked.connection.as_deref().unwrap_or("connection not noted");
+            let seen = format!("node {} {what} {:.3} s ({connection})", asked.node, asked.ended - asked.due);
             broken.push(Broken { rule: Rule::Answered, id: asked.id, at: asked.due, seen });
         }
         let Some(runs) = by_id.get(&asked.id) else { continue };
--- a/crates/spurdrum-fleet/src/verdict/tests.rs
+++ b/crates/spurdrum-fleet/src/verdict/tests.rs
@@ -4,7 +4,7 @@
 use crate::history::{Asked, Away, Chosen, Cold, Server};
 
 fn asked(effect: Effect, end: End) -> Asked {
-    Asked { id: 7, node: 3, effect, due: 1.0, lag: 0.0, ended: 1.9, end, deadline: 0.8 }
+    Asked { id: 7, node: 3, effect, due: 1.0, lag: 0.0, ended: 1.9, end, deadline: 0.8, connection: None }
 }
 
 fn worked(server: usize, begun: f64, ended: Option<f64>) -> Worked {
--- a/crates/spurdrum-load/src/transport.rs
+++ b/crates/spurdrum-load/src/transport.rs
@@ -3,7 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
@@ -27,9 +27,35 @@
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
     stream: SharedStream,
+    seen: ConnectionSeen,
     _slot: Slot,
 }
 
+/// A connection as its client sees it when it sends a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ConnectionSeen {
+    /// The client's end, by which the system's table of sockets names it.
+    pub client: SocketAddr,
+    /// When connecting began.
+    pub dialed_at: Instant,
+    /// When it came up.
+    pub connected_at: Instant,
+    /// Requests that were answered on it before.
+    pub answered: u32,
+}
+
+/// How far a request has come.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Progress {
+    /// It has no connection yet.
+    #[default]
+    Unsent,
+    /// A connection is being made since then.
+    Dialing(Instant),
+    /// It has been given to this connection.
+    Sent(ConnectionSeen),
+}
+
 /// The connections of all clients together.
 pub struct Pool {
     target: SocketAddr,
@@ -47,14 +73,31 @@
         Self { target, most, open: Rc::default(), idle: RefCell::default(), made: Cell::new(0) }
     }
 
+    /// Where its connections go.
+    #[must_use]
+    pub fn target(&self) -> SocketAddr {
+        self.target
+    }
+
     /// Sends a request and reads its whole answer. Dropped, it closes its connection.
-    pub async fn ask(&self, mut request: Request<Full<Bytes>>, keep: bool) -> Outcome {
+    pub async fn ask(&self, request: Request<Full<Bytes>>, keep: bool) -> Outcome {
+        self.ask_traced(request, keep, &Cell::default()).await
+    }
+
+    /// The same, and tells how far it has come: also one that is dropped.
+    pub async fn ask_traced(
+        &self,
+        mut request: Request<Full<Bytes>>,
+        keep: bool,
+        progress: &Cell<Progress>,
+    ) -> Outcome {
         loop {
+            progress.set(Progress::Unsent);
             let kept = self.idle.borrow_mut().pop();
             let was_kept = kept.is_some();
             let mut connection = match kept {
                 Some(connection) => connection,
-                None => match self.connect().await {
+                None => match self.connect(progress).await {
                     Some(connection) => connection,
                     None => return Outcome::Unreached,
                 },
@@ -68,6 +111,7 @@
                 }
                 return Outcome::Unreached;
             }
+            progress.set(Progress::Sent(connection.seen));
             let response = match connection.sender.try_send_request(request).await {
                 Ok(response) => response,
                 Err(mut error) => match error.take_message() {
@@ -85,6 +129,7 @@
                     return Outcome::Broken;
                 }
             }
+            connection.seen.answered += 1;
             if keep && !connection.sender.is_closed() {
                 self.idle.borrow_mut().push(connection);
             }
@@ -101,18 +146,22 @@
         }
     }
 
-    async fn connect(&self) -> Option<Connection> {
+    async fn connect(&self, progress: &Cell<Progress>) -> Option<Connection> {
         if self.open.get() >= self.most {
             return None;
         }
         self.open.set(self.open.get() + 1);
         let slot = Slot(Rc::clone(&self.open));
+        let dialed_at = Instant::now();
+        progress.set(Progress::Dialing(dialed_at));
         let stream = TcpStream::connect(self.target).await.ok()?;
         stream.set_nodelay(true).ok()?;
+        let client = stream.local_addr().ok()?;
+        let seen = ConnectionSeen { client, dialed_at, connected_at: Instant::now(), answered: 0 };
         let stream = SharedStream::new(stream);
         let (sender, connection) = http1::handshake(TokioIo::new(stream.clone())).await.ok()?;
         tokio::task::spawn_local(connection);
         self.made.set(self.made.get() + 1);
-        Some(Connection { sender, stream, _slot: slot })
+        Some(Connection { sender, stream, seen, _slot: slot })
     }
 }
