A client's time runs while its request lies unread: what is left when it is read is what counts

What callers saw: on a busy machine a node "said nothing for 5.0 s" to clients that wait 3 s; five requests to one node, or some hundred. Servers were sent requests whose clients' time was over.

A node that is late, as it stood still or is given a fortieth of a core, took requests that had lain in its sockets for up to 3 s as if they had just come: it tried them at servers for as long again, put off what came behind them, and answered after their clients had gone.

Evidence: the time of each request's connection and of its work at servers, for five fleets on two cores with twelve busy loops for the first 5 s. At the node in question connections were up at 1.5 s, and servers were sent their requests at 4.26 to 4.76 s; those that were due by 1.25 s (time over at 4.25) were answered at 6.1 s. All of them lay on new connections, "accepted", with nothing broken and no pause: the event loop's turns took seconds. Two processes at one address, a full queue of the listener and a lost wake-up are excluded by that: all were served, late.

Change: as bytes are read, the system is asked how long ago the last of them came (TCP_INFO, in a package of its own, as no library in use has it). What a request lay unread for is taken off its client's time; where nothing is left it is refused at once, and no server is sent it. Up to 10 ms, the system's tick, count as none, so that nothing changes on a machine that is not late. What another process has read and handed over is not counted again: it told what is left.

Why it works: no attempt begins for a client that has gone, so a node that is late sheds what is too late and reaches what is not.

--- a/crates/spurdrum-http/src/client.rs
+++ b/crates/spurdrum-http/src/client.rs
@@ -12,6 +12,7 @@
 use hyper::body::{Body, Frame, SizeHint};
 use spurdrum_admission::Event;
 use spurdrum_core::{Fate, Figures, Open, Seat};
+use spurdrum_tcp_info::since_last_data;
 use tokio::io::{Interest, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::{sleep, Instant};
@@ -29,6 +30,8 @@
 const READ_AT_ONCE: usize = 4 * 1024;
 /// Where more has come than that, the event loop is asked this often whether the client has left.
 const LOOK: Duration = Duration::from_millis(25);
+/// The system may tell data to be older than it is by as much.
+const SYSTEM_TICK: Duration = Duration::from_millis(10);
 
 /// A client's socket, with what hyper has read of the head that is coming. hyper drops fields that contradict
 /// others before a request is seen, so the head is looked at as it came.
@@ -42,6 +45,8 @@
     ahead: RefCell<Vec<u8>>,
     /// What has been read of the socket that hyper has not asked for yet.
     unasked: RefCell<BytesMut>,
+    /// How long the last bytes that were read had lain in the socket.
+    unread_for: Cell<Duration>,
     /// A request that is to be served by another process, as it is to read it.
     given_back: RefCell<Option<Vec<u8>>>,
     /// Whether a request has been taken whose answer is not there yet.
@@ -78,6 +83,7 @@
             body: Cell::new(Left::Length(0)),
             ahead: RefCell::default(),
             unasked: RefCell::default(),
+            unread_for: Cell::default(),
             given_back: RefCell::default(),
             owes: Cell::new(false),
             answering: Cell::new(false),
@@ -114,6 +120,11 @@
         !self.ahead.borrow().is_empty() || !self.unasked.borrow().is_empty()
     }
 
+    /// How long what came last had lain in the socket before it was read: its client's time ran meanwhile.
+    pub fn unread_for(&self) -> Duration {
+        self.unread_for.get()
+    }
+
     /// Waits until the client has closed its side of the connection, or reset it, while it is owed an answer. hyper sees that
     /// itself as long as it reads; once it holds a part of the next request it reads no more before the answer, and what the
     /// socket holds is read here instead, for hyper to have later. For the task that drives hyper alone.
@@ -233,6 +244,10 @@
     fn take_kept(&self, buf: &mut ReadBuf<'_>) -> bool {
         let mut unasked = self.unasked.borrow_mut();
         let bytes = unasked.len().min(buf.remaining());
+        if bytes > 0 {
+            // It was read as it came, or by another process that has told what is left of its client's time.
+            self.unread_for.set(Duration::ZERO);
+        }
         buf.put_slice(&unasked[..bytes]);
         unasked.advance(bytes);
         if unasked.is_empty() {
@@ -242,6 +257,12 @@
         bytes > 0
     }
 
+    fn was_read(&self) {
+        // Where the system does not tell, it counts as read at once.
+        let unread_for = since_last_data(&self.stream).unwrap_or_default();
+        self.unread_for.set(unread_for.saturating_sub(SYSTEM_TICK));
+    }
+
     fn came(&self, bytes: &[u8]) {
         self.split(bytes);
         self.seat.tell(Event::Received { id: self.seat.id, bytes: bytes.len() as u64 });
--- a/crates/spurdrum-http/src/request.rs
+++ b/crates/spurdrum-http/src/request.rs
@@ -173,6 +173,12 @@
             return plain(StatusCode::BAD_REQUEST, why);
         }
     };
+    // Guards against an attempt for a client whose time was over before its request was read: that runs from when it was sent.
+    let unread_for = if body.is_long() { Duration::ZERO } else { socket.unread_for() };
+    let wait = wait.saturating_sub(unread_for);
+    if wait.is_zero() {
+        return refusal(front.node.connections.retry_after_ms());
+    }
     let wait = wait.saturating_sub(MARGIN).max(wait / 2);
     // How long a long body takes to come is not known, and not the servers' affair.
     asked.budget_ms = if body.is_long() { WAIT_MOST } else { wait }.as_secs_f64() * 1000.0;
--- a/crates/spurdrum-http/src/socket.rs
+++ b/crates/spurdrum-http/src/socket.rs
@@ -20,6 +20,9 @@
         false
     }
 
+    /// Bytes have just been read from the socket itself.
+    fn was_read(&self) {}
+
     /// These bytes have come and go to hyper next.
     fn came(&self, _bytes: &[u8]) {}
 
@@ -66,6 +69,7 @@
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 Err(error) => return Poll::Ready(Err(error)),
                 Ok(n) => {
+                    self.0.was_read();
                     self.0.came(&unfilled[..n]);
                     buf.advance(n);
                     return Poll::Ready(Ok(()));
--- a/crates/spurdrum/tests/node.rs
+++ b/crates/spurdrum/tests/node.rs
@@ -35,6 +35,8 @@
 mod starts;
 #[path = "node/streams.rs"]
 mod streams;
+#[path = "node/unread.rs"]
+mod unread;
 use net::*;
 
 use std::io::{Read, Write};
