Load generator: whether a kept connection has ended is asked as its request is written, not only before

No caller of a node is concerned: the protocol lets a node end what rests.

Cause: the pool looks at the socket when it chooses a kept connection, and another task of its event loop writes the request. On a busy machine that one has its turn much later, and an end that comes in between is not heard of before the request is written behind it.

Evidence, forced: the event loop stands still, right after the pool has looked, until the target has ended the connection: (Served, Broken).

Change: the stream itself looks right before the first bytes of a request on a kept connection, and refuses them where the end, or anything else, has come. The pool sends the request once more only where nothing of it was written. An end that comes later breaks it, as before.

Test: a_connection_whose_end_comes_before_its_request_is_written_is_not_used failed before (Broken), and passes. The test beside it keeps what it asserts; both share their target, and the outcome is asserted before the target is waited for, so that a failure does not hang.

--- a/crates/spurdrum-load/src/stream.rs
+++ b/crates/spurdrum-load/src/stream.rs
@@ -1,5 +1,6 @@
 //! A client's socket, which its pool can look at while hyper drives it.
 
+use std::cell::Cell;
 use std::io::{self, ErrorKind, IoSlice};
 use std::mem::MaybeUninit;
 use std::net::Shutdown;
@@ -13,20 +14,54 @@
 
 /// One socket with several owners.
 #[derive(Clone)]
-pub struct SharedStream(Rc<TcpStream>);
+pub struct SharedStream {
+    socket: Rc<TcpStream>,
+    next_write: Rc<Cell<NextWrite>>,
+}
+
+/// What becomes of the next bytes that are to be written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum NextWrite {
+    /// They are written.
+    Allowed,
+    /// They are, unless the target has ended the connection by then.
+    UnlessEnded,
+    /// They were not, and nothing is any more.
+    Refused,
+}
 
 impl SharedStream {
     /// Shares this socket.
     #[must_use]
     pub fn new(stream: TcpStream) -> Self {
-        Self(Rc::new(stream))
+        Self { socket: Rc::new(stream), next_write: Rc::new(Cell::new(NextWrite::Allowed)) }
+    }
+
+    /// A request is to follow: nothing of it is written where the target has ended the connection by then.
+    pub fn write_unless_ended(&self) {
+        self.next_write.set(NextWrite::UnlessEnded);
+    }
+
+    /// Whether nothing of that request was written, as the connection had ended.
+    #[must_use]
+    pub fn was_refused(&self) -> bool {
+        self.next_write.get() == NextWrite::Refused
+    }
+
+    /// Whether bytes may be written now.
+    fn may_write(&self) -> bool {
+        if self.next_write.get() == NextWrite::UnlessEnded {
+            let next = if self.has_input() { NextWrite::Refused } else { NextWrite::Allowed };
+            self.next_write.set(next);
+        }
+        !self.was_refused()
     }
 
     /// Whether the target has ended or broken the connection, or said something unasked. The socket itself is looked at: the event
     /// loop may not have heard of it yet.
     #[must_use]
     pub fn has_input(&self) -> bool {
-        let seen = SockRef::from(&*self.0).peek(&mut [MaybeUninit::uninit()]);
+        let seen = SockRef::from(&*self.socket).peek(&mut [MaybeUninit::uninit()]);
         !seen.is_err_and(|error| error.kind() == ErrorKind::WouldBlock)
     }
 }
@@ -34,8 +69,8 @@
 impl AsyncRead for SharedStream {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         loop {
-            ready!(self.0.poll_read_ready(cx))?;
-            match self.0.try_read(buf.initialize_unfilled()) {
+            ready!(self.socket.poll_read_ready(cx))?;
+            match self.socket.try_read(buf.initialize_unfilled()) {
                 Ok(bytes) => {
                     buf.advance(bytes);
                     return Poll::Ready(Ok(()));
@@ -57,9 +92,12 @@
         cx: &mut Context<'_>,
         pieces: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        if !self.may_write() {
+            return Poll::Ready(Err(ErrorKind::ConnectionAborted.into()));
+        }
         loop {
-            ready!(self.0.poll_write_ready(cx))?;
-            match self.0.try_write_vectored(pieces) {
+            ready!(self.socket.poll_write_ready(cx))?;
+            match self.socket.try_write_vectored(pieces) {
                 Err(error) if error.kind() == ErrorKind::WouldBlock => {}
                 written => return Poll::Ready(written),
             }
@@ -75,6 +113,6 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(SockRef::from(&*self.0).shutdown(Shutdown::Write))
+        Poll::Ready(SockRef::from(&*self.socket).shutdown(Shutdown::Write))
     }
 }
--- a/crates/spurdrum-load/src/transport.rs
+++ b/crates/spurdrum-load/src/transport.rs
@@ -112,16 +112,24 @@
                 return Outcome::Unreached;
             }
             progress.set(Progress::Sent(connection.seen));
+            let unsent = was_kept.then(|| request.clone());
+            if was_kept {
+                // The task that writes may have its turn much later, on a busy machine.
+                connection.stream.write_unless_ended();
+            }
             let response = match connection.sender.try_send_request(request).await {
                 Ok(response) => response,
-                Err(mut error) => match error.take_message() {
-                    // It was closed between requests: the client sends once more, on another.
-                    Some(unsent) if was_kept => {
-                        request = unsent;
-                        continue;
+                Err(error) => {
+                    let is_unsent = error.message().is_some() || connection.stream.was_refused();
+                    match unsent.filter(|_| is_unsent) {
+                        // It was closed between requests: the client sends once more, on another.
+                        Some(unsent) => {
+                            request = unsent;
+                            continue;
+                        }
+                        None => return Outcome::Broken,
                     }
-                    _ => return Outcome::Broken,
-                },
+                }
             };
             let (head, mut body) = response.into_parts();
             while let Some(frame) = body.frame().await {
--- a/crates/spurdrum-load/tests/transport.rs
+++ b/crates/spurdrum-load/tests/transport.rs
@@ -73,35 +73,71 @@
     assert_eq!(ask(target(&[&[Does::Answer, Does::Break]]), 2), [Outcome::Served, Outcome::Broken]);
 }
 
-/// Guards against a request that is sent on a connection whose end has come, and counts as broken by its target.
-#[test]
-fn a_connection_whose_end_has_come_is_not_used_though_the_event_loop_has_not_heard_of_it() {
+/// A target that answers a request, ends that connection when it is told to, and answers another connection's request: what tells it,
+/// what tells that it has, and how many bytes more came on the first.
+struct Ending {
+    address: SocketAddr,
+    end: mpsc::Sender<()>,
+    has_ended: mpsc::Receiver<()>,
+    played: thread::JoinHandle<usize>,
+}
+
+fn ending() -> Ending {
     let listener = TcpListener::bind("127.0.0.1:0").expect("bound");
     let address = listener.local_addr().expect("bound");
-    let (served, is_served) = mpsc::channel();
+    let (end, is_to_end) = mpsc::channel();
     let (ended, has_ended) = mpsc::channel();
-    let target = thread::spawn(move || {
+    let played = thread::spawn(move || {
         let (mut first, _) = listener.accept().expect("accepted");
         play(&mut first, Does::Answer);
-        is_served.recv().expect("told");
+        is_to_end.recv().expect("told");
         first.shutdown(Shutdown::Write).expect("ended");
         ended.send(()).expect("heard");
         let (mut second, _) = listener.accept().expect("accepted");
         play(&mut second, Does::Answer);
         first.read(&mut [0; 1]).expect("the client's end")
     });
+    Ending { address, end, has_ended, played }
+}
+
+fn request() -> Request<Full<Bytes>> {
+    Request::get("/").header("host", "origin").body(Full::new(Bytes::new())).expect("sound")
+}
+
+/// Asks twice, and both are served on connections of their own; the event loop stands still until the first connection has ended, before
+/// the second request looks at it or as soon as it has.
+fn is_served_twice(looks_first: bool) {
+    let Ending { address, end, has_ended, played } = ending();
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
     let pool = Pool::new(address, 10);
     let outcomes = LocalSet::new().block_on(&runtime, async {
-        let request =
-            || Request::get("/").header("host", "origin").body(Full::new(Bytes::new())).expect("sound");
         let first = pool.ask(request(), true).await;
-        served.send(()).expect("heard");
-        // The event loop stands still until the end has come.
-        has_ended.recv().expect("told");
-        (first, pool.ask(request(), true).await)
+        let stand_still = || {
+            end.send(()).expect("heard");
+            has_ended.recv().expect("told");
+        };
+        if !looks_first {
+            stand_still();
+            return (first, pool.ask(request(), true).await);
+        }
+        // The first of these runs until it has handed its request to the task that writes it.
+        let (second, ()) = tokio::join!(pool.ask(request(), true), async { stand_still() });
+        (first, second)
     });
-    assert_eq!(outcomes, (Outcome::Served, Outcome::Served));
     drop(pool);
-    assert_eq!(target.join().expect("played"), 0, "something was sent on it");
+    // Before the target is waited for: it waits for a second connection.
+    assert_eq!(outcomes, (Outcome::Served, Outcome::Served));
+    assert_eq!(played.join().expect("played"), 0, "something was sent on it");
+}
+
+/// Guards against a request that is sent on a connection whose end has come, and counts as broken by its target.
+#[test]
+fn a_connection_whose_end_has_come_is_not_used_though_the_event_loop_has_not_heard_of_it() {
+    is_served_twice(false);
+}
+
+/// Guards against the same where the end comes after the connection was chosen and before anything is written.
+#[test]
+fn a_connection_whose_end_comes_before_its_request_is_written_is_not_used() {
+    is_served_twice(true);
 }
