Rig's clients and the front's requests: shorter functions, plain names

Clients::ask_node sends to one node and End::of reads an outcome, which stood in one function of 50 lines; time_for_answer and ReceivedBody in the front. Behaviour as it was.

--- a/crates/spurdrum-fleet/src/clients.rs
+++ b/crates/spurdrum-fleet/src/clients.rs
@@ -12,7 +12,6 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Method, Request};
-use spurdrum_load::client::Outcome;
 use spurdrum_load::plan::{Class, Effect, Keys, Phase, Plan, Shape};
 use spurdrum_load::schedule::Schedule as Arrivals;
 use spurdrum_load::transport::{Pool, Progress};
@@ -31,6 +30,8 @@
 const CONNECTIONS: usize = 200;
 /// A client that reaches no node tries so many others.
 const OTHERS: usize = 3;
+/// A node is told that its client waits for so long at least, in seconds.
+const LEFT_LEAST: f64 = 0.001;
 
 /// Deals requests out to nodes by their parts.
 pub struct Deal {
@@ -175,7 +176,7 @@
             sleep_until(due.into()).await;
         }
         let clients = Rc::clone(&clients);
-        tasks.push(tokio::task::spawn_local(async move { one(arrival, node, &clients).await }));
+        tasks.push(tokio::task::spawn_local(async move { ask(arrival, node, &clients).await }));
     }
     let mut asked = Vec::with_capacity(tasks.len());
     for task in tasks {
@@ -194,38 +195,40 @@
     witness: Witness,
 }
 
-async fn one(arrival: Arrival, mut node: usize, clients: &Clients) -> Asked {
-    let (pools, class, start) = (&clients.pools, &clients.classes[usize::from(arrival.class)], clients.start);
+impl Clients {
+    /// Sends a request to one node and waits for its answer, for its client's time and the slack.
+    async fn ask_node(&self, arrival: &Arrival, node: usize, progress: &Cell<Progress>) -> End {
+        let (pool, class) = (&self.pools[node], &self.classes[usize::from(arrival.class)]);
+        let deadline = arrival.due_us as f64 / 1e6 + class.deadline_s;
+        let at = |seconds: f64| self.start + Duration::from_secs_f64(seconds);
+        let left = (deadline - self.start.elapsed().as_secs_f64()).max(LEFT_LEAST);
+        let mut asked = pin!(pool.ask_traced(request(arrival, class, left), true, progress));
+        let overdue = at(deadline + self.slack / 2.0);
+        if let Ok(outcome) = timeout_at(overdue.into(), &mut asked).await {
+            return End::of(outcome);
+        }
+        // While its connection is still there.
+        self.witness.look(arrival.id, pool.target(), progress.get());
+        let ends = at(deadline + self.slack);
+        timeout_at(ends.into(), asked).await.map_or(End::Nothing, End::of)
+    }
+}
+
+/// Sends a request to its node, or to others where that cannot be reached. What became of it.
+async fn ask(arrival: Arrival, mut node: usize, clients: &Clients) -> Asked {
+    let (class, start) = (&clients.classes[usize::from(arrival.class)], clients.start);
     let now = || start.elapsed().as_secs_f64();
     let due = arrival.due_us as f64 / 1e6;
     let lag = now() - due;
-    let patience = |slack: f64| start + Duration::from_secs_f64(due + class.deadline_s + slack);
-    let (overdue, ends) = (patience(clients.slack / 2.0), patience(clients.slack));
     let mut end = End::Unreached;
     let progress = Cell::default();
     for _ in 0..=OTHERS {
-        let left = (due + class.deadline_s - now()).max(0.001);
-        let request = request(&arrival, class, left);
-        let mut asked = pin!(pools[node].ask_traced(request, true, &progress));
-        let mut outcome = timeout_at(overdue.into(), &mut asked).await;
-        if outcome.is_err() {
-            // While its connection is still there.
-            clients.witness.look(arrival.id, pools[node].target(), progress.get());
-            outcome = timeout_at(ends.into(), asked).await;
-        }
-        end = match outcome {
-            Ok(Outcome::Served) => End::Served,
-            Ok(Outcome::Refused { .. }) => End::Refused,
-            Ok(Outcome::Unreached) => End::Unreached,
-            Ok(Outcome::Broken) => End::Broken,
-            Ok(_) => End::Failed,
-            Err(_) => End::Nothing,
-        };
+        end = clients.ask_node(&arrival, node, &progress).await;
         if end != End::Unreached {
             break;
         }
         // What stands before nodes notices that one is dead, and asks another.
-        node = clients.rng.borrow_mut().usize(..pools.len());
+        node = clients.rng.borrow_mut().usize(..clients.pools.len());
     }
     let is_unanswered = matches!(end, End::Broken | End::Nothing);
     let connection = is_unanswered.then(|| shown(progress.get(), start));
--- a/crates/spurdrum-fleet/src/history.rs
+++ b/crates/spurdrum-fleet/src/history.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use spurdrum_load::client::Outcome;
 use spurdrum_load::plan::Effect;
 
 /// How a request ended for its client.
@@ -21,6 +22,20 @@
     Unreached,
 }
 
+impl End {
+    /// How a request ended that its client has heard of.
+    #[must_use]
+    pub fn of(outcome: Outcome) -> Self {
+        match outcome {
+            Outcome::Served => Self::Served,
+            Outcome::Refused { .. } => Self::Refused,
+            Outcome::Unreached => Self::Unreached,
+            Outcome::Broken => Self::Broken,
+            Outcome::Failed | Outcome::GaveUp | Outcome::Left | Outcome::NotSent => Self::Failed,
+        }
+    }
+}
+
 /// One request, as its client saw it. Times are seconds from the start of the run.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Asked {
--- a/crates/spurdrum-http/src/request.rs
+++ b/crates/spurdrum-http/src/request.rs
@@ -173,13 +173,9 @@
             return plain(StatusCode::BAD_REQUEST, why);
         }
     };
-    // Guards against an attempt for a client whose time was over before its request was read: that runs from when it was sent.
-    let unread_for = if body.is_long() { Duration::ZERO } else { socket.unread_for() };
-    let wait = wait.saturating_sub(unread_for);
-    if wait.is_zero() {
-        return refusal(front.node.connections.retry_after_ms());
-    }
-    let wait = wait.saturating_sub(MARGIN).max(wait / 2);
+    let Some(wait) = time_for_answer(wait, &body, socket) else {
+        return refusal(node.connections.retry_after_ms());
+    };
     // How long a long body takes to come is not known, and not the servers' affair.
     asked.budget_ms = if body.is_long() { WAIT_MOST } else { wait }.as_secs_f64() * 1000.0;
     let keyed = front
@@ -192,8 +188,8 @@
     };
     let headers = forwarded_headers(front, &head.headers, authority);
     let (body, source, deadline) = match body {
-        Came::Whole(bytes) => (Carried::Whole(bytes), None, Deadline::at(Instant::now() + wait)),
-        Came::Long(came, rest) => {
+        ReceivedBody::Whole(bytes) => (Carried::Whole(bytes), None, Deadline::at(Instant::now() + wait)),
+        ReceivedBody::Long(came, rest) => {
             let source = Rc::new(Source::new(rest, length, came, BODY_MOST));
             (Carried::Through(Rc::clone(&source)), Some(source), Deadline::after(wait))
         }
@@ -228,14 +224,14 @@
     seat: &Seat,
     body: Incoming,
     length: Option<u64>,
-) -> Result<Came, Response<Answered>> {
+) -> Result<ReceivedBody, Response<Answered>> {
     seat.reading_body.set(true);
     let body = tokio::select! {
         biased;
         body = read_body(body, length) => body.map_err(|status| plain(status, "the body is broken\n")),
         reason = seat.body_expired() => Err(expired(node, reason)),
     };
-    if matches!(body, Ok(Came::Long(..))) {
+    if matches!(body, Ok(ReceivedBody::Long(..))) {
         seat.tell(Event::Long { id: seat.id });
         return body;
     }
@@ -248,6 +244,16 @@
     body
 }
 
+/// The time in which an answer has to be there, for a client that waits this long from when it sent its request. `None` where that is
+/// over already.
+fn time_for_answer(wait: Duration, body: &ReceivedBody, socket: &Socket) -> Option<Duration> {
+    // The time of a long body begins when all of it has come.
+    let unread_for = if body.is_long() { Duration::ZERO } else { socket.unread_for() };
+    // Guards against an attempt for a client whose time was over before its request was read.
+    let left = wait.checked_sub(unread_for).filter(|left| !left.is_zero())?;
+    Some(left.saturating_sub(MARGIN).max(left / 2))
+}
+
 /// A target as servers get it, and the host that a whole URL names. `None` where it has no such form.
 fn short_form(uri: Uri) -> Option<(Uri, Option<HeaderValue>)> {
     let mut parts = uri.into_parts();
@@ -426,12 +432,12 @@
 }
 
 /// A body, or the beginning of a long one.
-enum Came {
+enum ReceivedBody {
     Whole(Bytes),
     Long(Vec<Bytes>, Incoming),
 }
 
-impl Came {
+impl ReceivedBody {
     /// Whether it is too long to be held.
     fn is_long(&self) -> bool {
         matches!(self, Self::Long(..))
@@ -447,17 +453,17 @@
 }
 
 /// Reads a body that is short enough to be held.
-async fn read_body(mut body: Incoming, length: Option<u64>) -> Result<Came, StatusCode> {
+async fn read_body(mut body: Incoming, length: Option<u64>) -> Result<ReceivedBody, StatusCode> {
     let mut came: Vec<Bytes> = Vec::new();
     let mut bytes = 0;
     while length.is_none_or(|length| length <= BODY_MOST as u64) && bytes <= BODY_MOST {
         let Some(frame) = body.frame().await else {
-            return Ok(Came::Whole(joined(came)));
+            return Ok(ReceivedBody::Whole(joined(came)));
         };
         if let Ok(data) = frame.map_err(|_| StatusCode::BAD_REQUEST)?.into_data() {
             bytes += data.len();
             came.push(data);
         }
     }
-    Ok(Came::Long(came, body))
+    Ok(ReceivedBody::Long(came, body))
 }
--- a/crates/spurdrum/tests/node/unread.rs
+++ b/crates/spurdrum/tests/node/unread.rs
@@ -17,6 +17,12 @@
     node.go_on();
 }
 
+/// How long the node will wait, as it tells a server.
+fn told_to_server(got: &Exchange) -> Duration {
+    let left = got.request.header("x-deadline").and_then(|left| left.parse().ok());
+    Duration::from_secs_f64(left.expect("told"))
+}
+
 /// Guards against servers that work for longer than a client waits: what a request lay unread counts.
 #[test]
 fn a_server_is_told_what_is_left_of_a_clients_time_when_its_request_is_read_late() {
@@ -26,9 +32,8 @@
         let mut client = node.client();
         sent_during_a_pause(&node, &mut client, &request(class, 5.0));
         let got = server.request();
-        let left: f64 = got.request.header("x-deadline").and_then(|left| left.parse().ok()).expect("told");
-        let most = Duration::from_secs(5) - PAUSE + TOLERANCE;
-        assert!(left <= most.as_secs_f64(), "{class}: {left} s left");
+        let left = told_to_server(&got);
+        assert!(left <= Duration::from_secs(5) - PAUSE + TOLERANCE, "{class}: {left:?} left");
         got.answer(OK, "", b"x");
         assert_eq!(client.answer().status(), 200);
     }
@@ -47,8 +52,8 @@
         // The connection goes on, and what is read in time has all of its time.
         client.send(&request(class, 5.0));
         let got = server.request();
-        let left: f64 = got.request.header("x-deadline").and_then(|left| left.parse().ok()).expect("told");
-        assert!(left >= (Duration::from_secs(5) - TOLERANCE).as_secs_f64(), "{class}: {left} s left");
+        let left = told_to_server(&got);
+        assert!(left >= Duration::from_secs(5) - TOLERANCE, "{class}: {left:?} left");
         got.answer(OK, "", b"x");
         assert_eq!(client.answer().status(), 200);
     }
