--- a/crates/spurdrum-admission/src/admission.rs
+++ b/crates/spurdrum-admission/src/admission.rs
@@ -4,25 +4,25 @@
 use std::time::Duration;
 
 use crate::counts::{Counts, Reason};
+use crate::early_closes::EarlyCloses;
+use crate::memory::{self, HeadSize, Holding, MemoryAccount, MemoryUsage, Priority};
 use crate::peers::{PeerKey, Peers};
 use crate::reuse::{cohort, ReuseEstimator};
 use crate::settings::{Settings, Shares, TransferTimeout};
 use crate::{Action, Candidate, ConnId, Event, Level, Limits, State, Verdict};
 
-/// The memory that every connection uses: buffers, its task and its entries here. The program's
-/// `benches/idle_connections.rs` measures it.
-const BASE_MEMORY: u64 = 20 * 1024;
 /// Timers fire this much later than they are due, so that many connections share a tick.
 const TIMER_SLACK: Duration = Duration::from_millis(10);
 /// How often the level is checked while it is above [`Level::Calm`] or the descriptor budget is reduced.
 const LEVEL_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// How many connections are closed at once at most while the level is [`Level::Full`].
 const MAX_SHED_WHEN_FULL: usize = 64;
-/// The number of buckets into which the time that early-closed connections would have stayed is divided.
-const EARLY_CLOSE_BUCKETS: usize = 16;
 /// The probability of reuse below which a connection is not kept, at the lowest pressure and at the highest.
 const KEEP_THRESHOLD: (f64, f64) = (0.3, 0.9);
 
+/// While this much is being freed, no more connections are shed for want of memory.
+const MEMORY_RELIEF: u64 = 256 * 1024;
+
 /// Ranks of connections that may be shed; the lowest rank is shed first. Idle connections have one rank for
 /// each cohort.
 const RANK_SILENT: u8 = 0;
@@ -42,7 +42,9 @@
     requests: u32,
     /// Bytes received or sent in this state.
     bytes: u64,
-    memory: u64,
+    holding: Holding,
+    /// What the connection is expected to free because it was told to close.
+    releasing: u64,
     candidate: Option<Candidate>,
     /// When the time limit of this state ends.
     timeout_at: Option<Duration>,
@@ -63,36 +65,12 @@
     /// Whether that record counts in the estimate over all peers and not only in its own peer's.
     counts_globally: bool,
     half_closed: bool,
+    /// A part of the request waits in the socket for want of memory.
+    read_deferred: bool,
     /// The front was told to close the connection immediately; it does not count any more.
     aborted: bool,
 }
 
-/// Counts connections that were closed early and would otherwise still be open. Connections that pressure has
-/// closed count as pressure until they would have ended by themselves; without this the level would
-/// oscillate.
-#[derive(Debug, Default)]
-struct EarlyCloses {
-    buckets: [usize; EARLY_CLOSE_BUCKETS],
-    sum: usize,
-    bucket_index: u64,
-}
-
-impl EarlyCloses {
-    fn advance_to(&mut self, now: Duration, stay: Duration) {
-        let bucket_index = (now.div_duration_f64(stay) * EARLY_CLOSE_BUCKETS as f64) as u64;
-        for elapsed in 0..(bucket_index.saturating_sub(self.bucket_index)).min(EARLY_CLOSE_BUCKETS as u64) {
-            let bucket = ((self.bucket_index + 1 + elapsed) % EARLY_CLOSE_BUCKETS as u64) as usize;
-            self.sum -= std::mem::take(&mut self.buckets[bucket]);
-        }
-        self.bucket_index = self.bucket_index.max(bucket_index);
-    }
-
-    fn add(&mut self) {
-        self.buckets[(self.bucket_index % EARLY_CLOSE_BUCKETS as u64) as usize] += 1;
-        self.sum += 1;
-    }
-}
-
 /// Returns the connection that has been longest in the lowest rank of the range that has any.
 fn first_in_ranks(set: &BTreeSet<Candidate>, from: u8, to: u8) -> Option<(Duration, ConnId)> {
     let range_start = |rank| (rank, Duration::ZERO, ConnId(0));
@@ -119,7 +97,7 @@
     counts: Counts,
     refuse_only_count: usize,
     servers: usize,
-    memory: u64,
+    memory: MemoryAccount,
     early_closes: EarlyCloses,
     level: Level,
     level_since: Duration,
@@ -153,7 +131,7 @@
             counts: Counts::default(),
             refuse_only_count: 0,
             servers: 0,
-            memory: 0,
+            memory: MemoryAccount::new(&limits, settings.memory_share, settings.sending_share),
             early_closes: EarlyCloses::default(),
             level: Level::Calm,
             level_since: Duration::ZERO,
@@ -171,6 +149,14 @@
     pub fn handle(&mut self, now: Duration, event: Event, actions: &mut Vec<Action>) -> Verdict {
         self.now = self.now.max(now);
         self.early_closes.advance_to(self.now, self.settings.idle);
+        let verdict = self.decide(event, actions);
+        if self.memory.take_wake() {
+            actions.push(Action::MemoryAvailable);
+        }
+        verdict
+    }
+
+    fn decide(&mut self, event: Event, actions: &mut Vec<Action>) -> Verdict {
         match event {
             Event::Accepted { id, peer } => {
                 let verdict = self.accepted(id, PeerKey::new(peer, self.settings.peer_prefix), actions);
@@ -178,7 +164,13 @@
                 return verdict;
             }
             Event::Received { id, bytes } => self.received(id, bytes),
-            Event::HeadComplete { id, body } => return self.head_complete(id, body),
+            Event::Pipelined { id, bytes } => self.pipelined(id, bytes),
+            Event::BodyMemoryRequested { id, bytes } => {
+                return self.body_memory_requested(id, bytes, actions)
+            }
+            Event::BodyHeld { id, bytes } => self.hold(id, |holding| holding.body = bytes),
+            Event::ReadDeferred { id } => self.read_deferred(id, actions),
+            Event::HeadComplete { id, head, body } => return self.head_complete(id, head, body, actions),
             Event::Streaming { id } => self.start_streaming(id),
             Event::TransferSuspended { id, suspended } => self.transfer_suspended(id, suspended),
             Event::RequestComplete { id } => self.request_complete(id),
@@ -193,7 +185,15 @@
                 self.update_level(actions);
             }
             Event::ServerConnectionRequested => return self.server_connection_requested(actions),
-            Event::ServerConnectionClosed => self.servers = self.servers.saturating_sub(1),
+            Event::ServerConnectionClosed => {
+                self.servers = self.servers.saturating_sub(1);
+                self.memory.release_server(memory::SERVER_CONNECTION);
+            }
+            Event::ResponseMemoryRequested { bytes } => {
+                return self.response_memory_requested(bytes, actions)
+            }
+            Event::ResponseMemoryReleased { bytes } => self.memory.release_server(bytes),
+            Event::MemoryMeasured { resident } => self.memory.measured(resident),
             Event::ResourcesExhausted => self.resources_exhausted(actions),
             Event::ShutdownStarted => self.shutting_down = true,
             Event::HandoverStarted => {
@@ -207,7 +207,9 @@
             Event::DescriptorShare { max } => {
                 self.share_limit = max.max(6);
                 self.budget = self.full_budget();
+                self.memory.set_process_limit(self.proportional_memory());
             }
+            Event::MemoryShare { max } => self.memory.set_process_limit(max),
             Event::AcceptingStopped => self.accepting_stopped(actions),
             Event::ShutdownImminent => {
                 // With a handover, connections between two requests are on their way to the incoming process.
@@ -223,6 +225,9 @@
                 self.enforce_shares(actions);
                 self.update_level(actions);
                 self.relieve_pressure(actions);
+                if self.memory.release_due().is_some_and(|due| due <= self.now) {
+                    self.release_memory(actions);
+                }
             }
         }
         Verdict::Nothing
@@ -233,7 +238,7 @@
         let timeout_at = self.timers.first().map(|(timeout_at, _)| *timeout_at + TIMER_SLACK);
         let level_check = (self.level > Level::Calm || self.budget < self.full_budget())
             .then(|| self.now + LEVEL_CHECK_INTERVAL);
-        timeout_at.into_iter().chain(level_check).min()
+        timeout_at.into_iter().chain(level_check).chain(self.memory.release_due()).min()
     }
 
     /// Returns the counters for operators.
@@ -256,9 +261,48 @@
         (self.counts.open() + self.servers, self.shares.total)
     }
 
-    /// Returns the memory charged to connections in bytes, and the most that may be charged.
-    pub fn memory_usage(&self) -> (u64, u64) {
-        (self.memory, self.shares.memory)
+    /// Returns the account of memory.
+    pub fn memory_usage(&self) -> MemoryUsage {
+        self.memory.usage()
+    }
+
+    /// Returns the memory limit of the node, in bytes.
+    pub fn memory_limit(&self) -> u64 {
+        self.memory.node_limit()
+    }
+
+    /// Returns the part of the node's memory limit that this process needs for what it holds now.
+    pub fn held_memory(&self) -> u64 {
+        self.memory.held_limit()
+    }
+
+    /// Returns the part of the node's memory limit that this process needs to answer the requests that it has
+    /// and one more on each connection that is not closing.
+    pub fn needed_memory(&self) -> u64 {
+        let counts = &self.counts;
+        let pending = counts.in_state(State::Waiting) + counts.in_state(State::Writing);
+        let requests_to_come = counts.open() - counts.in_state(State::Closing) - pending;
+        self.memory.needed_limit(pending as u64, requests_to_come as u64)
+    }
+
+    /// Returns whether the front may read from a connection: whether there is memory for `next` bytes behind
+    /// `received` bytes of the head that is being received, or for input behind a pending request.
+    pub fn may_read(&self, id: ConnId, received: u64, next: u64) -> bool {
+        let Some(conn) = self.conns.get(&id) else { return true };
+        match conn.state {
+            State::New | State::Silent | State::Idle | State::Head | State::Closing => {
+                let bytes = received + next;
+                let growth = memory::partial_head(bytes).saturating_sub(conn.holding.head);
+                let priority = Priority::of_request(conn.requests > 0, memory::is_large_head(bytes));
+                self.memory.fits(growth, 0, priority)
+            }
+            State::Waiting | State::Writing => {
+                let growth = memory::pipelined().saturating_sub(conn.holding.pipelined);
+                growth == 0 || self.memory.fits(growth, 0, Priority::KnownClient)
+            }
+            // The body was charged when its head was complete.
+            State::Body => true,
+        }
     }
 
     /// Returns the number of entries in the table of peers.
@@ -318,7 +362,10 @@
             // The capacity is reserved for peers that have less.
             has_room = false;
         } else if !has_room {
-            if self.servers > self.shares.servers && self.settings.adaptive {
+            let lacks_memory = !self.memory_fits_connection();
+            if self.settings.adaptive
+                && (self.servers > self.shares.servers || lacks_memory && self.servers > 0)
+            {
                 actions.push(Action::CloseServerConnection);
             }
             if let Some(victim) = self.victim(Some(peer), RANK_BODY) {
@@ -340,7 +387,8 @@
             self.count(Reason::Dropped);
             return Verdict::Drop;
         }
-        self.memory += BASE_MEMORY;
+        let holding = Holding::default();
+        self.memory.replace(None, Some(&holding));
         self.peers.opened(self.now, peer);
         let conn = Conn {
             state: State::New,
@@ -349,7 +397,8 @@
             peer,
             requests: 0,
             bytes: 0,
-            memory: BASE_MEMORY,
+            holding,
+            releasing: 0,
             candidate: None,
             timeout_at: None,
             timer_at: None,
@@ -361,6 +410,7 @@
             reuse_recorded: true,
             counts_globally: false,
             half_closed: false,
+            read_deferred: false,
             aborted: false,
         };
         self.conns.insert(id, conn);
@@ -402,7 +452,11 @@
     fn has_capacity(&self) -> bool {
         self.served_count() < self.max_served()
             && self.counts.open() < self.client_limit()
-            && self.memory + BASE_MEMORY <= self.max_memory()
+            && self.memory_fits_connection()
+    }
+
+    fn memory_fits_connection(&self) -> bool {
+        self.memory.fits(memory::CONNECTION, 0, Priority::NewConnection)
     }
 
     fn fair_share(&self) -> usize {
@@ -506,6 +560,7 @@
     fn expire(&mut self, id: ConnId, reason: Reason, actions: &mut Vec<Action>) {
         self.count(reason);
         let timeout_at = self.now + self.settings.linger;
+        self.expect_release(id);
         let conn = self.conns.get_mut(&id).expect("known connection");
         conn.close_after_response = true;
         let body = conn.state == State::Body;
@@ -551,21 +606,51 @@
                 conn.close_after_response |= conn.state == State::Closing;
                 conn.request_start = if conn.requests == 0 { conn.request_start } else { self.now };
                 self.enter(id, State::Head);
-                self.progress(id, State::Head, bytes);
+                self.head_received(id, bytes);
             }
-            state @ (State::Head | State::Body) => self.progress(id, state, bytes),
+            State::Head => self.head_received(id, bytes),
+            State::Body => self.progress(id, State::Body, bytes),
             // Bytes that a client sends ahead of its response are processed after the response.
             State::Waiting | State::Writing => {}
         }
     }
 
-    fn head_complete(&mut self, id: ConnId, body: u64) -> Verdict {
+    fn head_received(&mut self, id: ConnId, bytes: u64) {
+        self.progress(id, State::Head, bytes);
+        let Some(conn) = self.conns.get_mut(&id) else { return };
+        let received = conn.bytes;
+        conn.read_deferred = false;
+        self.hold(id, |holding| holding.head = memory::partial_head(received));
+    }
+
+    fn pipelined(&mut self, id: ConnId, bytes: u64) {
+        self.hold(id, |holding| holding.pipelined = memory::pipelined().max(bytes));
+    }
+
+    /// Input waits in a socket for want of memory: its time as a request has begun.
+    fn read_deferred(&mut self, id: ConnId, actions: &mut Vec<Action>) {
+        if matches!(self.state(id), Some(State::New | State::Silent | State::Idle)) {
+            self.received(id, 0);
+            self.hold(id, |holding| holding.head = 0);
+        }
+        if let Some(conn) = self.conns.get_mut(&id) {
+            conn.read_deferred = true;
+        }
+        self.memory.wait();
+        self.relieve_memory(actions);
+    }
+
+    fn head_complete(&mut self, id: ConnId, head: HeadSize, body: u64, actions: &mut Vec<Action>) -> Verdict {
         // hyper may have had the head already: then no byte has been received since the last response.
         self.received(id, 0);
         let Some(conn) = self.conns.get_mut(&id).filter(|conn| conn.state == State::Head) else {
             return Verdict::Refuse;
         };
+        let is_known = conn.requests > 0;
         conn.requests = conn.requests.saturating_add(1);
+        let request = memory::request(head);
+        let growth = memory::growth(head, body).max(conn.holding.grown);
+        let more = (body + growth).saturating_sub(conn.holding.head + conn.holding.grown);
         let capacity_free = self.served_count() < self.max_served();
         let conn = self.conns.get_mut(&id).expect("known connection");
         // Capacity may have become free since the connection was accepted.
@@ -573,15 +658,22 @@
             conn.refuse_only = false;
             self.refuse_only_count -= 1;
         }
-        let fits = self.memory + body <= self.max_memory();
+        let priority = Priority::of_request(is_known, body > memory::SMALL_BODY);
+        let fits = self.memory.fits(more, request, priority);
+        // A request that is refused holds its head until then.
+        self.hold(id, |holding| (holding.head, holding.grown, holding.request) = (0, growth, request));
         let conn = self.conns.get_mut(&id).expect("known connection");
         if conn.refuse_only || !fits {
             conn.close_after_response = true;
             self.count(Reason::Refused);
             self.enter(id, State::Waiting);
+            if !fits {
+                self.relieve_memory(actions);
+            }
             return Verdict::Refuse;
         }
-        self.charge(id, body);
+        self.hold(id, |holding| holding.body = body);
+        self.conns.get_mut(&id).expect("known connection").read_deferred = false;
         self.enter(id, State::Body);
         Verdict::Serve
     }
@@ -605,7 +697,7 @@
             self.count(if closes_early { Reason::Early } else { Reason::Shed });
             self.early_closes.add();
         }
-        self.charge(id, bytes);
+        self.hold(id, |holding| (holding.body, holding.request, holding.response) = (0, 0, bytes));
         self.enter(id, State::Writing);
         let conn = self.conns.get_mut(&id).expect("known connection");
         conn.close_after_response = !keep;
@@ -675,7 +767,7 @@
         };
         let next = if conn.close_after_response { State::Closing } else { State::Idle };
         self.enter(id, next);
-        self.charge(id, 0);
+        self.hold(id, |holding| (holding.response, holding.pipelined) = (0, 0));
         if self.handing_over && next == State::Idle {
             actions.push(Action::HandOver(id));
         }
@@ -686,7 +778,7 @@
             return;
         }
         self.enter(id, State::Closing);
-        self.charge(id, 0);
+        self.hold(id, |holding| *holding = Holding::default());
         self.conns.get_mut(&id).expect("known connection").half_closed = true;
         self.half_closed_since.insert((self.now, id));
         self.trim_closing(actions);
@@ -700,10 +792,13 @@
             }
             self.release(id);
         }
-        self.conns.remove(&id);
+        if let Some(conn) = self.conns.remove(&id) {
+            self.memory.released(conn.releasing);
+            self.memory.replace(Some(&conn.holding), None);
+        }
     }
 
-    /// Removes a connection from all counts.
+    /// Removes a connection from all counts but the account of memory: its memory is freed when it is closed.
     fn release(&mut self, id: ConnId) {
         self.set_candidate(id, None);
         let conn = self.conns.get_mut(&id).expect("known connection");
@@ -712,14 +807,12 @@
             self.timers.remove(&(timer_at, id));
         }
         let conn = &self.conns[&id];
-        let (peer, refuse_only, memory) = (conn.peer, conn.refuse_only, conn.memory);
+        let (peer, refuse_only) = (conn.peer, conn.refuse_only);
         self.counts.states[conn.state as usize] -= 1;
         self.half_closed_since.remove(&(conn.state_since, id));
         self.refuse_only_count -= usize::from(refuse_only);
-        self.memory -= memory;
         self.peers.closed(self.now, peer);
-        let conn = self.conns.get_mut(&id).expect("known connection");
-        (conn.refuse_only, conn.memory) = (false, 0);
+        self.conns.get_mut(&id).expect("known connection").refuse_only = false;
     }
 
     // ---- Bookkeeping
@@ -728,11 +821,79 @@
         self.counts.reasons[reason as usize] += 1;
     }
 
-    /// Charges a connection these bytes on top of what every connection uses.
-    fn charge(&mut self, id: ConnId, bytes: u64) {
-        let Some(conn) = self.conns.get_mut(&id).filter(|conn| !conn.aborted) else { return };
-        self.memory = self.memory - conn.memory + BASE_MEMORY + bytes;
-        conn.memory = BASE_MEMORY + bytes;
+    /// Changes what a connection is charged.
+    fn hold(&mut self, id: ConnId, change: impl FnOnce(&mut Holding)) {
+        let Some(conn) = self.conns.get_mut(&id) else { return };
+        let before = conn.holding;
+        change(&mut conn.holding);
+        self.memory.replace(Some(&before), Some(&conn.holding));
+        if conn.holding.beyond_idle() < before.beyond_idle() {
+            self.memory.released(std::mem::take(&mut conn.releasing));
+        }
+    }
+
+    /// Records that a connection will free what it holds, as it was told to close.
+    fn expect_release(&mut self, id: ConnId) {
+        let Some(conn) = self.conns.get_mut(&id).filter(|conn| conn.releasing == 0) else { return };
+        conn.releasing = conn.holding.beyond_idle();
+        self.memory.expect_release(conn.releasing);
+    }
+
+    /// Makes room for someone who waits for memory, unless what is closing already will: the half-sent
+    /// request that is oldest gives way, bodies before heads. Bodies that are streamed keep to a rate.
+    fn relieve_memory(&mut self, actions: &mut Vec<Action>) {
+        if !self.settings.adaptive || !self.memory.needs_relief(MEMORY_RELIEF) {
+            return;
+        }
+        let is_old_enough = |since: &Duration| *since + self.settings.coming <= self.now;
+        let holds_much = |id: &ConnId| {
+            let conn = &self.conns[id];
+            conn.holding.beyond_idle() > 0 && !conn.streaming
+        };
+        let victim = [RANK_BODY, RANK_HEAD].into_iter().find_map(|rank| {
+            let in_rank = self.candidates.range((rank, Duration::ZERO, ConnId(0))..);
+            let mut old = in_rank.take_while(|(r, since, _)| *r == rank && is_old_enough(since));
+            old.find(|(_, _, id)| holds_much(id)).map(|(_, _, id)| *id)
+        });
+        if let Some(victim) = victim {
+            self.shed(victim, Reason::Shed, actions);
+        }
+        if self.servers > 0 {
+            actions.push(Action::CloseServerConnection);
+        }
+    }
+
+    fn body_memory_requested(&mut self, id: ConnId, bytes: u64, actions: &mut Vec<Action>) -> Verdict {
+        // A request that was told to end needs no more.
+        let Some(conn) = self.conns.get_mut(&id).filter(|conn| conn.state == State::Body) else {
+            return Verdict::Refuse;
+        };
+        let more = bytes.saturating_sub(conn.holding.body);
+        let priority = Priority::of_request(conn.requests > 1, bytes > memory::SMALL_BODY);
+        conn.read_deferred = !self.memory.fits(more, 0, priority);
+        if !conn.read_deferred {
+            self.hold(id, |holding| holding.body = holding.body.max(bytes));
+            return Verdict::Serve;
+        }
+        self.memory.wait();
+        self.relieve_memory(actions);
+        Verdict::Refuse
+    }
+
+    fn response_memory_requested(&mut self, bytes: u64, actions: &mut Vec<Action>) -> Verdict {
+        if self.memory.fits_server(bytes) {
+            self.memory.charge_server(bytes);
+            return Verdict::Serve;
+        }
+        self.memory.wait();
+        self.relieve_memory(actions);
+        Verdict::Refuse
+    }
+
+    /// Lets freed memory be returned to the system.
+    fn release_memory(&mut self, actions: &mut Vec<Action>) {
+        self.memory.release(self.now);
+        actions.push(Action::ReleaseMemory);
     }
 
     fn enter(&mut self, id: ConnId, state: State) {
@@ -908,7 +1069,10 @@
                 }
                 self.close(id, Reason::Silent, actions);
             }
+            // Not the client's fault: it is refused.
+            State::Head if conn.read_deferred => self.expire(id, Reason::Shed, actions),
             State::Head => self.expire(id, Reason::SlowHead, actions),
+            State::Body if conn.read_deferred => self.expire(id, Reason::Shed, actions),
             State::Body => self.expire(id, Reason::SlowBody, actions),
             // The reader of its body should have answered it and has not.
             State::Waiting => self.abort(id, Reason::SlowBody, actions),
@@ -939,7 +1103,7 @@
         }
         let s = &self.settings;
         let occupancy =
-            (self.served_count() + self.early_closes.sum) as f64 / self.expected_connections() as f64;
+            (self.served_count() + self.early_closes.count()) as f64 / self.expected_connections() as f64;
         let level = match self.level {
             _ if occupancy >= s.full_at => Level::Full,
             Level::Full if occupancy >= s.pressed_below => Level::Full,
@@ -961,8 +1125,12 @@
     // ---- Descriptors
 
     fn server_connection_requested(&mut self, actions: &mut Vec<Action>) -> Verdict {
-        let granted = self.servers < self.server_limit();
-        self.servers += usize::from(granted);
+        let granted =
+            self.servers < self.server_limit() && self.memory.fits_server(memory::SERVER_CONNECTION);
+        if granted {
+            self.servers += 1;
+            self.memory.charge_server(memory::SERVER_CONNECTION);
+        }
         let is_short = self.counts.open() + self.servers + self.headroom() > self.budget;
         // Borrowed descriptors are reclaimed slightly before they are needed.
         if self.settings.adaptive && self.counts.open() > self.shares.clients && (is_short || !granted) {
@@ -1012,10 +1180,10 @@
         found
     }
 
-    /// Returns the bytes that may be charged to connections: another process of this node has its share of
-    /// them.
-    fn max_memory(&self) -> u64 {
-        self.shares.memory / self.shares.total as u64 * self.full_budget() as u64
+    /// Returns the part of the memory limit that goes with this process's part of the descriptors.
+    fn proportional_memory(&self) -> u64 {
+        let (limit, total) = (self.memory.node_limit(), self.shares.total as u64);
+        (limit / total).saturating_mul(self.full_budget() as u64)
     }
 
     /// Returns the descriptors that may be in use while the operating system has enough.
--- a/crates/spurdrum-admission/src/lib.rs
+++ b/crates/spurdrum-admission/src/lib.rs
@@ -16,7 +16,7 @@
 //!
 //! ```
 //! use std::time::Duration;
-//! use spurdrum_admission::{Admission, ConnId, Event, Limits, Settings, Verdict};
+//! use spurdrum_admission::{Admission, ConnId, Event, HeadSize, Limits, Settings, Verdict};
 //!
 //! let limits = Limits { sockets: 384, memory: 192 << 20 };
 //! let mut admission = Admission::new(Settings::default(), limits).expect("valid settings");
@@ -24,7 +24,7 @@
 //! let peer = "127.0.0.1".parse().expect("an address");
 //! assert_eq!(admission.handle(now, Event::Accepted { id, peer }, &mut actions), Verdict::Serve);
 //! admission.handle(now, Event::Received { id, bytes: 120 }, &mut actions);
-//! assert_eq!(admission.handle(now, Event::HeadComplete { id, body: 0 }, &mut actions), Verdict::Serve);
+//! assert_eq!(admission.handle(now, Event::HeadComplete { id, head: HeadSize { bytes: 120, fields: 4 }, body: 0 }, &mut actions), Verdict::Serve);
 //! admission.handle(now, Event::RequestComplete { id }, &mut actions);
 //! let response = Event::ResponseReady { id, bytes: 512, pipelined: false };
 //! assert_eq!(admission.handle(now, response, &mut actions), Verdict::KeepAlive);
@@ -34,6 +34,8 @@
 
 mod admission;
 mod counts;
+mod early_closes;
+mod memory;
 mod peers;
 mod reuse;
 mod settings;
@@ -43,6 +45,7 @@
 
 pub use admission::Admission;
 pub use counts::{Counts, Reason, REASON_COUNT, STATE_COUNT};
+pub use memory::{HeadSize, MemoryUsage, CONNECTION as CONNECTION_MEMORY};
 pub use settings::{Settings, TransferTimeout};
 
 /// The front's identifier of a client connection. An identifier is never reused.
@@ -96,11 +99,43 @@
         /// How many.
         bytes: u64,
     },
+    /// Bytes were read behind a request that is not answered yet, or by another process.
+    Pipelined {
+        /// The connection.
+        id: ConnId,
+        /// How many are held.
+        bytes: u64,
+    },
+    /// The body of unknown length that is being received is about to hold this much. Verdict: `Serve`, in
+    /// which case it is charged from now on, or `Refuse`: [`Action::MemoryAvailable`] follows when the front
+    /// may ask again.
+    BodyMemoryRequested {
+        /// The connection.
+        id: ConnId,
+        /// The bytes.
+        bytes: u64,
+    },
+    /// The body of the current request holds this much.
+    BodyHeld {
+        /// The connection.
+        id: ConnId,
+        /// The bytes.
+        bytes: u64,
+    },
+    /// Input has arrived that is not read, as [`Admission::may_read`] has said that there is no memory for it.
+    /// [`Action::MemoryAvailable`] follows when the front may ask again.
+    ReadDeferred {
+        /// The connection.
+        id: ConnId,
+    },
     /// A request head is complete. Verdict: `Serve` or `Refuse`.
     HeadComplete {
         /// The connection.
         id: ConnId,
-        /// The body's length, or the longest that it may be.
+        /// The size of the head.
+        head: HeadSize,
+        /// What the body will hold, as far as that is known; [`Event::BodyMemoryRequested`] follows if more is
+        /// needed.
         body: u64,
     },
     /// The request body being received, or the response being written, is longer than the node buffers and is
@@ -160,6 +195,22 @@
     ServerConnectionRequested,
     /// A connection to a server was closed.
     ServerConnectionClosed,
+    /// A response is about to be received that holds this much. Verdict: `Serve`, in which case it is charged
+    /// from now on, or `Refuse`: [`Action::MemoryAvailable`] follows when the front may ask again.
+    ResponseMemoryRequested {
+        /// The bytes.
+        bytes: u64,
+    },
+    /// A received response holds this much less.
+    ResponseMemoryReleased {
+        /// The bytes.
+        bytes: u64,
+    },
+    /// What the whole process holds was measured.
+    MemoryMeasured {
+        /// The bytes, without pages of files.
+        resident: u64,
+    },
     /// The operating system had no descriptor or memory for another socket.
     ResourcesExhausted,
     /// The node is shutting down: each response is the last on its connection.
@@ -170,10 +221,16 @@
     /// There is no incoming process any more to hand connections over to.
     HandoverEnded,
     /// Limits the descriptors of clients and servers together: the other process of this node holds the rest.
+    /// The memory is limited to the same part, unless [`Event::MemoryShare`] follows.
     DescriptorShare {
         /// The number of descriptors that this process may hold.
         max: usize,
     },
+    /// Limits the memory of this process: the other process of this node holds the rest.
+    MemoryShare {
+        /// The part of the node's memory limit, in bytes.
+        max: u64,
+    },
     /// The node is shutting down and accepts no more connections: connections without a request are closed.
     AcceptingStopped,
     /// The node exits in a moment: requests that have not been received completely are answered, and
@@ -215,6 +272,10 @@
     Abort(ConnId, Reason),
     /// Close the connection to a server that has been idle longest.
     CloseServerConnection,
+    /// Memory has been freed: those who wait for it may ask again.
+    MemoryAvailable,
+    /// Return freed memory to the operating system, and measure what the process holds then.
+    ReleaseMemory,
     /// The pressure level has changed, logged for operators.
     LevelChanged {
         /// The previous level.
--- a/crates/spurdrum-admission/src/settings.rs
+++ b/crates/spurdrum-admission/src/settings.rs
@@ -199,8 +199,6 @@
     pub server_floor: usize,
     /// How many connections may be open only to be refused, and how many may be closing.
     pub side_pool: usize,
-    /// Bytes that client connections may use.
-    pub memory: u64,
 }
 
 impl Shares {
@@ -222,7 +220,6 @@
             client_floor: floor(clients).max(4),
             server_floor: floor(servers),
             side_pool: (clients / 12).max(1),
-            memory: (limits.memory as f64 * settings.memory_share) as u64,
         }
     }
 }
--- a/crates/spurdrum-admission/tests/properties.rs
+++ b/crates/spurdrum-admission/tests/properties.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 
 use proptest::prelude::*;
-use spurdrum_admission::{Action, Admission, ConnId, Event, Limits, Reason, Settings, State, Verdict};
+use spurdrum_admission::{
+    Action, Admission, ConnId, Event, HeadSize, Limits, Reason, Settings, State, Verdict,
+};
 
 /// The phase of a connection as the front knows it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -27,6 +29,8 @@
     servers: usize,
     /// The descriptors that the other process of the node leaves to this one.
     share_limit: usize,
+    /// What was charged when that part was last changed: it may have shrunk below it.
+    charged_at_share: u64,
     /// Whether a request arrives while the next connection is being closed.
     request_crosses: bool,
 }
@@ -45,8 +49,11 @@
     fn check(&self) {
         let (used, max) = self.admission.descriptor_usage();
         assert!(used <= max.min(self.share_limit), "{used} descriptors of {max} and {}", self.share_limit);
-        let (memory, budget) = self.admission.memory_usage();
-        assert!(memory <= budget + 70_000 * self.conns.len() as u64, "{memory} of {budget}");
+        let usage = self.admission.memory_usage();
+        let (clients, budget) = (usage.clients, self.admission.memory_limit() / 2);
+        assert!(clients <= budget + 70_000 * self.conns.len() as u64, "{clients} of {budget}");
+        let (charged, max) = (usage.charged(), usage.max.max(self.charged_at_share));
+        assert!(charged <= max + 70_000 * self.conns.len() as u64, "{charged} of {max}");
         let counts = self.admission.counts();
         assert!(counts.open() <= self.conns.len());
         assert!(self.admission.peer_count() <= 8 + counts.open());
@@ -96,6 +103,7 @@
                 self.handle(Event::ServerConnectionClosed);
             }
             Action::LevelChanged { from, to } => assert_ne!(from, to),
+            Action::MemoryAvailable | Action::ReleaseMemory => {}
         }
     }
 
@@ -110,8 +118,11 @@
                 self.handle(Event::Received { id, bytes: 50 });
             }
             ConnPhase::Head => {
-                let served =
-                    self.handle(Event::HeadComplete { id, body: u64::from(variant) * 200 }) == Verdict::Serve;
+                let served = self.handle(Event::HeadComplete {
+                    id,
+                    head: HeadSize { bytes: 50, fields: 2 },
+                    body: u64::from(variant) * 200,
+                }) == Verdict::Serve;
                 let phase = if served { ConnPhase::Body } else { ConnPhase::ResponseOwed };
                 self.conns.insert(id, phase);
             }
@@ -165,7 +176,7 @@
         let admission = Admission::new(settings, limits).expect("valid settings");
         let (now, conns) = (Duration::ZERO, HashMap::new());
         let mut front =
-            Front { admission, now, conns, last_id: 0, servers: 0, share_limit: usize::MAX, request_crosses: false };
+            Front { admission, now, conns, last_id: 0, servers: 0, share_limit: usize::MAX, charged_at_share: 0, request_crosses: false };
         for (step, variant, pick, ms) in steps {
             front.now += Duration::from_millis(u64::from(ms) / 8);
             front.request_crosses = variant % 7 == 0;
@@ -198,6 +209,7 @@
                 }
                 (13, _) if (5..60).contains(&variant) => {
                     let max = front.admission.descriptor_usage().0.max(usize::from(variant) * 2);
+                    front.charged_at_share = front.admission.memory_usage().charged();
                     front.handle(Event::DescriptorShare { max });
                     front.share_limit = max.max(6);
                 }
@@ -226,7 +238,9 @@
             }
         }
         prop_assert_eq!(front.admission.counts().open(), 0);
-        prop_assert_eq!(front.admission.memory_usage().0, 0);
+        let usage = front.admission.memory_usage();
+        prop_assert_eq!((usage.clients, usage.requests), (0, 0));
+        prop_assert_eq!(usage.servers == 0, front.servers == 0);
         prop_assert_eq!(front.admission.descriptor_usage().0, front.servers);
     }
 }
--- a/crates/spurdrum-admission/tests/world.rs
+++ b/crates/spurdrum-admission/tests/world.rs
@@ -6,7 +6,9 @@
 use std::net::{IpAddr, Ipv4Addr};
 use std::time::Duration;
 
-use spurdrum_admission::{Action, Admission, ConnId, Event, Level, Limits, Reason, Settings, State, Verdict};
+use spurdrum_admission::{
+    Action, Admission, ConnId, Event, HeadSize, Level, Limits, Reason, Settings, State, Verdict,
+};
 
 /// The next step of a simulated client.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -66,6 +68,8 @@
 
 const SECOND: Duration = Duration::from_secs(1);
 const MS: Duration = Duration::from_millis(1);
+/// The head of an ordinary request.
+const HEAD: HeadSize = HeadSize { bytes: 300, fields: 8 };
 /// The limits of the smaller kind of node.
 const LIMITS: Limits = Limits { sockets: 384, memory: 192 << 20 };
 
@@ -165,6 +169,7 @@
                 self.handle(Event::ServerConnectionClosed);
             }
             Action::LevelChanged { to, .. } => self.levels.push((self.now, to)),
+            Action::MemoryAvailable | Action::ReleaseMemory => {}
         }
     }
 
@@ -227,7 +232,7 @@
                 conn.body_length = if behavior.slow_body { 1000 } else { 0 };
                 let body = u64::from(conn.body_length);
                 self.handle(Event::Received { id, bytes: 300 });
-                if self.handle(Event::HeadComplete { id, body }) == Verdict::Refuse {
+                if self.handle(Event::HeadComplete { id, head: HEAD, body }) == Verdict::Refuse {
                     self.turned_away[self.conns[&id].behavior] += 1;
                     self.handle(Event::ResponseReady { id, bytes: 10, pipelined: false });
                     self.handle(Event::ResponseWritten { id });
@@ -436,7 +441,8 @@
     world.run(60 * SECOND);
     assert!(world.closed(Reason::SlowRead) > 500);
     // Each may hold its 64 KiB for 1 s, and 0.25 s more for the 4 KiB that it has read.
-    assert!(world.admission.memory_usage().0 < 20 * 90_000, "{:?}", world.admission.memory_usage());
+    let charged = world.admission.memory_usage().charged();
+    assert!(charged < 20 * 90_000, "{charged}");
     assert_eq!((world.connects[1], world.turned_away[1]), (1, 0));
 }
 
@@ -488,8 +494,8 @@
         World::new(Settings::default(), limits, vec![Behavior { slow_body: true, ..once(SECOND) }]);
     (0..2000).for_each(|n| world.schedule(MS * n / 10, Step::Connect(0)));
     world.run(SECOND);
-    let (used, max) = world.admission.memory_usage();
-    assert!(used <= max, "{used} of {max}");
+    let usage = world.admission.memory_usage();
+    assert!(usage.charged() <= usage.max && usage.clients <= limits.memory / 2, "{usage:?}");
     assert!(world.closed(Reason::Refused) + world.closed(Reason::Dropped) > 1000);
 }
 
@@ -569,7 +575,7 @@
         handle(Event::Received { id, bytes: 20 }, &mut actions);
     }
     for id in [body, complete] {
-        handle(Event::HeadComplete { id, body: 100 }, &mut actions);
+        handle(Event::HeadComplete { id, head: HEAD, body: 100 }, &mut actions);
     }
     handle(Event::RequestComplete { id: complete }, &mut actions);
     handle(Event::ShutdownStarted, &mut actions);
@@ -603,7 +609,7 @@
     let mut handle = |event| admission.handle(SECOND, event, &mut actions);
     handle(Event::Accepted { id, peer: peer(1) });
     handle(Event::Received { id, bytes: 20 });
-    handle(Event::HeadComplete { id, body: 0 });
+    handle(Event::HeadComplete { id, head: HEAD, body: 0 });
     handle(Event::RequestComplete { id });
     handle(Event::ShutdownStarted);
     handle(Event::HandoverStarted);
--- a/crates/spurdrum-core/src/connections.rs
+++ b/crates/spurdrum-core/src/connections.rs
@@ -6,18 +6,22 @@
 use std::io;
 use std::net::IpAddr;
 use std::rc::Rc;
+use std::task::Waker;
 use std::time::Duration;
 
 use spurdrum_admission::{
-    Action, Admission, ConnId, Counts, Event, Level, Limits, Reason, Settings, State, Verdict,
+    Action, Admission, ConnId, Counts, Event, Level, Limits, MemoryUsage, Reason, Settings, State, Verdict,
 };
+use spurdrum_process_memory::{release, ResidentMemory};
 use tokio::sync::Notify;
-use tokio::time::Instant;
+use tokio::time::{sleep, Instant};
 
 use crate::pause::{sleep_and_catch_up, PauseAdjustedClock};
 
 /// How often the counters are logged while the level is not [`Level::Calm`].
 const REPORT_INTERVAL: Duration = Duration::from_secs(10);
+/// How often the memory of the process is measured.
+const MEASURE_INTERVAL: Duration = Duration::from_millis(250);
 
 /// A command to a connection's task.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -71,6 +75,30 @@
         self.command.take()
     }
 
+    /// Returns whether there is memory to read `next` bytes behind `received` bytes of a head, or behind a
+    /// pending request.
+    pub fn may_read(&self, received: usize, next: usize) -> bool {
+        self.connections.admission.borrow().may_read(self.id, received as u64, next as u64)
+    }
+
+    /// Waits until there is memory for a body that holds `bytes`, and charges it.
+    pub async fn reserve_body(&self, bytes: u64) {
+        loop {
+            let available = self.connections.memory_available.notified();
+            if self.handle_event(Event::BodyMemoryRequested { id: self.id, bytes }) == Verdict::Serve {
+                return;
+            }
+            available.await;
+        }
+    }
+
+    /// Called when input is left unread because there is no memory for it; `waker` is woken when there may be
+    /// some.
+    pub fn defer_read(&self, waker: &Waker) {
+        self.connections.read_waiters.borrow_mut().insert(self.id, waker.clone());
+        self.handle_event(Event::ReadDeferred { id: self.id });
+    }
+
     /// Returns the connection's state.
     pub fn state(&self) -> Option<State> {
         self.connections.admission.borrow().state(self.id)
@@ -80,6 +108,7 @@
 impl Drop for ConnectionPermit {
     fn drop(&mut self) {
         self.connections.permits.borrow_mut().remove(&self.id);
+        self.connections.read_waiters.borrow_mut().remove(&self.id);
         self.handle_event(Event::Closed { id: self.id });
     }
 }
@@ -94,6 +123,12 @@
     /// When the timer task will wake up.
     wakes_at: Cell<Option<Duration>>,
     wake_changed: Notify,
+    /// The connections whose input waits for memory.
+    read_waiters: RefCell<HashMap<ConnId, Waker>>,
+    /// Notified when those who wait for memory for a response may ask again.
+    memory_available: Notify,
+    /// The measurement of this process's memory, if the system allows it.
+    resident_memory: Option<ResidentMemory>,
     /// Notified when a connection to a server should be closed.
     pub server_close_requested: Notify,
     /// The longest time for which an unread response is held.
@@ -128,6 +163,9 @@
             last_id: Cell::new(0),
             wakes_at: Cell::new(None),
             wake_changed: Notify::new(),
+            read_waiters: RefCell::default(),
+            memory_available: Notify::new(),
+            resident_memory: ResidentMemory::open().ok(),
             server_close_requested: Notify::new(),
             retry_after_ms: Cell::new(max_retry_after_ms.map(|max_ms| max_ms.min(configured_ms))),
             configured_retry_after_ms: configured_ms,
@@ -161,6 +199,8 @@
                 Action::Expire(id, reason) => self.send_command(id, ConnectionCommand::Expire(reason)),
                 Action::Abort(id, reason) => self.send_command(id, ConnectionCommand::Abort(reason)),
                 Action::CloseServerConnection => self.server_close_requested.notify_one(),
+                Action::MemoryAvailable => self.wake_memory_waiters(),
+                Action::ReleaseMemory => self.release_memory(),
                 Action::LevelChanged { from, to } => self.report(&format!("level {from:?} -> {to:?}")),
             }
         }
@@ -171,6 +211,66 @@
         verdict
     }
 
+    fn wake_memory_waiters(&self) {
+        // Those who are woken may wait again at once.
+        let waiters = std::mem::take(&mut *self.read_waiters.borrow_mut());
+        waiters.into_values().for_each(Waker::wake);
+        self.memory_available.notify_waiters();
+    }
+
+    /// Returns freed memory to the operating system.
+    pub fn release_memory(&self) {
+        release();
+        self.measure_memory();
+    }
+
+    /// Measures what the process holds, and reports it to admission control.
+    fn measure_memory(&self) {
+        if let Some(Ok(resident)) = self.resident_memory.as_ref().map(ResidentMemory::read) {
+            self.handle_event(Event::MemoryMeasured { resident });
+        }
+    }
+
+    /// Measures the memory of the process regularly, for as long as the node runs.
+    pub async fn run_memory_measurement(self: Rc<Self>) {
+        loop {
+            self.measure_memory();
+            sleep(MEASURE_INTERVAL).await;
+        }
+    }
+
+    /// Waits until there is memory for a response that holds `bytes`, and charges it.
+    pub async fn reserve_response(self: &Rc<Self>, bytes: u64) -> ResponseMemory {
+        loop {
+            let available = self.memory_available.notified();
+            if self.handle_event(Event::ResponseMemoryRequested { bytes }) == Verdict::Serve {
+                return ResponseMemory { connections: Rc::clone(self), bytes };
+            }
+            available.await;
+        }
+    }
+
+    /// Returns the account of memory.
+    pub fn memory_usage(&self) -> MemoryUsage {
+        self.admission.borrow().memory_usage()
+    }
+
+    /// Returns the memory limit of the node, in bytes.
+    pub fn memory_limit(&self) -> u64 {
+        self.admission.borrow().memory_limit()
+    }
+
+    /// Returns the part of the node's memory limit that this process needs for what it holds now.
+    pub fn held_memory(&self) -> u64 {
+        self.admission.borrow().held_memory()
+    }
+
+    /// Returns the part of the node's memory limit that this process needs to answer the requests that it has
+    /// and one more on each connection.
+    pub fn needed_memory(&self) -> u64 {
+        self.admission.borrow().needed_memory()
+    }
+
     /// Returns the number of descriptors in use, and the limit.
     pub fn descriptor_usage(&self) -> (usize, usize) {
         self.admission.borrow().descriptor_usage()
@@ -216,7 +316,15 @@
 
     fn report(&self, headline: &str) {
         let counts: Counts = self.admission.borrow().counts().clone();
-        tracing::info!("connections: {headline}; {counts}");
+        let memory = self.memory_usage();
+        tracing::info!(
+            "connections: {headline}; {counts}; memory clients={} requests={} servers={} other={} max={} KiB",
+            memory.clients / 1024,
+            memory.requests / 1024,
+            memory.servers / 1024,
+            memory.unaccounted / 1024,
+            memory.max / 1024
+        );
         self.reported_at.set(Instant::now());
     }
 
@@ -259,6 +367,27 @@
     }
 }
 
+/// The memory of a response that is received from a server. It is free again when this is dropped.
+pub struct ResponseMemory {
+    connections: Rc<Connections>,
+    bytes: u64,
+}
+
+impl ResponseMemory {
+    /// Gives back what goes beyond `bytes`.
+    pub fn shrink_to(&mut self, bytes: u64) {
+        let excess = self.bytes.saturating_sub(bytes);
+        self.bytes -= excess;
+        self.connections.handle_event(Event::ResponseMemoryReleased { bytes: excess });
+    }
+}
+
+impl Drop for ResponseMemory {
+    fn drop(&mut self) {
+        self.connections.handle_event(Event::ResponseMemoryReleased { bytes: self.bytes });
+    }
+}
+
 /// Returns whether an error means that the operating system has no descriptor or memory for another socket.
 pub fn is_resource_exhausted(error: &io::Error) -> bool {
     use rustix::io::Errno;
--- a/crates/spurdrum-core/src/lib.rs
+++ b/crates/spurdrum-core/src/lib.rs
@@ -15,7 +15,8 @@
 mod transport;
 
 pub use connections::{
-    is_resource_exhausted, ConnectionCommand, ConnectionPermit, Connections, ServerConnectionPermit,
+    is_resource_exhausted, ConnectionCommand, ConnectionPermit, Connections, ResponseMemory,
+    ServerConnectionPermit,
 };
 pub use handed_over::HandedOverConnection;
 pub use metrics::{ClassCounts, InflightRequest, LatencyBuckets, NodeMetrics, RequestResult};
--- a/crates/spurdrum-http/src/body.rs
+++ b/crates/spurdrum-http/src/body.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 
 /// The step in which a buffer for a body of unknown length grows.
-const GROWTH_BYTES: usize = 8 * 1024;
+pub const BODY_GROWTH_BYTES: usize = 8 * 1024;
 
 /// The bytes of a body that have been received so far, in one piece of memory.
 #[derive(Debug, Default)]
@@ -42,7 +42,7 @@
     pub fn push(&mut self, frame: &[u8]) {
         let needed = self.bytes.len() + frame.len();
         if needed > self.bytes.capacity() {
-            let capacity = needed.next_multiple_of(GROWTH_BYTES);
+            let capacity = needed.next_multiple_of(BODY_GROWTH_BYTES);
             let capacity = if needed <= self.expected { self.expected } else { capacity };
             // Doubling would take up to twice the memory that the body is charged.
             self.bytes.reserve_exact(capacity - self.bytes.len());
--- a/crates/spurdrum-http/src/body/tests.rs
+++ b/crates/spurdrum-http/src/body/tests.rs
@@ -9,7 +9,7 @@
         let mut buffer = BodyBuffer::new(None);
         for _ in 0..60_000 / piece {
             buffer.push(&vec![b'x'; piece]);
-            assert!(buffer.bytes.capacity() < buffer.len() + GROWTH_BYTES);
+            assert!(buffer.bytes.capacity() < buffer.len() + BODY_GROWTH_BYTES);
         }
         let length = buffer.len();
         assert_eq!(buffer.into_bytes().len(), length);
--- a/crates/spurdrum-http/src/client.rs
+++ b/crates/spurdrum-http/src/client.rs
@@ -10,7 +10,7 @@
 
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use hyper::body::{Body, Frame, SizeHint};
-use spurdrum_admission::Event;
+use spurdrum_admission::{Event, State};
 use spurdrum_core::{ConnectionPermit, InflightRequest, NodeMetrics, RequestResult};
 use spurdrum_tcp_info::since_last_data;
 use tokio::io::{Interest, ReadBuf};
@@ -28,6 +28,10 @@
 const MAX_PREFETCHED: usize = 16 * 1024;
 /// The size of the pieces in which these bytes are read.
 const READ_CHUNK_BYTES: usize = 4 * 1024;
+/// The most bytes of a head that are read at once.
+const HEAD_READ_BYTES: usize = 8 * 1024;
+/// The step in which the copy of a head grows.
+const READ_AHEAD_STEP: usize = 4 * 1024;
 /// If more than that has arrived, the event loop is asked at this interval whether the client has closed the
 /// connection.
 const DEPARTURE_CHECK_INTERVAL: Duration = Duration::from_millis(25);
@@ -66,6 +70,14 @@
     Chunked(ChunkedBodyTracker),
 }
 
+/// The head of a request, as it was received.
+pub struct ReceivedHead {
+    /// How it delimits its body.
+    pub framing: Framing,
+    /// Its length in bytes.
+    pub length: usize,
+}
+
 /// How the head of a request delimits its body.
 pub enum Framing {
     /// A body of this many bytes.
@@ -95,6 +107,10 @@
 
     /// Adds bytes that have already been read from the connection.
     pub fn with_already_read(self, already_read: Vec<u8>) -> Self {
+        if !already_read.is_empty() {
+            let (id, bytes) = (self.permit.id, already_read.len() as u64);
+            self.permit.handle_event(Event::Pipelined { id, bytes });
+        }
         Self { prefetched: RefCell::new(BytesMut::from(&already_read[..])), ..self }
     }
 
@@ -185,14 +201,16 @@
         self.has_read_ahead() || socket::has_input(&self.stream)
     }
 
-    /// Removes the head of the request that hyper has just read from the received bytes. Returns how the head
-    /// delimits its body. This prevents request smuggling: a second request hidden in what others would take
-    /// for the body of this one.
-    pub fn take_head(&self) -> Framing {
+    /// Removes the head of the request that hyper has just read from the received bytes. How it delimits its
+    /// body prevents request smuggling: a second request hidden in what others would take for the body of
+    /// this one.
+    pub fn take_head(&self) -> ReceivedHead {
         let mut read_ahead = std::mem::take(&mut *self.read_ahead.borrow_mut());
         let mut fields = [httparse::EMPTY_HEADER; MAX_HEADERS];
         let mut head = httparse::Request::new(&mut fields);
-        let Ok(httparse::Status::Complete(end)) = head.parse(&read_ahead) else { return Framing::Invalid };
+        let Ok(httparse::Status::Complete(length)) = head.parse(&read_ahead) else {
+            return ReceivedHead { framing: Framing::Invalid, length: read_ahead.len() };
+        };
         let values_of = |name: &'static str| {
             let matching = head.headers.iter().filter(move |header| header.name.eq_ignore_ascii_case(name));
             matching.map(|header| std::str::from_utf8(header.value).unwrap_or_default().trim())
@@ -209,12 +227,12 @@
         let remaining = match framing {
             Framing::Length(length) => RemainingBody::Length(length),
             Framing::Chunked => RemainingBody::Chunked(ChunkedBodyTracker::default()),
-            Framing::Invalid => return framing,
+            Framing::Invalid => return ReceivedHead { framing, length },
         };
-        read_ahead.drain(..end);
+        read_ahead.drain(..length);
         self.remaining_body.set(remaining);
         self.split(&read_ahead);
-        framing
+        ReceivedHead { framing, length }
     }
 
     /// Splits received bytes between the current body and the next request.
@@ -229,7 +247,18 @@
             RemainingBody::Chunked(tracker) => tracker.consume(bytes),
         };
         self.remaining_body.set(remaining);
-        self.read_ahead.borrow_mut().extend_from_slice(&bytes[body_bytes..]);
+        let behind_body = &bytes[body_bytes..];
+        if behind_body.is_empty() {
+            return;
+        }
+        let mut read_ahead = self.read_ahead.borrow_mut();
+        let needed = read_ahead.len() + behind_body.len();
+        if needed > read_ahead.capacity() {
+            // Doubling would take more memory than a partial head is charged.
+            let more = needed.next_multiple_of(READ_AHEAD_STEP) - read_ahead.len();
+            read_ahead.reserve_exact(more);
+        }
+        read_ahead.extend_from_slice(behind_body);
     }
 
     /// Returns whether the current request has been received completely: what follows is the head of the next
@@ -258,6 +287,18 @@
         &self.stream
     }
 
+    fn read_limit(&self, capacity: usize) -> Option<usize> {
+        if !self.is_request_complete() {
+            return Some(capacity);
+        }
+        let limit = capacity.min(HEAD_READ_BYTES);
+        self.permit.may_read(self.read_ahead.borrow().len(), limit).then_some(limit)
+    }
+
+    fn defer_read(&self, cx: &Context<'_>) {
+        self.permit.defer_read(cx.waker());
+    }
+
     fn take_prefetched(&self, buf: &mut ReadBuf<'_>) -> bool {
         let mut prefetched = self.prefetched.borrow_mut();
         let bytes = prefetched.len().min(buf.remaining());
@@ -283,7 +324,14 @@
 
     fn received(&self, bytes: &[u8]) {
         self.split(bytes);
-        self.permit.handle_event(Event::Received { id: self.permit.id, bytes: bytes.len() as u64 });
+        let id = self.permit.id;
+        self.permit.handle_event(Event::Received { id, bytes: bytes.len() as u64 });
+        let is_pending =
+            || matches!(self.permit.state(), Some(State::Body | State::Waiting | State::Writing));
+        let behind_request = self.read_ahead.borrow().len();
+        if behind_request > 0 && is_pending() {
+            self.permit.handle_event(Event::Pipelined { id, bytes: behind_request as u64 });
+        }
     }
 
     fn written(&self, bytes: usize) {
--- a/crates/spurdrum-http/src/connection.rs
+++ b/crates/spurdrum-http/src/connection.rs
@@ -16,12 +16,12 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
-use spurdrum_admission::{Event, Reason, State, Verdict};
+use spurdrum_admission::{Event, HeadSize, Reason, State, Verdict};
 use spurdrum_core::{ConnectionCommand, ConnectionPermit, HandedOverConnection};
 use tokio::net::TcpStream;
 use tokio::time::{sleep, Instant};
 
-use crate::client::{Framing, ResponseRecorder, Socket, TrackedResponseBody};
+use crate::client::{Framing, ReceivedHead, ResponseRecorder, Socket, TrackedResponseBody};
 use crate::context::{refusal_bytes, Front, IncomingProcess, MAX_DISCARDED_BYTES};
 use crate::request::{request_result, respond_to_request, text_response, Disposition, STREAMED_MEMORY_BYTES};
 use crate::socket::Io;
@@ -156,21 +156,22 @@
     front: &Rc<Front>,
     socket: &Rc<Socket>,
     request: Request<Incoming>,
-    framing: Framing,
+    head: ReceivedHead,
 ) -> Response<TrackedResponseBody> {
     let head_received_at = Instant::now();
     let class = request.headers().get("x-class").filter(|_| request.uri().path() == "/api").cloned();
     let class = class.as_ref().and_then(|class| class.to_str().ok());
     let mut disposition = Disposition::default();
-    let mut response = match framing {
+    let size = HeadSize { bytes: head.length as u64, fields: request.headers().len() as u64 };
+    let mut response = match head.framing {
         Framing::Invalid => {
             disposition.close_after = true;
             text_response(StatusCode::BAD_REQUEST, "the length is unclear\n")
         }
         Framing::Length(length) => {
-            respond_to_request(front, socket, request, Some(length), &mut disposition).await
+            respond_to_request(front, socket, request, size, Some(length), &mut disposition).await
         }
-        Framing::Chunked => respond_to_request(front, socket, request, None, &mut disposition).await,
+        Framing::Chunked => respond_to_request(front, socket, request, size, None, &mut disposition).await,
     };
     disposition.close_after |= !socket.is_request_complete();
     let is_streamed = matches!(response.body(), ResponseBody::Streamed(_));
@@ -221,8 +222,8 @@
 async fn serve(front: &Rc<Front>, permit: &Rc<ConnectionPermit>, socket: &Rc<Socket>) -> End {
     let service = service_fn(|request: Request<Incoming>| {
         // The raw bytes of the head are inspected before hyper reads on.
-        let framing = socket.take_head();
-        async move { Ok::<_, Infallible>(respond(front, socket, request, framing).await) }
+        let head = socket.take_head();
+        async move { Ok::<_, Infallible>(respond(front, socket, request, head).await) }
     });
     let connection = http1::Builder::new()
         .max_buf_size(MAX_BUFFER_BYTES)
--- a/crates/spurdrum-http/src/request.rs
+++ b/crates/spurdrum-http/src/request.rs
@@ -10,27 +10,29 @@
 use hyper::body::Incoming;
 use hyper::header::{HeaderMap, HeaderValue, HOST, RETRY_AFTER};
 use hyper::{Method, Request, Response, StatusCode, Uri};
-use spurdrum_admission::{Event, Reason, Verdict};
+use spurdrum_admission::{Event, HeadSize, Reason, Verdict};
 use spurdrum_core::{Answer, ConnectionPermit, InflightRequest, NotAccepted, RequestResult};
 use spurdrum_policy::{Effect, RequestId};
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
-use crate::body::BodyBuffer;
+use crate::body::{BodyBuffer, BODY_GROWTH_BYTES};
 use crate::client::Socket;
 use crate::context::{Front, Node, ShutdownStage};
 use crate::handed::HandedOverRequest;
 use crate::stream::{BodyObserver, Deadline, RequestStream, ResponseBody};
-use crate::upstream::{ForwardRequest, RequestBody, ServedResponse, MAX_BUFFERED_BODY};
+use crate::upstream::{ForwardRequest, RequestBody, ServedResponse, MAX_BUFFERED_BODY, MAX_BUFFER_BYTES};
 
 /// Subtracted from the client's deadline, as the request and the response are on the network for a part of
 /// it.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(10);
 /// The longest deadline that a client may specify.
 const MAX_CLIENT_DEADLINE: Duration = Duration::from_secs(3600);
-/// The memory with which a streamed request or response is accounted: the buffers of both sides, according to
-/// `spurdrum-bench streams`.
-pub(crate) const STREAMED_MEMORY_BYTES: u64 = 3 * MAX_BUFFERED_BODY as u64;
+/// The memory that a streamed request or response is charged: what is buffered of its beginning, a frame
+/// beyond that, and what waits to be written.
+pub(crate) const STREAMED_MEMORY_BYTES: u64 = (MAX_BUFFERED_BODY + 3 * MAX_BUFFER_BYTES) as u64;
+/// The memory that the next frame of a body may need: the frame, and a step of the buffer that it is added to.
+const FRAME_MEMORY_BYTES: u64 = (MAX_BUFFER_BYTES + BODY_GROWTH_BYTES) as u64;
 /// Header fields that a request may have only once.
 const SINGLE_HEADERS: [&str; 8] = [
     "host",
@@ -59,12 +61,14 @@
     front: &Front,
     socket: &Socket,
     request: Request<Incoming>,
+    head: HeadSize,
     length: Option<u64>,
     disposition: &mut Disposition,
 ) -> Response<ResponseBody> {
     let permit = &socket.permit;
-    let body = length.map_or(MAX_BUFFERED_BODY as u64, |length| length.min(STREAMED_MEMORY_BYTES));
-    let verdict = permit.handle_event(Event::HeadComplete { id: permit.id, body });
+    // A body of unknown length is charged as it arrives.
+    let body = length.map_or(FRAME_MEMORY_BYTES, |length| body_memory(Some(length)));
+    let verdict = permit.handle_event(Event::HeadComplete { id: permit.id, head, body });
     match request.uri().path() {
         "/_health" if front.shutting_down.get() => text_response(StatusCode::SERVICE_UNAVAILABLE, "ending\n"),
         "/_health" if front.node.is_starting() => {
@@ -81,6 +85,11 @@
     }
 }
 
+/// Returns the most memory that a body holds while it is received.
+pub(crate) fn body_memory(length: Option<u64>) -> u64 {
+    length.filter(|length| *length <= MAX_BUFFERED_BODY as u64).unwrap_or(STREAMED_MEMORY_BYTES)
+}
+
 pub(crate) fn text_response(status: StatusCode, text: impl Into<Bytes>) -> Response<ResponseBody> {
     let mut response = Response::new(Full::new(text.into()).into());
     *response.status_mut() = status;
@@ -249,7 +258,7 @@
     permit.reading_body.set(true);
     let body = tokio::select! {
         biased;
-        body = read_body(body, length) =>
+        body = read_body(permit, body, length) =>
             body.map_err(|status| text_response(status, "the body is broken\n")),
         reason = permit.body_expired() => Err(expired_body_response(node, reason)),
     };
@@ -258,6 +267,9 @@
         return body;
     }
     permit.reading_body.set(false);
+    if let Ok(ReceivedBody::Buffered(bytes)) = &body {
+        permit.handle_event(Event::BodyHeld { id: permit.id, bytes: bytes.len() as u64 });
+    }
     if body.is_ok() {
         // The body may have expired at the moment it became complete: it counts as complete.
         permit.take_command();
@@ -487,9 +499,14 @@
 }
 
 /// Reads a body completely if it is short enough to be buffered, and otherwise its beginning.
-async fn read_body(mut body: Incoming, length: Option<u64>) -> Result<ReceivedBody, StatusCode> {
+async fn read_body(
+    permit: &ConnectionPermit,
+    mut body: Incoming,
+    length: Option<u64>,
+) -> Result<ReceivedBody, StatusCode> {
     let buffered_length = length.and_then(|length| usize::try_from(length).ok());
     let mut received = BodyBuffer::new(buffered_length.filter(|length| *length <= MAX_BUFFERED_BODY));
+    let mut reserved = FRAME_MEMORY_BYTES;
     while length.is_none_or(|length| length <= MAX_BUFFERED_BODY as u64)
         && received.len() <= MAX_BUFFERED_BODY
     {
@@ -499,6 +516,14 @@
         if let Ok(data) = frame.map_err(|_| StatusCode::BAD_REQUEST)?.into_data() {
             received.push(&data);
         }
+        let needed = received.len() as u64 + FRAME_MEMORY_BYTES;
+        if length.is_none() && needed > reserved {
+            reserved = needed + BODY_GROWTH_BYTES as u64;
+            permit.reserve_body(reserved).await;
+        }
+    }
+    if length.is_none() {
+        permit.reserve_body(STREAMED_MEMORY_BYTES).await;
     }
     Ok(ReceivedBody::Streamed(received, body))
 }
--- a/crates/spurdrum-http/src/socket.rs
+++ b/crates/spurdrum-http/src/socket.rs
@@ -7,7 +7,7 @@
 use std::task::{ready, Context, Poll};
 
 use socket2::SockRef;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
 
 /// The owner of a socket that hyper reads and writes.
@@ -15,6 +15,16 @@
     /// Returns the socket itself.
     fn stream(&self) -> &TcpStream;
 
+    /// Returns how many of the `capacity` bytes that hyper has room for may be read from the socket now, or
+    /// none if there is no memory for any.
+    fn read_limit(&self, capacity: usize) -> Option<usize> {
+        Some(capacity)
+    }
+
+    /// Called when input is left in the socket because nothing may be read. The task of `cx` is to be woken
+    /// when that changes.
+    fn defer_read(&self, _cx: &Context<'_>) {}
+
     /// Moves bytes into `buf` that were read from the socket before hyper asked for them. Returns whether
     /// there were any.
     fn take_prefetched(&self, _buf: &mut ReadBuf<'_>) -> bool {
@@ -52,6 +62,11 @@
     SockRef::from(stream).peek(&mut [std::mem::MaybeUninit::uninit()])
 }
 
+/// Makes the event loop wait for new input: the socket has turned out to hold none.
+fn clear_readiness(stream: &TcpStream) {
+    let _ = stream.try_io(Interest::READABLE, || Err::<(), _>(io::ErrorKind::WouldBlock.into()));
+}
+
 /// The I/O object that is given to hyper.
 pub struct Io<S>(pub Rc<S>);
 
@@ -65,7 +80,22 @@
         }
         loop {
             ready!(stream.poll_read_ready(cx))?;
-            let unfilled = buf.initialize_unfilled();
+            let limit = match self.0.read_limit(buf.remaining()) {
+                Some(limit) => limit,
+                None => match peek(stream) {
+                    Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                        clear_readiness(stream);
+                        continue;
+                    }
+                    Ok(bytes) if bytes > 0 => {
+                        self.0.defer_read(cx);
+                        return Poll::Pending;
+                    }
+                    // The end of the stream and errors take no memory.
+                    _ => buf.remaining(),
+                },
+            };
+            let unfilled = buf.initialize_unfilled_to(limit);
             match stream.try_read(unfilled) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 Err(error) => return Poll::Ready(Err(error)),
--- a/crates/spurdrum-http/src/upstream.rs
+++ b/crates/spurdrum-http/src/upstream.rs
@@ -21,7 +21,7 @@
 use spurdrum_affinity::AffinityKey;
 use spurdrum_core::{
     is_resource_exhausted, pause_adjusted_timeout, sleep_and_catch_up, Cancellation, Connections,
-    NodeMetrics, Reply, ServerConnectionPermit, Transport, TransportRequest,
+    NodeMetrics, Reply, ResponseMemory, ServerConnectionPermit, Transport, TransportRequest,
 };
 use spurdrum_policy::{Ending, LoadReport, ServerId};
 use tokio::net::TcpStream;
@@ -30,6 +30,7 @@
 
 use crate::body::BodyBuffer;
 use crate::keys::{AffinityKeys, PartialKey};
+use crate::request::body_memory;
 use crate::socket::{self, has_input, Io};
 use crate::stream::{AttemptBody, Deadline, Download, RequestStream, ResponseBody, Upload, STALL_TIMEOUT};
 
@@ -40,7 +41,11 @@
 /// Bodies are buffered up to this length; longer ones are streamed.
 pub const MAX_BUFFERED_BODY: usize = 64 * 1024;
 /// The most bytes that hyper buffers in each direction of a connection, read ahead or not yet written.
-pub(crate) const MAX_BUFFER_BYTES: usize = 32 * 1024;
+pub(crate) const MAX_BUFFER_BYTES: usize = 16 * 1024;
+/// The longest response body that is received within what an idle connection holds.
+const SMALL_RESPONSE_BYTES: u64 = 4 * 1024;
+/// By how much the read buffer of a connection grows with a longer response. The buffer keeps its size.
+const READ_BUFFER_GROWTH: u64 = 24 * 1024;
 /// The fraction of the servers' idle timeout for which a connection is kept. A server that closes the
 /// connection just as a request is sent would reset the request.
 const IDLE_FRACTION: f64 = 0.9;
@@ -91,6 +96,8 @@
     pub body: ResponseBody,
     /// The value of the header by which servers assign affinity keys.
     pub affinity_header: Option<HeaderValue>,
+    /// The memory that the body is charged until it is passed on.
+    pub memory: Option<ResponseMemory>,
 }
 
 impl TransportRequest for ForwardRequest {
@@ -117,6 +124,8 @@
     /// When bytes were last written.
     last_write_at: Cell<Instant>,
     metrics: Rc<NodeMetrics>,
+    /// The memory that the read buffer is charged since it has grown.
+    read_buffer_growth: RefCell<Option<ResponseMemory>>,
 }
 
 impl socket::Socket for Socket {
@@ -274,7 +283,15 @@
         stream.set_nodelay(true).map_err(|_| Ending::Unreachable)?;
         let (writing, metrics) = (Cell::new(false), Rc::clone(&self.metrics));
         let (written_at, last_write_at) = (Cell::new(None), Cell::new(Instant::now()));
-        let socket = Rc::new(Socket { stream, _permit: permit, writing, written_at, last_write_at, metrics });
+        let socket = Rc::new(Socket {
+            stream,
+            _permit: permit,
+            writing,
+            written_at,
+            last_write_at,
+            metrics,
+            read_buffer_growth: RefCell::default(),
+        });
         let handshake = http1::Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
             .max_header_size(MAX_HEAD_BYTES)
@@ -393,7 +410,7 @@
                 self.keys.as_ref().and_then(|keys| response.headers().get(keys.response_header()?).cloned());
             let server_time = streamed_body
                 .map(|_| connection.socket.written_at.get().map_or(Duration::ZERO, |at| at.elapsed()));
-            let mut reply = read_response(response, connection, &server, forward).await;
+            let mut reply = read_response(&self.connections, response, connection, &server, forward).await;
             if reply.ending != Ending::Reset {
                 progress.close_delay.set(None);
             }
@@ -558,6 +575,7 @@
 /// can be kept. If the server wants the connection closed, hyper closes it. A long response is passed on to
 /// its client as it arrives.
 async fn read_response(
+    connections: &Rc<Connections>,
     response: Response<Incoming>,
     connection: Connection,
     server: &Rc<Server>,
@@ -580,6 +598,7 @@
         return reply(if ending == Ending::Full { ending } else { Ending::Reset });
     }
     let length = body.size_hint().exact();
+    let mut memory = reserve_response(connections, &connection, length).await;
     // A response of unknown length is buffered for a part of the remaining time.
     let buffer_until = forward
         .filter(|_| served)
@@ -612,8 +631,14 @@
     };
     if complete {
         server.return_connection(connection);
-        let body = served
-            .then(|| ServedResponse { body: Full::new(received.into_bytes()).into(), affinity_header: None });
+        if let Some(memory) = &mut memory {
+            memory.shrink_to(received.len() as u64);
+        }
+        let body = served.then(|| ServedResponse {
+            body: Full::new(received.into_bytes()).into(),
+            affinity_header: None,
+            memory,
+        });
         return Reply { body, ..reply(ending) };
     }
     if !served || forward.is_none() {
@@ -624,10 +649,26 @@
     let origin = Rc::clone(server);
     let download =
         Download::new(body, received, length, move || origin.return_connection(connection), end_sender);
-    let body = ServedResponse { body: ResponseBody::Streamed(download), affinity_header: None };
+    let body = ServedResponse { body: ResponseBody::Streamed(download), affinity_header: None, memory };
     Reply { body: Some(body), body_end: Some(body_end), ..reply(Ending::Served) }
 }
 
+/// Waits for the memory that a response of this length needs, unless it is short.
+async fn reserve_response(
+    connections: &Rc<Connections>,
+    connection: &Connection,
+    length: Option<u64>,
+) -> Option<ResponseMemory> {
+    if length.is_some_and(|length| length <= SMALL_RESPONSE_BYTES) {
+        return None;
+    }
+    if connection.socket.read_buffer_growth.borrow().is_none() {
+        let growth = connections.reserve_response(READ_BUFFER_GROWTH).await;
+        connection.socket.read_buffer_growth.replace(Some(growth));
+    }
+    Some(connections.reserve_response(body_memory(length)).await)
+}
+
 fn announces_close(head: &response::Parts) -> bool {
     let options = head.headers.get_all(CONNECTION).into_iter().filter_map(|value| value.to_str().ok());
     options.flat_map(|value| value.split(',')).any(|option| option.trim().eq_ignore_ascii_case("close"))
--- a/crates/spurdrum/src/main.rs
+++ b/crates/spurdrum/src/main.rs
@@ -342,6 +342,7 @@
     tokio::task::spawn_local(Rc::clone(&node).close_idle_connections());
     tokio::task::spawn_local(Rc::clone(&node).release_server_connections());
     tokio::task::spawn_local(Rc::clone(&connections).run_timer());
+    tokio::task::spawn_local(Rc::clone(&connections).run_memory_measurement());
     let (reload_sink, reload_catalog, mut accepted_json) =
         (Rc::clone(&sink), catalog.clone(), config.platform_json);
     tokio::task::spawn_local(async move {
