Two processes of a node share its memory by what they hold, not by their descriptors

What callers saw: round a replacement of the process the node was killed for its memory (48 MB, 384 descriptors): 28,788 KiB in the old process, 20,576 in the new one. Cause: the memory limit was divided as the descriptors are. An old process whose clients have gone keeps few descriptors and all of its heap, as the allocator returns nothing (measured: 28 MB of 28 after 200 half bodies have gone, 1 MB once trimmed); the new one then uses nearly the whole limit. Change: with the offer, and each time its share shrinks, the outgoing process returns freed memory to the system and tells what part of the limit it keeps: half or what it holds, after SIGTERM what its requests still need. The incoming process has the rest. A process of an older version is told nothing new and goes by the descriptors as before. Test: a_process_and_its_successor_keep_to_the_memory_of_one_node. The shares themselves: two tests of the state machines, one of the account.

--- a/crates/spurdrum-handover/src/incoming.rs
+++ b/crates/spurdrum-handover/src/incoming.rs
@@ -23,6 +23,8 @@
     TakeOver {
         /// The number of file descriptors of the node's budget that the outgoing process keeps.
         share: usize,
+        /// The part of the node's memory limit that the outgoing process keeps, if it says so.
+        memory: Option<u64>,
         /// The state that the outgoing process hands over.
         state: serde_json::Value,
     },
@@ -30,6 +32,8 @@
     StartAlone(String),
     /// The outgoing process now keeps this many file descriptors of the node's budget.
     Share(usize),
+    /// The outgoing process now keeps this part of the node's memory limit, in bytes.
+    MemoryShare(u64),
     /// Serve the client connection that was received. The outgoing process has already read these bytes from
     /// it.
     Serve(Vec<u8>),
@@ -70,9 +74,9 @@
                 self.state = State::HelloSent;
                 actions.push(IncomingAction::Send(Message::Hello(self.identity.clone())));
             }
-            (State::HelloSent, IncomingEvent::Received(Message::Offer { share, state })) => {
+            (State::HelloSent, IncomingEvent::Received(Message::Offer { share, memory, state })) => {
                 self.state = State::TakenOver;
-                actions.push(IncomingAction::TakeOver { share, state });
+                actions.push(IncomingAction::TakeOver { share, memory, state });
                 actions.push(IncomingAction::Send(Message::Confirm));
             }
             (State::HelloSent, IncomingEvent::Received(Message::Decline(reason))) => {
@@ -81,6 +85,9 @@
             (State::TakenOver, IncomingEvent::Received(Message::Share(share))) => {
                 actions.push(IncomingAction::Share(share));
             }
+            (State::TakenOver, IncomingEvent::Received(Message::MemoryShare(share))) => {
+                actions.push(IncomingAction::MemoryShare(share));
+            }
             (State::TakenOver, IncomingEvent::Received(Message::Connection)) => {
                 actions.push(IncomingAction::Serve(Vec::new()));
             }
--- a/crates/spurdrum-handover/src/lib.rs
+++ b/crates/spurdrum-handover/src/lib.rs
@@ -7,8 +7,8 @@
 //! and once the outgoing process shuts down, client connections. It hands over idle connections and those
 //! from which it has read a request that it has not sent to any server.
 //!
-//! The two processes share one node's budget of file descriptors. The outgoing process lowers its own share
-//! before it reports the new share, so the sum of both never exceeds the budget.
+//! The two processes share one node's budgets of file descriptors and memory. The outgoing process lowers its
+//! own share before it reports the new share, so the sum of both never exceeds the budgets.
 //!
 //! [`Offer`] (with a [`BudgetOwner`]) drives the outgoing state machine over the socket, [`Takeover`] (with
 //! its [`TakeoverEvent`]s) the incoming one.
@@ -23,7 +23,7 @@
 
 pub use endpoint::path;
 pub use incoming::{Incoming, IncomingAction, IncomingEvent};
-pub use message::{FrameError, Frames, Identity, Message, FORMAT, MAX_FRAME_PAYLOAD};
+pub use message::{BudgetShare, FrameError, Frames, Identity, Message, FORMAT, MAX_FRAME_PAYLOAD};
 pub use offer::{BudgetOwner, Offer};
 pub use outgoing::{IncomingId, Outgoing, OutgoingAction, OutgoingEvent};
 pub use takeover::{Takeover, TakeoverEvent};
--- a/crates/spurdrum-handover/src/message.rs
+++ b/crates/spurdrum-handover/src/message.rs
@@ -29,6 +29,10 @@
     /// accept it.
     #[serde(default)]
     pub accepts_requests: bool,
+    /// Whether this process accepts [`Message::MemoryShare`]. Older versions do not send this field and do
+    /// not accept it.
+    #[serde(default)]
+    pub accepts_memory_shares: bool,
 }
 
 impl Identity {
@@ -39,6 +43,15 @@
     }
 }
 
+/// The part of the node's budgets that one process keeps.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BudgetShare {
+    /// File descriptors.
+    pub descriptors: usize,
+    /// Bytes of the memory limit.
+    pub memory: u64,
+}
+
 /// A message between the outgoing and the incoming process.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Message {
@@ -48,6 +61,10 @@
     Offer {
         /// The number of file descriptors of the node's budget that the outgoing process keeps.
         share: usize,
+        /// The part of the node's memory limit that the outgoing process keeps, in bytes. Older versions do
+        /// not send this field.
+        #[serde(default)]
+        memory: Option<u64>,
         /// The state that the outgoing process hands over, in the program's own format.
         state: serde_json::Value,
     },
@@ -57,6 +74,8 @@
     Confirm,
     /// The outgoing process now keeps this many file descriptors of the node's budget.
     Share(usize),
+    /// The outgoing process now keeps this part of the node's memory limit, in bytes.
+    MemoryShare(u64),
     /// Carries an idle client connection.
     Connection,
     /// Carries a client connection from which a request has been read that has not been sent to any server.
--- a/crates/spurdrum-handover/src/offer.rs
+++ b/crates/spurdrum-handover/src/offer.rs
@@ -17,7 +17,7 @@
 
 use crate::channel::Channel;
 use crate::endpoint::bind;
-use crate::message::{Identity, Message};
+use crate::message::{BudgetShare, Identity, Message};
 use crate::outgoing::{IncomingId, Outgoing, OutgoingAction, OutgoingEvent};
 
 /// How often a process that shuts down reports how many file descriptors it still needs.
@@ -25,16 +25,17 @@
 /// How long to wait after accepting a takeover request has failed.
 const ACCEPT_RETRY: Duration = Duration::from_millis(50);
 
-/// The owner of the node's file descriptor budget, which the outgoing process shares with the incoming one.
+/// The owner of the node's budgets of file descriptors and memory, which the outgoing process shares with the
+/// incoming one.
 pub trait BudgetOwner: 'static {
-    /// Limits this process to a share of the budget. Returns the share and the state for the incoming
+    /// Limits this process to a share of the budgets. Returns the share and the state for the incoming
     /// process.
-    fn split(&self) -> (usize, serde_json::Value);
+    fn split(&self) -> (BudgetShare, serde_json::Value);
 
-    /// Limits this process to the file descriptors that it still needs. Returns their number.
-    fn shrink_to_use(&self) -> usize;
+    /// Limits this process to what it still needs, and returns that.
+    fn shrink_to_use(&self) -> BudgetShare;
 
-    /// Lets this process use the whole budget again.
+    /// Lets this process use the whole budgets again.
     fn restore(&self);
 }
 
@@ -171,11 +172,15 @@
         }
     }
 
-    /// Splits the descriptor budget and sends the listening socket.
+    /// Splits the budgets and sends the listening socket.
     fn offer(&self, id: IncomingId) {
         let (share, state) = self.budget.split();
         match self.listener.try_clone() {
-            Ok(listener) => self.queue(id, Message::Offer { share, state }, Some(listener.into())),
+            Ok(listener) => {
+                let BudgetShare { descriptors, memory } = share;
+                let offer = Message::Offer { share: descriptors, memory: Some(memory), state };
+                self.queue(id, offer, Some(listener.into()));
+            }
             Err(_) => self.close(id),
         }
     }
@@ -192,15 +197,20 @@
         }
     }
 
-    /// Reports this process's share of the descriptor budget each time it has shrunk, until the incoming
-    /// process has gone.
+    /// Reports this process's share of the budgets each time it has shrunk, until the incoming process has
+    /// gone.
     async fn report_share(self: Rc<Self>, id: IncomingId) {
-        let mut reported = usize::MAX;
+        let mut reported = BudgetShare { descriptors: usize::MAX, memory: u64::MAX };
+        let reports_memory = self.outgoing.borrow().accepts_memory_shares();
         while self.incoming.get() == Some(id) {
             let share = self.budget.shrink_to_use();
-            if share < reported {
-                reported = share;
-                self.queue(id, Message::Share(share), None);
+            if share.descriptors < reported.descriptors {
+                reported.descriptors = share.descriptors;
+                self.queue(id, Message::Share(share.descriptors), None);
+            }
+            if reports_memory && share.memory < reported.memory {
+                reported.memory = share.memory;
+                self.queue(id, Message::MemoryShare(share.memory), None);
             }
             sleep(SHARE_INTERVAL).await;
         }
--- a/crates/spurdrum-handover/src/outgoing.rs
+++ b/crates/spurdrum-handover/src/outgoing.rs
@@ -59,13 +59,21 @@
     stopping: bool,
     /// Whether the process that was last sent an offer accepts [`Message::Request`].
     accepts_requests: bool,
+    /// Whether that process accepts [`Message::MemoryShare`].
+    accepts_memory_shares: bool,
 }
 
 impl Outgoing {
     /// Creates the state machine for the outgoing process of this node.
     #[must_use]
     pub fn new(identity: Identity) -> Self {
-        Self { identity, state: State::Alone, stopping: false, accepts_requests: false }
+        Self {
+            identity,
+            state: State::Alone,
+            stopping: false,
+            accepts_requests: false,
+            accepts_memory_shares: false,
+        }
     }
 
     /// Handles an event and appends the resulting actions to `actions`.
@@ -106,6 +114,7 @@
                     () if !identity.is_same_node(&self.identity) => "the running process serves another node",
                     () => {
                         self.accepts_requests = identity.accepts_requests;
+                        self.accepts_memory_shares = identity.accepts_memory_shares;
                         self.state = State::Offered(id);
                         return actions.push(OutgoingAction::Offer(id));
                     }
@@ -153,6 +162,12 @@
         self.is_confirmed() && self.accepts_requests
     }
 
+    /// Returns whether the process that was last sent an offer accepts shares of the memory.
+    #[must_use]
+    pub fn accepts_memory_shares(&self) -> bool {
+        self.accepts_memory_shares
+    }
+
     /// Returns whether an incoming process has confirmed and accepts connections as well.
     #[must_use]
     pub fn is_confirmed(&self) -> bool {
--- a/crates/spurdrum-handover/src/takeover.rs
+++ b/crates/spurdrum-handover/src/takeover.rs
@@ -22,17 +22,27 @@
 pub enum TakeoverEvent {
     /// The outgoing process now keeps this many file descriptors of the node's budget.
     OutgoingShare(usize),
+    /// The outgoing process now keeps this part of the node's memory limit, in bytes.
+    OutgoingMemory(u64),
     /// A client connection to serve.
     Connection(HandedOverConnection),
     /// The outgoing process has gone.
     OutgoingGone,
 }
 
+/// What the outgoing process offers: its shares of the budgets, and its state.
+struct Offered {
+    share: usize,
+    memory: Option<u64>,
+    state: serde_json::Value,
+}
+
 impl TakeoverEvent {
     /// Returns the event for an action, if there is one; a connection takes the received file descriptor.
     fn from_action(action: IncomingAction, descriptor: &mut Option<OwnedFd>) -> Option<Self> {
         match action {
             IncomingAction::Share(share) => Some(Self::OutgoingShare(share)),
+            IncomingAction::MemoryShare(share) => Some(Self::OutgoingMemory(share)),
             IncomingAction::Serve(read) => {
                 let stream = descriptor.take().map(TcpStream::from);
                 stream.map(|stream| Self::Connection(HandedOverConnection { stream, read }))
@@ -49,6 +59,8 @@
     pub listener: TcpListener,
     /// The number of file descriptors of the node's budget that the outgoing process keeps.
     pub share: usize,
+    /// The part of the node's memory limit that the outgoing process keeps, if it says so.
+    pub memory: Option<u64>,
     /// The state that the outgoing process hands over.
     pub state: serde_json::Value,
     channel: Channel,
@@ -77,20 +89,22 @@
         let (mut event, mut descriptor) = (IncomingEvent::Connected, None);
         loop {
             let offered = Self::handle_event(&channel, &mut incoming, event).await?;
-            if let (Some((share, state)), Some(listener)) = (offered, descriptor.take()) {
-                return Ok(Self { listener: TcpListener::from(listener), share, state, channel, incoming });
+            if let (Some(offered), Some(listener)) = (offered, descriptor.take()) {
+                let Offered { share, memory, state } = offered;
+                let listener = TcpListener::from(listener);
+                return Ok(Self { listener, share, memory, state, channel, incoming });
             }
             (event, descriptor) = next_event(&channel).await;
         }
     }
 
-    /// Handles an event of the negotiation and sends the resulting messages. Returns the outgoing process's
-    /// share and state if the event grants the takeover.
+    /// Handles an event of the negotiation and sends the resulting messages. Returns what the outgoing process
+    /// offers if the event grants the takeover.
     async fn handle_event(
         channel: &Channel,
         incoming: &mut Incoming,
         event: IncomingEvent,
-    ) -> Result<Option<(usize, serde_json::Value)>, String> {
+    ) -> Result<Option<Offered>, String> {
         let (mut actions, mut offered) = (Vec::new(), None);
         incoming.handle(event, &mut actions);
         for action in actions {
@@ -98,9 +112,14 @@
                 IncomingAction::Send(message) => {
                     channel.send(&message, None).await.map_err(|error| error.to_string())?;
                 }
-                IncomingAction::TakeOver { share, state } => offered = Some((share, state)),
+                IncomingAction::TakeOver { share, memory, state } => {
+                    offered = Some(Offered { share, memory, state });
+                }
                 IncomingAction::StartAlone(reason) => return Err(reason),
-                IncomingAction::Share(_) | IncomingAction::Serve(_) | IncomingAction::OutgoingGone => {}
+                IncomingAction::Share(_)
+                | IncomingAction::MemoryShare(_)
+                | IncomingAction::Serve(_)
+                | IncomingAction::OutgoingGone => {}
             }
         }
         Ok(offered)
--- a/crates/spurdrum-handover/tests/machines.rs
+++ b/crates/spurdrum-handover/tests/machines.rs
@@ -11,7 +11,13 @@
 const ID: IncomingId = IncomingId(1);
 
 fn identity() -> Identity {
-    Identity { format: FORMAT, name: "n0".into(), listen: "127.0.0.1:1".into(), accepts_requests: true }
+    Identity {
+        format: FORMAT,
+        name: "n0".into(),
+        listen: "127.0.0.1:1".into(),
+        accepts_requests: true,
+        accepts_memory_shares: true,
+    }
 }
 
 /// Feeds events to a new outgoing state machine. Returns it with the actions of the last event.
@@ -65,6 +71,22 @@
     assert!(old_identity.is_same_node(&identity()) && !old_identity.accepts_requests);
 }
 
+/// An older version does not know `Message::MemoryShare` and would take it for the end of the handover.
+#[test]
+fn shares_of_the_memory_are_told_only_to_a_process_that_accepts_them() {
+    for accepts_memory_shares in [true, false] {
+        let hello = Message::Hello(Identity { accepts_memory_shares, ..identity() });
+        let (outgoing, _) = outgoing(&[OutgoingEvent::Connected(ID), OutgoingEvent::Received(ID, hello)]);
+        assert_eq!(outgoing.accepts_memory_shares(), accepts_memory_shares);
+    }
+    let old_identity = r#"{"format":1,"name":"n0","listen":"127.0.0.1:1","accepts_requests":true}"#;
+    let old_identity: Identity = serde_json::from_str(old_identity).expect("still accepted");
+    assert!(!old_identity.accepts_memory_shares);
+    let old_offer = r#"{"Offer":{"share":9,"state":null}}"#;
+    let old_offer: Message = serde_json::from_str(old_offer).expect("still accepted");
+    assert_eq!(old_offer, Message::Offer { share: 9, memory: None, state: Value::Null });
+}
+
 #[test]
 fn a_shutdown_before_the_confirmation_hands_over_once_the_confirmation_arrives() {
     let (_, actions) = outgoing(&[OutgoingEvent::Connected(ID), hello(), OutgoingEvent::Stop, confirm()]);
@@ -134,24 +156,26 @@
         IncomingEvent::Received(Message::Decline("no".into()))
     ])));
     assert!(starts_alone(&run(vec![IncomingEvent::Connected, IncomingEvent::Received(Message::Share(3))])));
-    let offer = IncomingEvent::Received(Message::Offer { share: 9, state: Value::Null });
+    let offer = IncomingEvent::Received(Message::Offer { share: 9, memory: Some(7), state: Value::Null });
     let actions = run(vec![
         IncomingEvent::Connected,
         offer,
         IncomingEvent::Received(Message::Connection),
         IncomingEvent::Received(Message::Request { read: b"GET".to_vec() }),
         IncomingEvent::Received(Message::Share(2)),
+        IncomingEvent::Received(Message::MemoryShare(5)),
         IncomingEvent::Lost,
         IncomingEvent::Received(Message::Connection),
     ]);
     assert_eq!(
         actions[1..],
         [
-            IncomingAction::TakeOver { share: 9, state: Value::Null },
+            IncomingAction::TakeOver { share: 9, memory: Some(7), state: Value::Null },
             IncomingAction::Send(Message::Confirm),
             IncomingAction::Serve(Vec::new()),
             IncomingAction::Serve(b"GET".to_vec()),
             IncomingAction::Share(2),
+            IncomingAction::MemoryShare(5),
             IncomingAction::OutgoingGone
         ]
     );
@@ -184,8 +208,11 @@
         Just(Message::Connection),
         proptest::collection::vec(any::<u8>(), 0..40).prop_map(|read| Message::Request { read }),
         (0_usize..9).prop_map(Message::Share),
+        any::<u64>().prop_map(Message::MemoryShare),
         ".{0,40}".prop_map(Message::Decline),
-        (0_usize..9).prop_map(|share| Message::Offer { share, state: serde_json::json!({"a": [1, 2]}) }),
+        (0_usize..9).prop_map(|share| {
+            Message::Offer { share, memory: Some(1 << share), state: serde_json::json!({"a": [1, 2]}) }
+        }),
     ]
 }
 
--- a/crates/spurdrum/src/replace.rs
+++ b/crates/spurdrum/src/replace.rs
@@ -6,9 +6,9 @@
 use std::rc::Rc;
 
 use serde::{Deserialize, Serialize};
-use spurdrum_admission::Event;
+use spurdrum_admission::{Event, CONNECTION_MEMORY};
 use spurdrum_core::{Connections, HandedOverConnection, Node};
-use spurdrum_handover::{path, BudgetOwner, Identity, Offer, Takeover, TakeoverEvent, FORMAT};
+use spurdrum_handover::{path, BudgetOwner, BudgetShare, Identity, Offer, Takeover, TakeoverEvent, FORMAT};
 use spurdrum_http::{
     ConfigNames, HandedOverConnections, HandoverStatus, IncomingProcess, SharedConfigNames, Upstream,
 };
@@ -80,7 +80,13 @@
 
 /// Returns the identity of this process's node, as the messages of a handover carry it.
 pub fn identity(name: &str, listen: SocketAddr) -> Identity {
-    Identity { format: FORMAT, name: name.to_owned(), listen: listen.to_string(), accepts_requests: true }
+    Identity {
+        format: FORMAT,
+        name: name.to_owned(),
+        listen: listen.to_string(),
+        accepts_requests: true,
+        accepts_memory_shares: true,
+    }
 }
 
 /// Takes over from the process that serves this address. Returns `None` if there is none or if it declines.
@@ -90,36 +96,67 @@
 }
 
 /// Follows the outgoing process until it has gone. Returns the channel of the connections that it hands over.
-/// This process may use the part of the file descriptor budget that the outgoing process no longer keeps.
+/// This process may use the part of the budgets that the outgoing process no longer keeps.
 pub fn follow(takeover: Option<Takeover>, connections: &Rc<Connections>) -> HandedOverConnections {
     let (connection_sender, connection_receiver) = mpsc::unbounded_channel();
     let Some(takeover) = takeover else { return connection_receiver };
-    let (budget, connections) = (connections.descriptor_usage().1, Rc::clone(connections));
-    let mut outgoing_share = takeover.share;
-    let apply_share = move |outgoing_share: usize| {
-        connections.handle_event(Event::DescriptorShare { max: budget.saturating_sub(outgoing_share) });
+    let mut remainder = Remainder {
+        connections: Rc::clone(connections),
+        descriptors: takeover.share,
+        memory: takeover.memory,
     };
-    apply_share(outgoing_share);
+    remainder.apply();
     tokio::task::spawn_local(takeover.follow(move |event| match event {
         TakeoverEvent::OutgoingShare(share) => {
-            outgoing_share = share;
-            apply_share(outgoing_share);
+            remainder.descriptors = share;
+            remainder.apply();
+        }
+        TakeoverEvent::OutgoingMemory(share) => {
+            remainder.memory = Some(share);
+            remainder.apply();
         }
         TakeoverEvent::Connection(connection) => {
-            // The connection's file descriptor moves from the outgoing process's share to this process's.
-            outgoing_share = outgoing_share.saturating_sub(1);
-            apply_share(outgoing_share);
+            remainder.connection_received();
             // Fails if this process is shutting down as well.
             let _ = connection_sender.send(connection);
         }
         TakeoverEvent::OutgoingGone => {
             tracing::info!("the outgoing process has gone");
-            apply_share(0);
+            (remainder.descriptors, remainder.memory) = (0, Some(0));
+            remainder.apply();
         }
     }));
     connection_receiver
 }
 
+/// The part of the budgets that the outgoing process leaves to this one.
+struct Remainder {
+    connections: Rc<Connections>,
+    /// The file descriptors that the outgoing process keeps.
+    descriptors: usize,
+    /// The memory that it keeps; an older version does not say. It then goes by the descriptors.
+    memory: Option<u64>,
+}
+
+impl Remainder {
+    fn apply(&self) {
+        let total = self.connections.descriptor_usage().1;
+        let max = total.saturating_sub(self.descriptors);
+        self.connections.handle_event(Event::DescriptorShare { max });
+        if let Some(memory) = self.memory {
+            let max = self.connections.memory_limit().saturating_sub(memory);
+            self.connections.handle_event(Event::MemoryShare { max });
+        }
+    }
+
+    /// A connection, with what it holds, moves from the outgoing process's share to this process's.
+    fn connection_received(&mut self) {
+        self.descriptors = self.descriptors.saturating_sub(1);
+        self.memory = self.memory.map(|memory| memory.saturating_sub(CONNECTION_MEMORY));
+        self.apply();
+    }
+}
+
 /// Starts accepting takeover requests. Returns `None` if `$TMPDIR` is not set or the Unix socket cannot be
 /// bound.
 pub fn offer(
@@ -132,9 +169,8 @@
     use std::os::fd::AsFd;
     let path = path(listen)?;
     let listener = listener.as_fd().try_clone_to_owned().map(Into::into);
-    let total = connections.descriptor_usage().1;
-    let budget =
-        SharedBudget { connections: Rc::clone(connections), total, share: Cell::new(total), state_source };
+    let share = Cell::new(whole_budget(connections));
+    let budget = SharedBudget { connections: Rc::clone(connections), share, state_source };
     let offer = listener.and_then(|listener| Offer::new(path, identity(name, listen), listener, budget));
     offer
         .inspect_err(|error| {
@@ -143,40 +179,55 @@
         .ok()
 }
 
-/// The node's file descriptor budget, of which this process uses a share while an incoming process runs.
+/// Returns the whole budgets of the node.
+fn whole_budget(connections: &Connections) -> BudgetShare {
+    BudgetShare { descriptors: connections.descriptor_usage().1, memory: connections.memory_limit() }
+}
+
+/// The node's budgets, of which this process uses a share while an incoming process runs.
 struct SharedBudget {
     connections: Rc<Connections>,
-    /// The whole budget.
-    total: usize,
     /// The share that this process may use now.
-    share: Cell<usize>,
+    share: Cell<BudgetShare>,
     state_source: StateSource,
 }
 
 impl SharedBudget {
-    /// Limits this process to `max` file descriptors. Returns `max`.
-    fn set_share(&self, max: usize) -> usize {
-        self.share.set(max);
-        self.connections.handle_event(Event::DescriptorShare { max });
-        max
+    /// Limits this process to a share. Returns the share.
+    fn set_share(&self, share: BudgetShare) -> BudgetShare {
+        self.share.set(share);
+        self.connections.handle_event(Event::DescriptorShare { max: share.descriptors });
+        self.connections.handle_event(Event::MemoryShare { max: share.memory });
+        share
     }
 }
 
 impl BudgetOwner for SharedBudget {
-    fn split(&self) -> (usize, serde_json::Value) {
-        // Half of the budget, or what is in use if that is more.
-        let used = self.connections.descriptor_usage().0;
-        (self.set_share(used.max(self.total / 2)), self.state_source.snapshot())
+    fn split(&self) -> (BudgetShare, serde_json::Value) {
+        // Half of the budgets, or what is in use if that is more.
+        // What was freed belongs to the incoming process only once the system has it back.
+        self.connections.release_memory();
+        let whole = whole_budget(&self.connections);
+        let share = BudgetShare {
+            descriptors: self.connections.descriptor_usage().0.max(whole.descriptors / 2),
+            memory: self.connections.held_memory().max(whole.memory / 2).min(whole.memory),
+        };
+        (self.set_share(share), self.state_source.snapshot())
     }
 
-    fn shrink_to_use(&self) -> usize {
+    fn shrink_to_use(&self) -> BudgetShare {
+        self.connections.release_memory();
+        let share = self.share.get();
         // Each open client connection may carry a request, which may need a connection to a server as well.
-        let needed = self.connections.descriptor_usage().0 + self.connections.open_connections();
-        self.set_share(needed.min(self.share.get()))
+        let descriptors = self.connections.descriptor_usage().0 + self.connections.open_connections();
+        self.set_share(BudgetShare {
+            descriptors: descriptors.min(share.descriptors),
+            memory: self.connections.needed_memory().min(share.memory),
+        })
     }
 
     fn restore(&self) {
-        self.set_share(self.total);
+        self.set_share(whole_budget(&self.connections));
     }
 }
 
--- a/crates/spurdrum/tests/node/incoming.rs
+++ b/crates/spurdrum/tests/node/incoming.rs
@@ -33,6 +33,7 @@
             name: "n0".into(),
             listen: address.to_string(),
             accepts_requests: true,
+            accepts_memory_shares: true,
         }));
         match incoming.receive() {
             Some((Message::Offer { .. }, Some(listener))) => (incoming, listener.into()),
--- a/crates/spurdrum/tests/node/memory.rs
+++ b/crates/spurdrum/tests/node/memory.rs
@@ -6,6 +6,7 @@
 use serde_json::json;
 
 use super::connections::answer_all_requests;
+use super::ops::{admin_call, config_with_admin};
 use super::*;
 
 const MIB: u64 = 1 << 20;
@@ -191,3 +192,43 @@
         assert_eq!((answer.status(), answer.header("connection")), (200, None), "request {turn}");
     });
 }
+
+/// Guards against a node that is killed for its memory because a process that is being replaced keeps what
+/// its clients have freed, while the next one uses nearly the whole limit.
+#[test]
+fn a_process_and_its_successor_keep_to_the_memory_of_one_node() {
+    const MEMORY_MB: u64 = 32;
+    for kinds in [&[HalfSent::ChunkedBody][..], &ALL_HALF_SENT] {
+        let server = Server::start();
+        let (mut config, _) = config_with_admin(&[&server]);
+        config["limits"] = json!({"memory_mb": MEMORY_MB, "sockets": 384});
+        let mut old = Node::start_with(&config, Some("[connections]\n"));
+        answer_all_requests(server, b"done".to_vec());
+        let first = send_half_requests(old.address, 200, kinds, || ());
+        net::wait_until("the old process has not read what came", || old.state() == Some('S'));
+        drop(first);
+        net::wait_until("the old process does not come to rest", || old.state() == Some('S'));
+        let ops = own_address();
+        let new = old.start_second_process_with(&config, ops, Some("[connections]\n"));
+        net::wait_until("the new process is not ready", || {
+            TcpStream::connect(ops).is_ok() && admin_call(ops, "readyz").starts_with("YES")
+        });
+        let mut between = send_half_requests(new.address, 20, kinds, || ());
+        old.terminate();
+        let mut peak = 0;
+        let mut measure = || peak = peak.max(old.anonymous_memory() + new.anonymous_memory());
+        // Until the old process has exited, which answers its half-sent requests first.
+        while old.state() != Some('Z') {
+            let count = if between.len() < 500 { 20 } else { 0 };
+            between.extend(send_half_requests(new.address, count, kinds, &mut measure));
+            measure();
+        }
+        net::wait_until("the new process does not come to rest", || new.state() == Some('S'));
+        measure();
+        assert!(new.anonymous_memory() > 0, "the new process has exited");
+        assert!(peak <= MEMORY_MB * MIB, "{kinds:?}: {peak} bytes");
+        drop(between);
+        assert!(old.wait().success());
+        assert_eq!(new.client().ask(&request("read", 20.0)).status(), 200);
+    }
+}
