Answer what lies unread for want of memory, and charge grown buffers towards servers

Change: such a request is refused (503). Where requests are half sent, only these give way for memory. A connection to a server is charged 40 KiB more from its first long head or body on.

--- a/crates/spurdrum-admission/src/admission.rs
+++ b/crates/spurdrum-admission/src/admission.rs
@@ -368,7 +368,12 @@
             {
                 actions.push(Action::CloseServerConnection);
             }
-            if let Some(victim) = self.victim(Some(peer), RANK_BODY) {
+            let victim = if lacks_memory {
+                self.memory_victim(Some(peer))
+            } else {
+                self.victim(Some(peer), RANK_BODY)
+            };
+            if let Some(victim) = victim {
                 self.shed(victim, Reason::Shed, actions);
                 has_room = self.has_capacity();
             } else if self.settings.adaptive && self.peers.open(peer) < self.fair_share() {
@@ -842,25 +847,32 @@
     /// Makes room for someone who waits for memory, unless what is closing already will: the half-sent
     /// request that is oldest gives way, bodies before heads. Bodies that are streamed keep to a rate.
     fn relieve_memory(&mut self, actions: &mut Vec<Action>) {
+        if let Some(victim) = self.memory_victim(None) {
+            self.shed(victim, Reason::Shed, actions);
+        }
+        if self.settings.adaptive && self.servers > 0 {
+            actions.push(Action::CloseServerConnection);
+        }
+    }
+
+    /// Returns the connection that is closed first for want of memory, unless enough is being freed. Where no
+    /// request is half sent, a connection without one gives way to a new one of `requester`.
+    fn memory_victim(&self, requester: Option<PeerKey>) -> Option<ConnId> {
         if !self.settings.adaptive || !self.memory.needs_relief(MEMORY_RELIEF) {
-            return;
+            return None;
         }
         let is_old_enough = |since: &Duration| *since + self.settings.coming <= self.now;
         let holds_much = |id: &ConnId| {
             let conn = &self.conns[id];
             conn.holding.beyond_idle() > 0 && !conn.streaming
         };
-        let victim = [RANK_BODY, RANK_HEAD].into_iter().find_map(|rank| {
+        let half_sent = [RANK_BODY, RANK_HEAD].into_iter().find_map(|rank| {
             let in_rank = self.candidates.range((rank, Duration::ZERO, ConnId(0))..);
             let mut old = in_rank.take_while(|(r, since, _)| *r == rank && is_old_enough(since));
             old.find(|(_, _, id)| holds_much(id)).map(|(_, _, id)| *id)
         });
-        if let Some(victim) = victim {
-            self.shed(victim, Reason::Shed, actions);
-        }
-        if self.servers > 0 {
-            actions.push(Action::CloseServerConnection);
-        }
+        let has_half_sent = self.counts.in_state(State::Head) + self.counts.in_state(State::Body) > 0;
+        half_sent.or_else(|| self.victim(Some(requester.filter(|_| !has_half_sent)?), RANK_NEW))
     }
 
     fn body_memory_requested(&mut self, id: ConnId, bytes: u64, actions: &mut Vec<Action>) -> Verdict {
--- a/crates/spurdrum-admission/src/memory.rs
+++ b/crates/spurdrum-admission/src/memory.rs
@@ -17,8 +17,8 @@
 pub const CONNECTION: u64 = 26 * KIB;
 /// What an idle connection to a server holds, and a response of up to [`SMALL_BODY`].
 pub(crate) const SERVER_CONNECTION: u64 = 24 * KIB;
-/// What a response that is buffered holds at most, with the growth of the read buffer.
-pub(crate) const BUFFERED_RESPONSE: u64 = 64 * KIB + READ_BUFFER_GROWTH;
+/// What a response that is buffered holds at most, with the growth of the connection's buffers.
+const BUFFERED_RESPONSE: u64 = 64 * KIB + 40 * KIB;
 /// What a request that is buffered holds at most, beside [`REQUEST`].
 const BUFFERED_REQUEST: u64 = 64 * KIB + READ_BUFFER_GROWTH;
 /// By how much the read buffer of a connection has grown after a long head or body. The buffer keeps its size.
--- a/crates/spurdrum-http/src/client.rs
+++ b/crates/spurdrum-http/src/client.rs
@@ -201,6 +201,11 @@
         self.has_read_ahead() || socket::has_input(&self.stream)
     }
 
+    /// Returns whether bytes have arrived that nobody has read.
+    pub fn has_unread_bytes(&self) -> bool {
+        socket::has_input(&self.stream) && !socket::is_closed(&self.stream)
+    }
+
     /// Removes the head of the request that hyper has just read from the received bytes. How it delimits its
     /// body prevents request smuggling: a second request hidden in what others would take for the body of
     /// this one.
--- a/crates/spurdrum-http/src/connection.rs
+++ b/crates/spurdrum-http/src/connection.rs
@@ -90,6 +90,10 @@
         }
         // The request has not been sent to any server.
         End::HandOver if has_unsent_request => Some(refusal_bytes(front.node.connections.retry_after_ms())),
+        // What has arrived was not read in time, for want of memory.
+        End::Close if socket.has_unread_bytes() => {
+            Some(refusal_bytes(front.node.connections.retry_after_ms()))
+        }
         End::AfterLastResponse | End::Close | End::HandOver => None,
         End::Expire(Reason::SlowHead) => Some(HEAD_TIMEOUT_RESPONSE.to_owned()),
         End::Expire(_) => Some(refusal_bytes(front.node.connections.retry_after_ms())),
--- a/crates/spurdrum-http/src/upstream.rs
+++ b/crates/spurdrum-http/src/upstream.rs
@@ -42,10 +42,10 @@
 pub const MAX_BUFFERED_BODY: usize = 64 * 1024;
 /// The most bytes that hyper buffers in each direction of a connection, read ahead or not yet written.
 pub(crate) const MAX_BUFFER_BYTES: usize = 16 * 1024;
-/// The longest response body that is received within what an idle connection holds.
-const SMALL_RESPONSE_BYTES: u64 = 4 * 1024;
-/// By how much the read buffer of a connection grows with a longer response. The buffer keeps its size.
-const READ_BUFFER_GROWTH: u64 = 24 * 1024;
+/// The longest head, and the longest body of a response, that an idle connection's buffers hold.
+const SMALL_MESSAGE_BYTES: usize = 4 * 1024;
+/// By how much the buffers of a connection grow with a longer message. They keep their size.
+const BUFFER_GROWTH: u64 = 40 * 1024;
 /// The fraction of the servers' idle timeout for which a connection is kept. A server that closes the
 /// connection just as a request is sent would reset the request.
 const IDLE_FRACTION: f64 = 0.9;
@@ -124,8 +124,19 @@
     /// When bytes were last written.
     last_write_at: Cell<Instant>,
     metrics: Rc<NodeMetrics>,
-    /// The memory that the read buffer is charged since it has grown.
-    read_buffer_growth: RefCell<Option<ResponseMemory>>,
+    /// The memory that the buffers are charged since they have grown.
+    buffer_growth: RefCell<Option<ResponseMemory>>,
+}
+
+impl Socket {
+    /// Waits until there is memory for buffers that hold long messages.
+    async fn reserve_growth(&self, connections: &Rc<Connections>) {
+        let is_reserved = self.buffer_growth.borrow().is_some();
+        if !is_reserved {
+            let growth = connections.reserve_response(BUFFER_GROWTH).await;
+            self.buffer_growth.replace(Some(growth));
+        }
+    }
 }
 
 impl socket::Socket for Socket {
@@ -290,7 +301,7 @@
             written_at,
             last_write_at,
             metrics,
-            read_buffer_growth: RefCell::default(),
+            buffer_growth: RefCell::default(),
         });
         let handshake = http1::Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
@@ -353,6 +364,9 @@
                     Err(ending) => return Reply::without_body(ending),
                 },
             };
+            if forward.is_some_and(|forward| forward.head_bytes() > SMALL_MESSAGE_BYTES) {
+                connection.socket.reserve_growth(&self.connections).await;
+            }
             if reused {
                 sleep_until(connection.idle_since + REUSE_DELAY).await;
             }
@@ -513,7 +527,18 @@
     }
 }
 
+/// Returns the length of header fields.
+fn fields_bytes(headers: &HeaderMap) -> usize {
+    headers.iter().map(|(name, value)| name.as_str().len() + value.len()).sum()
+}
+
 impl ForwardRequest {
+    /// Returns the length of the head that servers get, but for a few bytes.
+    fn head_bytes(&self) -> usize {
+        let path_and_query = self.uri.path_and_query().map_or(0, |path| path.as_str().len());
+        path_and_query + fields_bytes(&self.headers)
+    }
+
     /// Returns the body, if it is streamed.
     fn streamed_body(&self) -> Option<&Rc<RequestStream>> {
         match &self.body {
@@ -598,7 +623,8 @@
         return reply(if ending == Ending::Full { ending } else { Ending::Reset });
     }
     let length = body.size_hint().exact();
-    let mut memory = reserve_response(connections, &connection, length).await;
+    let head_bytes = fields_bytes(&head.headers);
+    let mut memory = reserve_response(connections, &connection, head_bytes, length).await;
     // A response of unknown length is buffered for a part of the remaining time.
     let buffer_until = forward
         .filter(|_| served)
@@ -653,18 +679,19 @@
     Reply { body: Some(body), body_end: Some(body_end), ..reply(Ending::Served) }
 }
 
-/// Waits for the memory that a response of this length needs, unless it is short.
+/// Waits for the memory that a response needs, unless it is short.
 async fn reserve_response(
     connections: &Rc<Connections>,
     connection: &Connection,
+    head_bytes: usize,
     length: Option<u64>,
 ) -> Option<ResponseMemory> {
-    if length.is_some_and(|length| length <= SMALL_RESPONSE_BYTES) {
-        return None;
+    let is_short = length.is_some_and(|length| length <= SMALL_MESSAGE_BYTES as u64);
+    if !is_short || head_bytes > SMALL_MESSAGE_BYTES {
+        connection.socket.reserve_growth(connections).await;
     }
-    if connection.socket.read_buffer_growth.borrow().is_none() {
-        let growth = connections.reserve_response(READ_BUFFER_GROWTH).await;
-        connection.socket.read_buffer_growth.replace(Some(growth));
+    if is_short {
+        return None;
     }
     Some(connections.reserve_response(body_memory(length)).await)
 }
