--- a/crates/spurdrum-admission/src/memory.rs
+++ b/crates/spurdrum-admission/src/memory.rs
@@ -49,6 +49,9 @@
 const WAKE_STEP: u64 = 24 * KIB;
 /// The part of the limit that is never charged: what the process may take between two measurements.
 const RESERVE_FRACTION: u64 = 8;
+/// The part of the rest that may be charged whatever the process holds beside its connections: a node whose
+/// tables outgrow its limit still serves.
+const MIN_CHARGED_FRACTION: u64 = 4;
 /// The part of what may be charged that is left for connections to servers and responses.
 const RESPONSE_FRACTION: u64 = 16;
 
@@ -283,7 +286,8 @@
 
     /// Returns the most that may be charged.
     fn max(&self) -> u64 {
-        (self.process_limit - self.process_limit / RESERVE_FRACTION).saturating_sub(self.unaccounted)
+        let usable = self.process_limit - self.process_limit / RESERVE_FRACTION;
+        usable.saturating_sub(self.unaccounted).max(usable / MIN_CHARGED_FRACTION)
     }
 
     /// Returns whether a client connection may hold `client_part` more, and its request `request_part`.
--- a/crates/spurdrum-core/src/connections.rs
+++ b/crates/spurdrum-core/src/connections.rs
@@ -129,6 +129,8 @@
     memory_available: Notify,
     /// The measurement of this process's memory, if the system allows it.
     resident_memory: Option<ResidentMemory>,
+    /// Whether it was logged that the process holds much beside its connections.
+    large_process_reported: Cell<bool>,
     /// Notified when a connection to a server should be closed.
     pub server_close_requested: Notify,
     /// The longest time for which an unread response is held.
@@ -166,6 +168,7 @@
             read_waiters: RefCell::default(),
             memory_available: Notify::new(),
             resident_memory: ResidentMemory::open().ok(),
+            large_process_reported: Cell::new(false),
             server_close_requested: Notify::new(),
             retry_after_ms: Cell::new(max_retry_after_ms.map(|max_ms| max_ms.min(configured_ms))),
             configured_retry_after_ms: configured_ms,
@@ -226,8 +229,16 @@
 
     /// Measures what the process holds, and reports it to admission control.
     fn measure_memory(&self) {
-        if let Some(Ok(resident)) = self.resident_memory.as_ref().map(ResidentMemory::read) {
-            self.handle_event(Event::MemoryMeasured { resident });
+        let Some(Ok(resident)) = self.resident_memory.as_ref().map(ResidentMemory::read) else { return };
+        self.handle_event(Event::MemoryMeasured { resident });
+        let (unaccounted, limit) = (self.memory_usage().unaccounted, self.memory_limit());
+        let is_large = unaccounted > limit / 2;
+        if is_large && !self.large_process_reported.replace(is_large) {
+            tracing::warn!(
+                "the process holds {} MB beside its connections, of a limit of {} MB: connections get less",
+                unaccounted >> 20,
+                limit >> 20
+            );
         }
     }
 
