Count complete requests as work, not against the clients' share of the memory

Cause: a body counted against `memory_share` until it was answered; that share is for those that may never complete theirs. Change: with the last byte a body counts as work, which is bounded by the whole alone; the connection to a server that a request will need is looked for when its head is complete. The growth of read buffers is charged with 16 KiB, what a capacity of 24 in place of 8 is, in place of 24. Test: complete_requests_may_use_what_half_sent_ones_leave.

--- a/crates/spurdrum-admission/src/admission.rs
+++ b/crates/spurdrum-admission/src/admission.rs
@@ -664,7 +664,7 @@
             self.refuse_only_count -= 1;
         }
         let priority = Priority::of_request(is_known, body > memory::SMALL_BODY);
-        let fits = self.memory.fits(more, request, priority);
+        let fits = self.memory.fits(more, request + memory::SERVER_CONNECTION, priority);
         // A request that is refused holds its head until then.
         self.hold(id, |holding| (holding.head, holding.grown, holding.request) = (0, growth, request));
         let conn = self.conns.get_mut(&id).expect("known connection");
@@ -686,6 +686,7 @@
     fn request_complete(&mut self, id: ConnId) {
         // The body may have completed just as its time expired: that counts as complete.
         if matches!(self.state(id), Some(State::Body | State::Waiting)) {
+            self.hold(id, Holding::complete_request);
             self.enter(id, State::Waiting);
         }
     }
--- a/crates/spurdrum-admission/src/memory.rs
+++ b/crates/spurdrum-admission/src/memory.rs
@@ -18,11 +18,11 @@
 /// What an idle connection to a server holds, and a response of up to [`SMALL_BODY`].
 pub(crate) const SERVER_CONNECTION: u64 = 24 * KIB;
 /// What a response that is buffered holds at most, with the growth of the connection's buffers.
-const BUFFERED_RESPONSE: u64 = 64 * KIB + 40 * KIB;
+const BUFFERED_RESPONSE: u64 = 64 * KIB + 32 * KIB;
 /// What a request that is buffered holds at most, beside [`REQUEST`].
 const BUFFERED_REQUEST: u64 = 64 * KIB + READ_BUFFER_GROWTH;
 /// By how much the read buffer of a connection has grown after a long head or body. The buffer keeps its size.
-pub(crate) const READ_BUFFER_GROWTH: u64 = 24 * KIB;
+pub(crate) const READ_BUFFER_GROWTH: u64 = 16 * KIB;
 /// The longest body that is received without [`READ_BUFFER_GROWTH`].
 pub(crate) const SMALL_BODY: u64 = 4 * KIB;
 /// By how much the read buffer grows when a head arrives in more than one piece.
@@ -91,13 +91,13 @@
 pub(crate) struct Holding {
     /// The head that is being received.
     pub head: u64,
-    /// The body that is being received, or has been for the current request.
+    /// The body that is being received.
     pub body: u64,
     /// What has been received behind the current request.
     pub pipelined: u64,
     /// The growth of the read buffer, which stays.
     pub grown: u64,
-    /// The current request without its body.
+    /// The current request, with its body once that is complete.
     pub request: u64,
     /// The response that is being written.
     pub response: u64,
@@ -114,6 +114,11 @@
         self.request + self.response
     }
 
+    /// A body that is complete counts as work: the clients' share is for those that may not complete theirs.
+    pub fn complete_request(&mut self) {
+        self.request += std::mem::take(&mut self.body);
+    }
+
     /// Returns what is freed when the connection is closed towards its client.
     pub fn beyond_idle(&self) -> u64 {
         self.client_part() + self.request_part() - CONNECTION
--- a/crates/spurdrum-admission/tests/memory.rs
+++ b/crates/spurdrum-admission/tests/memory.rs
@@ -185,6 +185,27 @@
     assert_eq!(front.admission.memory_usage().max, max);
 }
 
+/// Guards against an account that refuses clients whose requests are complete while the limit is far away.
+#[test]
+fn complete_requests_may_use_what_half_sent_ones_leave() {
+    let mut front = Front::new();
+    let mut complete = 0;
+    for id in (1..).map(ConnId) {
+        front.accept(id.0);
+        front.handle(Event::Received { id, bytes: HEAD.bytes });
+        if front.handle(Event::HeadComplete { id, head: HEAD, body: LONG_BODY }) == Verdict::Refuse {
+            break;
+        }
+        front.handle(Event::RequestComplete { id });
+        assert_eq!(front.handle(Event::ServerConnectionRequested), Verdict::Serve);
+        complete += 1;
+    }
+    let half_sent = Front::new().fill_with_bodies(1);
+    assert!(complete > half_sent, "{complete} {half_sent}");
+    let max = front.admission.memory_usage().max;
+    assert!(front.charged() > max * 3 / 4 && front.charged() <= max, "{} {max}", front.charged());
+}
+
 /// Guards against a node that serves nobody because its tables outgrow its limit.
 #[test]
 fn a_part_of_the_limit_is_left_for_connections_whatever_the_process_holds() {
--- a/crates/spurdrum-http/src/upstream.rs
+++ b/crates/spurdrum-http/src/upstream.rs
@@ -45,7 +45,7 @@
 /// The longest head, and the longest body of a response, that an idle connection's buffers hold.
 const SMALL_MESSAGE_BYTES: usize = 4 * 1024;
 /// By how much the buffers of a connection grow with a longer message. They keep their size.
-const BUFFER_GROWTH: u64 = 40 * 1024;
+const BUFFER_GROWTH: u64 = 32 * 1024;
 /// The fraction of the servers' idle timeout for which a connection is kept. A server that closes the
 /// connection just as a request is sent would reset the request.
 const IDLE_FRACTION: f64 = 0.9;
