--- a/crates/spurdrum/tests/net/mod.rs
+++ b/crates/spurdrum/tests/net/mod.rs
@@ -269,19 +269,20 @@
 
     /// Returns the resident memory of the process in bytes.
     pub fn memory(&self) -> u64 {
-        self.status_bytes("VmRSS:")
+        self.status_bytes("VmRSS:").expect("a VmRSS line")
     }
 
-    /// Returns the memory of the process in bytes that is neither a file's nor a page of the program.
+    /// Returns the memory of the process in bytes that is neither a file's nor a page of the program; 0 once
+    /// the process has exited.
     pub fn anonymous_memory(&self) -> u64 {
-        self.status_bytes("RssAnon:")
+        self.status_bytes("RssAnon:").unwrap_or(0)
     }
 
-    /// Returns a figure of the kernel's status of the process, in bytes; 0 once the process has exited.
-    fn status_bytes(&self, name: &str) -> u64 {
-        let text = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).expect("a child");
-        let line = text.lines().find_map(|line| line.strip_prefix(name));
-        line.map_or(0, |line| line.trim().trim_end_matches(" kB").parse::<u64>().expect("a number") * 1024)
+    /// Returns a figure of the kernel's status of the process, in bytes; `None` once the process has exited.
+    fn status_bytes(&self, name: &str) -> Option<u64> {
+        let text = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).expect("running");
+        let line = text.lines().find_map(|line| line.strip_prefix(name))?;
+        Some(line.trim().trim_end_matches(" kB").parse::<u64>().expect("a number") * 1024)
     }
 
     /// Returns the next line of the log, or an empty string at its end.
