--- a/crates/spurdrum-core/src/lib.rs
+++ b/crates/spurdrum-core/src/lib.rs
@@ -7,6 +7,7 @@
 //! [`Connections`] owns the descriptors that fronts and transports share.
 
 mod connections;
+mod event_log;
 mod handed_over;
 mod metrics;
 mod node;
@@ -18,6 +19,7 @@
     is_resource_exhausted, ConnectionCommand, ConnectionPermit, Connections, ResponseMemory,
     ServerConnectionPermit,
 };
+pub use event_log::EventLog;
 pub use handed_over::HandedOverConnection;
 pub use metrics::{ClassCounts, InflightRequest, LatencyBuckets, NodeMetrics, RequestResult};
 pub use node::{unix_ms, Answer, Config, ListEvidence, ListedServer, Node, NotAccepted};
--- a/crates/spurdrum-core/src/node.rs
+++ b/crates/spurdrum-core/src/node.rs
@@ -15,6 +15,7 @@
 use tokio::sync::oneshot;
 use tokio::time::{sleep, Instant};
 
+use crate::event_log::EventLog;
 use crate::metrics::NodeMetrics;
 use crate::pause::sleep_and_catch_up;
 use crate::startup_queue::StartupQueue;
@@ -96,6 +97,7 @@
 /// An accepted request, pending until it is answered and all of its attempts have ended.
 struct PendingRequest<T: Transport> {
     request: Rc<T::Request>,
+    accepted_at: Instant,
     /// The sender of the final answer; `None` once it is sent or the client has left.
     answer: Option<oneshot::Sender<Answer<T::Body>>>,
     /// All attempts; `None` for those that have ended.
@@ -138,6 +140,8 @@
     pub connections: Rc<Connections>,
     /// The metrics for operators.
     pub metrics: Rc<NodeMetrics>,
+    /// The log of single requests and connections.
+    pub event_log: EventLog,
     transport: T,
     /// Called with what servers indicate about the list.
     on_evidence: Box<dyn Fn(ListEvidence)>,
@@ -188,6 +192,7 @@
             max_pending: Cell::new(config.max_pending),
             connections,
             metrics,
+            event_log: EventLog::default(),
             transport,
             on_evidence: Box::new(on_evidence),
             balancer: RefCell::new(balancer),
@@ -397,8 +402,8 @@
         self.startup_queue.borrow_mut().as_mut().is_some_and(|queue| queue.remove(id))
     }
 
-    /// Returns the client's identifier of a pending request.
-    fn client_request_id(&self, id: RequestId) -> String {
+    /// Returns the client's identifier of a pending request; empty if it is not pending.
+    pub fn client_request_id(&self, id: RequestId) -> String {
         self.requests.borrow().get(&id).map_or_else(String::new, PendingRequest::display_id)
     }
 
@@ -423,6 +428,7 @@
         });
         let pending = PendingRequest {
             request: Rc::new(transport_request),
+            accepted_at: Instant::now(),
             answer: Some(answer),
             attempts: Vec::new(),
             has_begun: false,
@@ -492,6 +498,9 @@
                 Answer::Failed => "failed",
             };
             self.trace_request(id, |id| TraceEvent::Answered { id, answer: name.into() });
+            if !matches!(answer, Answer::Served(_)) {
+                self.log_unserved(id, name);
+            }
             // This fails if the client has just left.
             let _ = sender.send(answer);
         }
@@ -508,6 +517,7 @@
     ) {
         let mut affinity_key = None;
         self.trace_request(id, |id| TraceEvent::Ended { id, attempt, how: format!("{:?}", reply.ending) });
+        self.log_attempt_end(id, server, attempt, elapsed, reply.ending);
         if let Some(pending) = self.requests.borrow_mut().get_mut(&id) {
             let ended_attempt = pending.attempts[attempt].take();
             pending.has_begun |= ended_attempt.is_some_and(|ended| ended.cancellation.has_begun());
@@ -552,6 +562,43 @@
         self.remove_if_finished(id);
     }
 
+    /// Logs an attempt that was not served.
+    fn log_attempt_end(
+        &self,
+        id: RequestId,
+        server: ServerId,
+        attempt: usize,
+        elapsed: Duration,
+        ending: Ending,
+    ) {
+        if ending == Ending::Served {
+            return;
+        }
+        self.event_log.write(|| {
+            format!(
+                "request {}: attempt {} at server {} ended after {:.3} s: {ending:?}",
+                self.client_request_id(id),
+                attempt + 1,
+                self.display_server(server),
+                elapsed.as_secs_f64()
+            )
+        });
+    }
+
+    /// Logs a request that is refused or failed.
+    fn log_unserved(&self, id: RequestId, result: &str) {
+        let requests = self.requests.borrow();
+        let Some(pending) = requests.get(&id) else { return };
+        self.event_log.write(|| {
+            format!(
+                "request {}: {result} {:.3} s after it was accepted, attempts: {}",
+                pending.display_id(),
+                pending.accepted_at.elapsed().as_secs_f64(),
+                pending.attempts.len()
+            )
+        });
+    }
+
     fn remove_if_finished(&self, id: RequestId) {
         let mut requests = self.requests.borrow_mut();
         let is_finished = |pending: &PendingRequest<T>| {
--- a/crates/spurdrum-http/src/connection.rs
+++ b/crates/spurdrum-http/src/connection.rs
@@ -71,6 +71,7 @@
     }
     let socket = Rc::new(Socket::new(stream, Rc::clone(&permit)).with_already_read(read));
     let end = serve(&front, &permit, &socket).await;
+    log_end(&front, &permit, end);
     let has_unsent_request = socket.has_handed_over_request();
     let socket = match (end, &front.incoming_process) {
         (End::HandOver, Some(incoming_process)) => match hand_over_connection(&**incoming_process, socket) {
@@ -130,6 +131,17 @@
     }
 }
 
+/// Logs why a connection is ended that its client would have kept.
+fn log_end(front: &Front, permit: &ConnectionPermit, end: End) {
+    let (what, reason) = match end {
+        End::Expire(reason) => ("its half-sent request is answered", reason),
+        End::Abort(reason) => ("ended without a response", reason),
+        End::Closed | End::AfterLastResponse | End::Close | End::HandOver => return,
+    };
+    let event_log = &front.node.event_log;
+    event_log.write(|| format!("connection {} from {}: {what}: {reason:?}", permit.id.0, permit.peer));
+}
+
 /// Hands a connection over to the incoming process, together with the request that this process has read but
 /// not served, if any.
 fn hand_over_connection(
--- a/crates/spurdrum-http/src/request.rs
+++ b/crates/spurdrum-http/src/request.rs
@@ -346,16 +346,19 @@
             }
             reason = permit.body_expired(), if self.is_uploading() => {
                 permit.reading_body.set(false);
+                self.log_own_answer(&format!("its body does not come: {reason:?}"));
                 *disposition = Disposition { close_after: true, inflight: None };
                 return expired_body_response(&front.node, reason);
             }
             // A client may wait longer than the settings say: it has to get a response before the process
             // exits.
             () = front.wait_for_stage(ShutdownStage::FinalNotice) => {
+                self.log_own_answer("the process ends");
                 return text_response(StatusCode::GATEWAY_TIMEOUT, "the node is ending\n")
             }
             // A request must get a response even if the node never decides on one.
             () = self.deadline.passed(RESPONSE_MARGIN / 2) => {
+                self.log_own_answer("its time is up");
                 return text_response(StatusCode::GATEWAY_TIMEOUT, "no answer in time\n")
             }
         };
@@ -365,6 +368,12 @@
         client_response(front, answer)
     }
 
+    /// Logs that the request gets its final answer although the node has decided on none.
+    fn log_own_answer(&self, reason: &str) {
+        let node = &self.front.node;
+        node.event_log.write(|| format!("request {}: ended: {reason}", node.client_request_id(self.id)));
+    }
+
     /// Returns whether a part of the body has not been received yet.
     fn is_uploading(&self) -> bool {
         self.upload.as_ref().is_some_and(|upload| !upload.complete.get())
