Count a client's time from when it can have sent its last byte, whoever reads it when

Callers saw: long requests through servers that read slowly or stopped reading got their answer 1.8 to 2.9 s after their time, or none. Cause: the deadline of a streamed body began when the node read the last byte (Deadline::begin in stream.rs), and it reads only when the server has room. With a server that reads nothing the time never began, and the 5 s limit of a stalled server was the first that counted. Class: a time limit that starts with the node's own reading, so that whatever holds the reading back extends it. The same mistake was in requests behind others on a connection and, past the last read, in bodies whose pieces waited for memory. Change: ArrivalClock (pure) follows a connection's input and tells when the last byte can have been written at the earliest: the last time the node found the socket empty for a while, or that more was missing than all buffers hold. Deadlines of all requests count from there. No attempt begins once nothing is left. Why it works: whatever keeps the node from reading, the time runs on from the last moment at which the request was surely not complete.

--- a/crates/spurdrum-http/src/chunks.rs
+++ b/crates/spurdrum-http/src/chunks.rs
@@ -86,6 +86,15 @@
         }
     }
 
+    /// Returns how many bytes are still to come at least.
+    pub fn min_remaining(&self) -> u64 {
+        match self.0 {
+            State::Done => 0,
+            State::Data { remaining } => remaining,
+            _ => 1,
+        }
+    }
+
     /// Returns whether the whole body has been received.
     pub fn is_done(&self) -> bool {
         self.0 == State::Done
--- a/crates/spurdrum-http/src/client.rs
+++ b/crates/spurdrum-http/src/client.rs
@@ -17,6 +17,7 @@
 use tokio::net::TcpStream;
 use tokio::time::{sleep, Instant};
 
+use crate::arrival::ArrivalClock;
 use crate::chunks::ChunkedBodyTracker;
 use crate::socket;
 use crate::stream::{self, ResponseBody};
@@ -51,8 +52,12 @@
     read_ahead: RefCell<Vec<u8>>,
     /// Bytes that were read from the socket before hyper asked for them.
     prefetched: RefCell<BytesMut>,
-    /// How long the bytes that were read last had been waiting in the socket.
-    time_in_socket: Cell<Duration>,
+    arrival: RefCell<ArrivalClock>,
+    /// When the client can have sent the last byte of the current request at the earliest, once all of it has
+    /// been received.
+    request_end: Cell<Option<Instant>>,
+    /// The number of requests whose heads have been received.
+    requests: Cell<u64>,
     /// A request that another process is to serve, in the form in which that process reads it.
     handed_over_request: RefCell<Option<Vec<u8>>>,
     /// Whether a request has been accepted whose response is not available yet.
@@ -70,6 +75,21 @@
     Chunked(ChunkedBodyTracker),
 }
 
+impl RemainingBody {
+    /// Returns how many bytes are still to come at least.
+    fn min_bytes(&self) -> u64 {
+        match self {
+            Self::Length(remaining) => *remaining,
+            Self::Chunked(tracker) => tracker.min_remaining(),
+        }
+    }
+}
+
+/// Returns how many bytes the socket holds; none if the system does not tell.
+fn unread_bytes(stream: &TcpStream) -> u64 {
+    rustix::io::ioctl_fionread(stream).unwrap_or_default()
+}
+
 /// The head of a request, as it was received.
 pub struct ReceivedHead {
     /// How it delimits its body.
@@ -97,7 +117,9 @@
             remaining_body: Cell::new(RemainingBody::Length(0)),
             read_ahead: RefCell::default(),
             prefetched: RefCell::default(),
-            time_in_socket: Cell::default(),
+            arrival: RefCell::default(),
+            request_end: Cell::default(),
+            requests: Cell::default(),
             handed_over_request: RefCell::default(),
             awaiting_response: Cell::new(false),
             writing_response: Cell::new(false),
@@ -140,10 +162,33 @@
         !self.read_ahead.borrow().is_empty() || !self.prefetched.borrow().is_empty()
     }
 
-    /// Returns how long the last input had been waiting in the socket before it was read; the client's
-    /// deadline was running meanwhile.
-    pub fn time_in_socket(&self) -> Duration {
-        self.time_in_socket.get()
+    /// Returns when the client can have sent the last byte of the current request at the earliest: its time
+    /// runs from then. While the request is being received, this moves on with what is received.
+    pub fn earliest_request_end(&self) -> Instant {
+        let now = Instant::now();
+        let missing = self.remaining_body.get().min_bytes();
+        self.request_end.get().unwrap_or_else(|| {
+            self.arrival.borrow().earliest_end_of_rest(now, missing, unread_bytes(&self.stream))
+        })
+    }
+
+    /// Returns the number of the current request on this connection.
+    pub fn request_number(&self) -> u64 {
+        self.requests.get()
+    }
+
+    /// Records bytes that have been read from the socket itself.
+    fn record_arrival(&self, bytes: usize) {
+        // If the system cannot tell, the bytes count as read at once.
+        let time_in_socket = since_last_data(&self.stream).unwrap_or_default().saturating_sub(KERNEL_TICK);
+        let unread = unread_bytes(&self.stream);
+        self.arrival.borrow_mut().received(Instant::now(), bytes as u64, time_in_socket, unread);
+    }
+
+    /// Records that the socket holds nothing to read.
+    fn record_empty(&self) {
+        let within_request = !self.is_request_complete() || !self.read_ahead.borrow().is_empty();
+        self.arrival.borrow_mut().found_empty(Instant::now(), within_request);
     }
 
     /// Waits until the client closes its side of the connection, or resets it, while a response is pending.
@@ -182,8 +227,8 @@
             let capacity = MAX_PREFETCHED - prefetched.len();
             prefetched.reserve(capacity.min(READ_CHUNK_BYTES));
             match self.stream.try_read_buf(&mut (&mut *prefetched).limit(capacity)) {
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                Ok(n) if n > 0 => {}
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => self.record_empty(),
+                Ok(n) if n > 0 => self.record_arrival(n),
                 _ => return Poll::Ready(()),
             }
         }
@@ -236,6 +281,8 @@
         };
         read_ahead.drain(..length);
         self.remaining_body.set(remaining);
+        self.request_end.set(None);
+        self.requests.set(self.requests.get() + 1);
         self.split(&read_ahead);
         ReceivedHead { framing, length }
     }
@@ -252,6 +299,9 @@
             RemainingBody::Chunked(tracker) => tracker.consume(bytes),
         };
         self.remaining_body.set(remaining);
+        if self.request_end.get().is_none() && self.is_request_complete() {
+            self.request_end.set(Some(self.arrival.borrow().earliest_end(Instant::now())));
+        }
         let behind_body = &bytes[body_bytes..];
         if behind_body.is_empty() {
             return;
@@ -307,11 +357,6 @@
     fn take_prefetched(&self, buf: &mut ReadBuf<'_>) -> bool {
         let mut prefetched = self.prefetched.borrow_mut();
         let bytes = prefetched.len().min(buf.remaining());
-        if bytes > 0 {
-            // These bytes were read as soon as they arrived, or by another process that passed on the time
-            // its client still waits.
-            self.time_in_socket.set(Duration::ZERO);
-        }
         buf.put_slice(&prefetched[..bytes]);
         prefetched.advance(bytes);
         if prefetched.is_empty() {
@@ -321,10 +366,12 @@
         bytes > 0
     }
 
-    fn received_from_socket(&self) {
-        // If the system cannot tell, the bytes count as read at once.
-        let time_in_socket = since_last_data(&self.stream).unwrap_or_default();
-        self.time_in_socket.set(time_in_socket.saturating_sub(KERNEL_TICK));
+    fn received_from_socket(&self, bytes: usize) {
+        self.record_arrival(bytes);
+    }
+
+    fn found_empty(&self) {
+        self.record_empty();
     }
 
     fn received(&self, bytes: &[u8]) {
--- a/crates/spurdrum-http/src/lib.rs
+++ b/crates/spurdrum-http/src/lib.rs
@@ -1,6 +1,7 @@
 //! The HTTP/1.1 protocol of a node: the front towards clients ([`front`]) and the transport towards servers
 //! ([`Upstream`]), with the header fields of the platform.
 
+mod arrival;
 mod body;
 mod chunks;
 mod client;
--- a/crates/spurdrum-http/src/request.rs
+++ b/crates/spurdrum-http/src/request.rs
@@ -59,7 +59,7 @@
 /// Returns the response to a request whose head has been received.
 pub(crate) async fn respond_to_request(
     front: &Front,
-    socket: &Socket,
+    socket: &Rc<Socket>,
     request: Request<Incoming>,
     head: HeadSize,
     length: Option<u64>,
@@ -134,7 +134,6 @@
     permit: Rc<ConnectionPermit>,
     node: Rc<Node>,
     id: RequestId,
-    deadline: Rc<Deadline>,
     complete: Cell<bool>,
 }
 
@@ -148,7 +147,6 @@
     }
 
     fn complete(&self) {
-        self.deadline.begin();
         self.complete.set(true);
         self.permit.reading_body.set(false);
         self.permit.handle_event(Event::RequestComplete { id: self.permit.id });
@@ -157,7 +155,7 @@
 
 async fn serve_api(
     front: &Front,
-    socket: &Socket,
+    socket: &Rc<Socket>,
     request: Request<Incoming>,
     length: Option<u64>,
     disposition: &mut Disposition,
@@ -189,12 +187,12 @@
             return text_response(StatusCode::BAD_REQUEST, message);
         }
     };
-    let Some(client_wait) = response_budget(client_wait, &body, socket) else {
+    let time_since_end = Instant::now().saturating_duration_since(socket.earliest_request_end());
+    let Some(budget) = response_budget(client_wait, time_since_end) else {
         return refusal_response(node.connections.retry_after_ms());
     };
     // How long a streamed body takes to arrive is unknown, and no concern of the servers.
-    parsed.budget_ms =
-        if body.is_streamed() { MAX_CLIENT_DEADLINE } else { client_wait }.as_secs_f64() * 1000.0;
+    parsed.budget_ms = if body.is_streamed() { MAX_CLIENT_DEADLINE } else { budget }.as_secs_f64() * 1000.0;
     let key_and_partial = front
         .keys
         .as_ref()
@@ -206,11 +204,15 @@
     let headers = forwarded_headers(front, &head.headers, authority);
     let (body, stream, deadline) = match body {
         ReceivedBody::Buffered(bytes) => {
-            (RequestBody::Buffered(bytes), None, Deadline::at(Instant::now() + client_wait))
+            (RequestBody::Buffered(bytes), None, Deadline::at(Instant::now() + budget))
         }
         ReceivedBody::Streamed(received, rest) => {
             let stream = Rc::new(RequestStream::new(rest, length, received, MAX_BUFFERED_BODY));
-            (RequestBody::Streamed(Rc::clone(&stream)), Some(stream), Deadline::after(client_wait))
+            (
+                RequestBody::Streamed(Rc::clone(&stream)),
+                Some(stream),
+                Deadline::after(budget + time_since_end, request_end_of(socket)),
+            )
         }
     };
     let deadline = Rc::new(deadline);
@@ -239,7 +241,7 @@
         PendingGuard { node: Rc::clone(node), id, awaiting_response: &socket.awaiting_response };
     let upload = stream.map(|stream| {
         let (permit, node, complete) = (Rc::clone(permit), Rc::clone(node), Cell::new(false));
-        let upload = Rc::new(UploadObserver { permit, node, id, deadline: Rc::clone(&deadline), complete });
+        let upload = Rc::new(UploadObserver { permit, node, id, complete });
         stream.set_observer(Rc::clone(&upload));
         upload
     });
@@ -278,13 +280,25 @@
     body
 }
 
+/// Returns a function that tells when the client can have sent the last byte of its current request at the
+/// earliest.
+fn request_end_of(socket: &Rc<Socket>) -> impl Fn() -> Instant + 'static {
+    let (number, last_known) = (socket.request_number(), Cell::new(socket.earliest_request_end()));
+    let socket = Rc::downgrade(socket);
+    move || {
+        // Without its connection, or behind its response, the request has no client that waits.
+        if let Some(socket) = socket.upgrade().filter(|socket| socket.request_number() == number) {
+            last_known.set(socket.earliest_request_end());
+        }
+        last_known.get()
+    }
+}
+
 /// Returns the time within which the response has to be available, for a client that waits for `client_wait`
-/// from when it sent its request. Returns `None` if that time is already over.
-fn response_budget(client_wait: Duration, body: &ReceivedBody, socket: &Socket) -> Option<Duration> {
-    // The time of a streamed request starts when its whole body has been received.
-    let time_in_socket = if body.is_streamed() { Duration::ZERO } else { socket.time_in_socket() };
+/// and may have sent its request `time_since_end` ago. Returns `None` if that time is already over.
+fn response_budget(client_wait: Duration, time_since_end: Duration) -> Option<Duration> {
     // Without this, an attempt would be made for a client whose deadline passed before its request was read.
-    let remaining = client_wait.checked_sub(time_in_socket).filter(|remaining| !remaining.is_zero())?;
+    let remaining = client_wait.checked_sub(time_since_end).filter(|remaining| !remaining.is_zero())?;
     Some(remaining.saturating_sub(RESPONSE_MARGIN).max(remaining / 2))
 }
 
--- a/crates/spurdrum-http/src/socket.rs
+++ b/crates/spurdrum-http/src/socket.rs
@@ -31,8 +31,11 @@
         false
     }
 
-    /// Called after bytes have been read from the socket itself.
-    fn received_from_socket(&self) {}
+    /// Called after this many bytes have been read from the socket itself.
+    fn received_from_socket(&self, _bytes: usize) {}
+
+    /// Called when a read has found nothing in the socket.
+    fn found_empty(&self) {}
 
     /// Called with the bytes that are given to hyper next.
     fn received(&self, _bytes: &[u8]) {}
@@ -84,6 +87,7 @@
                 Some(limit) => limit,
                 None => match peek(stream) {
                     Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                        self.0.found_empty();
                         clear_readiness(stream);
                         continue;
                     }
@@ -97,10 +101,10 @@
             };
             let unfilled = buf.initialize_unfilled_to(limit);
             match stream.try_read(unfilled) {
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => self.0.found_empty(),
                 Err(error) => return Poll::Ready(Err(error)),
                 Ok(n) => {
-                    self.0.received_from_socket();
+                    self.0.received_from_socket(n);
                     self.0.received(&unfilled[..n]);
                     buf.advance(n);
                     return Poll::Ready(Ok(()));
--- a/crates/spurdrum-http/src/stream.rs
+++ b/crates/spurdrum-http/src/stream.rs
@@ -14,7 +14,7 @@
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use spurdrum_core::catch_up_deadline;
 use spurdrum_policy::Ending;
-use tokio::sync::{oneshot, Notify};
+use tokio::sync::oneshot;
 use tokio::time::{sleep, sleep_until, Instant, Sleep};
 
 use crate::body::BodyBuffer;
@@ -26,45 +26,45 @@
 /// The reason why a body was aborted.
 pub type Error = Box<dyn std::error::Error + Send + Sync>;
 
-/// When the node stops waiting. This is known only once the last byte of the request has been received.
+/// When the node stops waiting.
 pub struct Deadline {
     wait: Duration,
-    at: Cell<Option<Instant>>,
-    was_set: Notify,
+    /// Returns when the client can have sent its last byte at the earliest. It moves on while the request
+    /// arrives, and never back.
+    earliest_request_end: Box<dyn Fn() -> Instant>,
 }
 
 impl Deadline {
     /// Creates the deadline of a request that has been received completely.
     pub fn at(at: Instant) -> Self {
-        Self { wait: Duration::ZERO, at: Cell::new(Some(at)), was_set: Notify::new() }
+        Self { wait: Duration::ZERO, earliest_request_end: Box::new(move || at) }
     }
 
-    /// Creates the deadline of a request that is still arriving: it passes after `wait` from the last byte.
-    pub fn after(wait: Duration) -> Self {
-        Self { wait, at: Cell::new(None), was_set: Notify::new() }
+    /// Creates the deadline of a request that is still arriving: it passes `wait` after the time at which the
+    /// client can have sent its last byte.
+    pub fn after(wait: Duration, earliest_request_end: impl Fn() -> Instant + 'static) -> Self {
+        Self { wait, earliest_request_end: Box::new(earliest_request_end) }
     }
 
-    /// Called when the last byte has been received.
-    pub fn begin(&self) {
-        if self.at.get().is_none() {
-            self.at.set(Some(Instant::now() + self.wait));
-            self.was_set.notify_waiters();
-        }
+    /// Returns when the deadline passes if the client has sent all by now.
+    fn due(&self) -> Instant {
+        (self.earliest_request_end)() + self.wait
     }
 
-    /// Returns the time that is left, or that there will be once the request has been received.
+    /// Returns the time that is left if the client has sent all by now.
     pub fn remaining(&self) -> Duration {
-        self.at.get().map_or(self.wait, |at| at.saturating_duration_since(Instant::now()))
+        self.due().saturating_duration_since(Instant::now())
     }
 
     /// Waits until `margin` after the deadline.
     pub async fn passed(&self, margin: Duration) {
         loop {
-            let was_set = self.was_set.notified();
-            match self.at.get() {
-                Some(at) => return sleep_until(at + margin).await,
-                None => was_set.await,
+            // More may have been received meanwhile: then the deadline has moved on.
+            let due = self.due() + margin;
+            if due <= Instant::now() {
+                return;
             }
+            sleep_until(due).await;
         }
     }
 }
--- a/crates/spurdrum-http/src/upstream.rs
+++ b/crates/spurdrum-http/src/upstream.rs
@@ -380,8 +380,11 @@
                 return Reply::without_body(Ending::Unreachable);
             }
             // Time has passed since the decision: a server that is draining by now gets nothing new, and no
-            // attempt begins for a client that has left.
-            if attempt.is_some_and(|(_, cancellation)| !server.ready.get() || !cancellation.try_begin()) {
+            // attempt begins for a client that has left or whose time is up.
+            let is_late = forward.is_some_and(|forward| forward.deadline.remaining().is_zero());
+            if is_late
+                || attempt.is_some_and(|(_, cancellation)| !server.ready.get() || !cancellation.try_begin())
+            {
                 return Reply::without_body(Ending::NotSent);
             }
             let request = match forward {
--- a/crates/spurdrum/tests/node.rs
+++ b/crates/spurdrum/tests/node.rs
@@ -39,6 +39,8 @@
 mod streams;
 #[path = "node/unread.rs"]
 mod unread;
+#[path = "node/uploads.rs"]
+mod uploads;
 use net::*;
 
 use std::io::{Read, Write};
