Do not cut off clients that read a long answer slowly

Callers saw: a long answer that was still being written was reset on its way, after 6 to 12 s, for clients that read 20 to 30 KB a second without a stop. Cause: TCP_USER_TIMEOUT (6 s, serve_connection in connection.rs) counts from when the client's window was last wide enough for the system's next segment, not from its last progress; with a small window it is never that wide, however steadily the client reads. Class: a limit on silence that counts time since something else than the last progress. Evidence: by hand, 1.5 MB by clients of 20 to 64 KB/s: of 24, 7 were reset (5 of 6 at 20 KB/s, 2 of 6 at 30 KB/s), after 6.4 to 11.9 s; the lowest rate that the node promises is 16 KiB/s. Change: while a long response is written, the node looks once a second at what the client's system has acknowledged (SIOCOUTQ, spurdrum-tcp-info) and ends the connection when that stood still for 6 s. When a connection is closed the system's limit follows from what is left, at the lowest rate.

--- a/crates/spurdrum-core/src/connections.rs
+++ b/crates/spurdrum-core/src/connections.rs
@@ -10,7 +10,8 @@
 use std::time::Duration;
 
 use spurdrum_admission::{
-    Action, Admission, ConnId, Counts, Event, Level, Limits, MemoryUsage, Reason, Settings, State, Verdict,
+    Action, Admission, ConnId, Counts, Event, Level, Limits, MemoryUsage, Reason, Settings, State,
+    TransferTimeout, Verdict,
 };
 use spurdrum_process_memory::{release, ResidentMemory};
 use tokio::sync::Notify;
@@ -133,8 +134,8 @@
     large_process_reported: Cell<bool>,
     /// Notified when a connection to a server should be closed.
     pub server_close_requested: Notify,
-    /// The longest time for which an unread response is held.
-    pub max_unread_time: Duration,
+    /// The time limit for a client to read a response.
+    pub read_timeout: TransferTimeout,
     /// The retry-after time of refusals for want of capacity; none if they name none.
     retry_after_ms: Cell<Option<f64>>,
     /// The configured retry-after time, before the limit is applied.
@@ -155,11 +156,11 @@
         max_retry_after_ms: Option<f64>,
     ) -> Result<Rc<Self>, (&'static str, String)> {
         let configured_ms = settings.retry_after.as_secs_f64() * 1000.0;
-        let max_unread_time = settings.read.max;
+        let read_timeout = settings.read;
         let admission = Admission::new(settings, limits)?;
         Ok(Rc::new(Self {
             admission: RefCell::new(admission),
-            max_unread_time,
+            read_timeout,
             clock: PauseAdjustedClock::new(),
             permits: RefCell::default(),
             last_id: Cell::new(0),
--- a/crates/spurdrum-http/src/client.rs
+++ b/crates/spurdrum-http/src/client.rs
@@ -11,14 +11,16 @@
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use hyper::body::{Body, Frame, SizeHint};
 use spurdrum_admission::{Event, State};
-use spurdrum_core::{ConnectionPermit, InflightRequest, NodeMetrics, RequestResult};
-use spurdrum_tcp_info::since_last_data;
+use spurdrum_core::{sleep_and_catch_up, ConnectionPermit, InflightRequest, NodeMetrics, RequestResult};
+use spurdrum_tcp_info::{since_last_data, unacknowledged_bytes};
 use tokio::io::{Interest, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::time::{sleep, Instant};
 
 use crate::arrival::ArrivalClock;
 use crate::chunks::ChunkedBodyTracker;
+use crate::read_progress::ReadProgress;
 use crate::socket;
 use crate::stream::{self, ResponseBody};
 
@@ -36,6 +38,8 @@
 /// If more than that has arrived, the event loop is asked at this interval whether the client has closed the
 /// connection.
 const DEPARTURE_CHECK_INTERVAL: Duration = Duration::from_millis(25);
+/// How often it is checked whether a client takes a long response.
+const READ_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// The system may report data as older than it is by this much.
 const KERNEL_TICK: Duration = Duration::from_millis(10);
 
@@ -66,6 +70,11 @@
     writing_response: Cell<bool>,
     /// Whether hyper has been given the whole response.
     hyper_has_response: Cell<bool>,
+    /// The bytes written so far.
+    written: Cell<u64>,
+    /// Notified when a streamed response begins.
+    stream_started: Notify,
+    read_progress: Cell<ReadProgress>,
 }
 
 /// The part of a body that has not been received yet.
@@ -124,6 +133,9 @@
             awaiting_response: Cell::new(false),
             writing_response: Cell::new(false),
             hyper_has_response: Cell::new(false),
+            written: Cell::new(0),
+            stream_started: Notify::new(),
+            read_progress: Cell::default(),
         }
     }
 
@@ -235,6 +247,35 @@
         Poll::Pending
     }
 
+    /// Waits until the client has taken nothing of a streamed response for `limit`.
+    pub async fn client_stopped_reading(&self, limit: Duration) {
+        loop {
+            if !self.writing_response.get() {
+                self.stream_started.notified().await;
+            }
+            sleep_and_catch_up(READ_CHECK_INTERVAL).await;
+            if self.read_stalled_for() >= limit {
+                return;
+            }
+        }
+    }
+
+    /// Returns for how long the client has acknowledged nothing although something waits to be.
+    fn read_stalled_for(&self) -> Duration {
+        let mut progress = self.read_progress.get();
+        // If the system cannot tell, the client counts as reading.
+        let waiting = unacknowledged_bytes(&self.stream).ok().filter(|bytes| *bytes > 0);
+        let stalled_for = match waiting {
+            Some(waiting) => progress.stalled_for(Instant::now(), self.written.get().saturating_sub(waiting)),
+            None => {
+                progress = ReadProgress::default();
+                Duration::ZERO
+            }
+        };
+        self.read_progress.set(progress);
+        stalled_for
+    }
+
     /// Returns whether the client has closed its side or reset the connection, with nothing left to read
     /// before that.
     pub fn is_closed(&self) -> bool {
@@ -333,6 +374,10 @@
     ) -> TrackedResponseBody {
         self.writing_response.set(true);
         self.hyper_has_response.set(body.is_end_stream());
+        if recorder.is_some() {
+            self.read_progress.take();
+            self.stream_started.notify_one();
+        }
         TrackedResponseBody { body, socket: Rc::clone(self), recorder, is_suspended: false }
     }
 }
@@ -387,6 +432,7 @@
     }
 
     fn written(&self, bytes: usize) {
+        self.written.set(self.written.get() + bytes as u64);
         if self.writing_response.get() {
             self.permit.handle_event(Event::ResponseProgress { id: self.permit.id, bytes: bytes as u64 });
         }
--- a/crates/spurdrum-http/src/connection.rs
+++ b/crates/spurdrum-http/src/connection.rs
@@ -18,11 +18,13 @@
 use socket2::SockRef;
 use spurdrum_admission::{Event, HeadSize, Reason, State, Verdict};
 use spurdrum_core::{ConnectionCommand, ConnectionPermit, HandedOverConnection};
+use spurdrum_tcp_info::unacknowledged_bytes;
 use tokio::net::TcpStream;
 use tokio::time::{sleep, Instant};
 
 use crate::client::{Framing, ReceivedHead, ResponseRecorder, Socket, TrackedResponseBody};
 use crate::context::{refusal_bytes, Front, IncomingProcess, MAX_DISCARDED_BYTES};
+use crate::read_progress::sending_time;
 use crate::request::{request_result, respond_to_request, text_response, Disposition, STREAMED_MEMORY_BYTES};
 use crate::socket::Io;
 use crate::stream::ResponseBody;
@@ -62,16 +64,13 @@
     stream: TcpStream,
     read: Vec<u8>,
 ) {
-    // Without this limit the system would keep buffering responses for clients that never read them.
-    let max_unread_time = front.node.connections.max_unread_time;
-    if stream.set_nodelay(true).is_err()
-        || SockRef::from(&stream).set_tcp_user_timeout(Some(max_unread_time)).is_err()
-    {
+    if stream.set_nodelay(true).is_err() {
         return;
     }
     let socket = Rc::new(Socket::new(stream, Rc::clone(&permit)).with_already_read(read));
     let end = serve(&front, &permit, &socket).await;
     log_end(&front, &permit, end);
+    limit_sending(&front, &socket.stream);
     let has_unsent_request = socket.has_handed_over_request();
     let socket = match (end, &front.incoming_process) {
         (End::HandOver, Some(incoming_process)) => match hand_over_connection(&**incoming_process, socket) {
@@ -131,6 +130,17 @@
     }
 }
 
+/// Limits for how long the system goes on sending what is left of a response: otherwise it would keep it for
+/// clients that never read.
+fn limit_sending(front: &Front, stream: &TcpStream) {
+    // Where the system cannot tell how much is left, its own limits apply.
+    let Ok(unacknowledged) = unacknowledged_bytes(stream) else { return };
+    let read_timeout = front.node.connections.read_timeout;
+    let limit = sending_time(unacknowledged, read_timeout.max, read_timeout.min_rate);
+    // Fails if the connection has ended.
+    let _ = SockRef::from(stream).set_tcp_user_timeout(Some(limit));
+}
+
 /// Logs why a connection is ended that its client would have kept.
 fn log_end(front: &Front, permit: &ConnectionPermit, end: End) {
     let (what, reason) = match end {
@@ -265,6 +275,9 @@
                 return end_of(result.is_ok());
             }
             () = socket.client_departed() => return End::Closed,
+            () = socket.client_stopped_reading(front.node.connections.read_timeout.max) => {
+                return End::Abort(Reason::SlowRead);
+            }
             () = permit.command_ready.notified() => {}
         }
         let Some(command) = permit.take_command() else { continue };
--- a/crates/spurdrum-http/src/lib.rs
+++ b/crates/spurdrum-http/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod front;
 mod handed;
 pub mod keys;
+mod read_progress;
 mod request;
 mod shutdown;
 mod socket;
--- a/crates/spurdrum-tcp-info/src/lib.rs
+++ b/crates/spurdrum-tcp-info/src/lib.rs
@@ -1,7 +1,8 @@
-//! Reads the socket option `TCP_INFO`: the state of a TCP connection in the kernel.
+//! Reads the state of a TCP connection in the kernel: the socket option `TCP_INFO`, and what the peer has not
+//! acknowledged.
 //!
 //! The code is unsafe because neither socket2 nor rustix, which the other packages use, has a safe interface
-//! to that option. It is one system call that fills a structure of integers.
+//! to these. Each is one system call that fills a structure of integers or an integer.
 
 use std::io;
 use std::mem::{size_of, MaybeUninit};
@@ -35,3 +36,20 @@
     let info = unsafe { info.assume_init() };
     Ok(Duration::from_millis(info.tcpi_last_data_recv.into()))
 }
+
+/// Returns how many of the bytes written to a connection its peer has not acknowledged, sent or not.
+///
+/// # Errors
+///
+/// The socket has no such count, or the system call fails.
+pub fn unacknowledged_bytes(socket: impl AsFd) -> io::Result<u64> {
+    let mut bytes: libc::c_int = 0;
+    // SAFETY: the descriptor is open while it is borrowed, and the kernel writes one `int`, which lives until
+    // the call returns.
+    let result =
+        unsafe { libc::ioctl(socket.as_fd().as_raw_fd(), libc::TIOCOUTQ, std::ptr::from_mut(&mut bytes)) };
+    if result != 0 {
+        return Err(io::Error::last_os_error());
+    }
+    Ok(u64::try_from(bytes).unwrap_or_default())
+}
--- a/crates/spurdrum/tests/node/streams.rs
+++ b/crates/spurdrum/tests/node/streams.rs
@@ -390,3 +390,46 @@
     exchange.answer(OK, "", b"");
     assert_eq!(client.answer().status(), 200);
 }
+
+/// Guards against a limit of the system that cuts off a client with a small window, as it counts the time
+/// since the window was last wide open, however much the client has read meanwhile.
+#[test]
+fn a_client_that_reads_a_long_answer_slowly_gets_all_of_it() {
+    const ANSWER: usize = 220_000;
+    const RATE: f64 = 20_000.0;
+    const SMALL_BUFFER: usize = 8 * 1024;
+    let server = Server::start();
+    let node = Node::with_servers(&[&server]);
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("made");
+    socket.set_recv_buffer_size(SMALL_BUFFER).expect("set");
+    socket.connect(&node.address.into()).expect("connected");
+    let mut stream = TcpStream::from(socket);
+    stream.set_read_timeout(Some(LONG)).expect("set");
+    stream.write_all(request("read", 20.0).as_bytes()).expect("sent");
+    let answering = thread::spawn(move || server.request().answer(OK, "", &pattern(ANSWER)));
+    let (mut received, started) = (Vec::new(), Instant::now());
+    let mut buffer = [0; 2_000];
+    while received.len() < ANSWER {
+        let read = stream.read(&mut buffer).expect("read");
+        assert!(read > 0, "the answer ends after {} bytes", received.len());
+        received.extend_from_slice(&buffer[..read]);
+        thread::sleep(
+            Duration::from_secs_f64(received.len() as f64 / RATE).saturating_sub(started.elapsed()),
+        );
+    }
+    answering.join().expect("answered");
+}
+
+/// A client that stops reading for good does not keep its connection, however much the system could hold.
+#[test]
+fn a_client_that_stops_reading_a_long_answer_is_disconnected() {
+    let server = Server::start();
+    let node = Node::with_servers(&[&server]);
+    let mut client = node.client();
+    client.send(&request("read", 20.0));
+    thread::spawn(move || server.request().answer_if_wanted(&pattern(32 << 20)));
+    client.stream.read_exact(&mut vec![0; 1 << 20]).expect("read");
+    // A connection that the node has reset ends with an error behind what had come before.
+    let stream = client.stream.get_ref();
+    wait_until("the client is not disconnected", || stream.take_error().expect("asked").is_some());
+}
