Pass on an answer whose server pauses for some seconds and goes on

Callers saw: a long answer that its server was still writing was cut off when the server paused. Cause: the node took a server that sent nothing of a begun answer for 5 s for failed (Download in stream.rs, one limit for requests and answers). Evidence: by hand, answers of 150 KB with a pause of 6 s in the middle: cut after 30 KB and 5.0 s in each framing; pauses of 0.02 to 4.5 s: 18 of 18 whole. Change: 15 s for answers; the 5 s stay for a server that accepts nothing of a request.

--- a/crates/spurdrum-http/src/stream.rs
+++ b/crates/spurdrum-http/src/stream.rs
@@ -20,8 +20,11 @@
 use crate::body::BodyBuffer;
 use crate::upstream::MAX_BUFFER_BYTES;
 
-/// A server that neither sends nor accepts data for this long is considered failed.
+/// A server that accepts nothing of a request for this long is considered failed.
 pub const STALL_TIMEOUT: Duration = Duration::from_secs(5);
+/// A server that sends nothing of a response that it has begun for this long is considered failed. The client
+/// has its first bytes by then, and has no other deadline.
+const RESPONSE_STALL_TIMEOUT: Duration = Duration::from_secs(15);
 
 /// The reason why a body was aborted.
 pub type Error = Box<dyn std::error::Error + Send + Sync>;
@@ -374,7 +377,7 @@
         end_sender: oneshot::Sender<Ending>,
     ) -> Self {
         let received = Some(received).filter(|received| !received.is_empty()).map(BodyBuffer::into_bytes);
-        let stall_timer = Box::pin(sleep(STALL_TIMEOUT));
+        let stall_timer = Box::pin(sleep(RESPONSE_STALL_TIMEOUT));
         Self {
             body,
             received,
@@ -426,7 +429,7 @@
                     return Poll::Ready(Some(Err(error.into())));
                 }
                 Poll::Ready(Some(Ok(frame))) => {
-                    self.stall_timer.as_mut().reset(Instant::now() + STALL_TIMEOUT);
+                    self.stall_timer.as_mut().reset(Instant::now() + RESPONSE_STALL_TIMEOUT);
                     if let Ok(data) = frame.into_data() {
                         if self.body.is_end_stream() {
                             self.finish(Ending::Served);
--- a/crates/spurdrum/tests/node/streams.rs
+++ b/crates/spurdrum/tests/node/streams.rs
@@ -433,3 +433,21 @@
     let stream = client.stream.get_ref();
     wait_until("the client is not disconnected", || stream.take_error().expect("asked").is_some());
 }
+
+/// Guards against a node that cuts off what a server still gives: it pauses, and goes on.
+#[test]
+fn a_long_answer_is_passed_on_whole_although_its_server_pauses_for_seconds() {
+    const PAUSE: Duration = Duration::from_secs(7);
+    let answer = pattern(150_000);
+    let scripted = ScriptedServer::start();
+    let mut client = scripted.node.client();
+    client.send(&request("read", 20.0));
+    let mut server = scripted.accept();
+    head(&mut server);
+    let length = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", answer.len());
+    let (first, rest) = answer.split_at(100_000);
+    server.get_mut().write_all(&[length.as_bytes(), first].concat()).expect("answered");
+    thread::sleep(PAUSE);
+    server.get_mut().write_all(rest).expect("the node still reads");
+    assert!(client.answer().body == answer);
+}
