Do not run a request again that comes again after its client has left

Callers saw: an unsafe or keyed request ran twice when its client closed the connection and sent it once more. Cause: the identifiers of requests were known only while a request was pending (client_ids in node.rs); a client that leaves ends it at once, and its identifier was free although the server was at work. Class: state about an effect that ends with the connection that caused it. One that surely has not run is forgotten. A request counts from its first byte towards a server. A test changes: the_id_of_a_pending_request_is_not_accepted_again held that the id of a keyed request may be used again once it is answered. The test now holds that for the safe class, and the opposite for the keyed one; all its other checks are run for both.

--- a/crates/spurdrum-core/src/lib.rs
+++ b/crates/spurdrum-core/src/lib.rs
@@ -6,6 +6,7 @@
 //!
 //! [`Connections`] owns the descriptors that fronts and transports share.
 
+mod begun;
 mod connections;
 mod event_log;
 mod handed_over;
@@ -15,6 +16,7 @@
 mod startup_queue;
 mod transport;
 
+pub use begun::RequestHash;
 pub use connections::{
     is_resource_exhausted, ConnectionCommand, ConnectionPermit, Connections, ResponseMemory,
     ServerConnectionPermit,
--- a/crates/spurdrum-core/src/node.rs
+++ b/crates/spurdrum-core/src/node.rs
@@ -8,13 +8,14 @@
 
 use spurdrum_affinity::Affinity;
 use spurdrum_policy::{
-    Action, Availability, Balancer, Ending, Event, LearnedServerState, LearnedState, ListUpdate, LoadReport,
-    NewSettings, Outcome, Request, RequestId, ServerEntry, ServerId, Settings,
+    Action, Availability, Balancer, Effect, Ending, Event, LearnedServerState, LearnedState, ListUpdate,
+    LoadReport, NewSettings, Outcome, Request, RequestId, ServerEntry, ServerId, Settings,
 };
 use spurdrum_trace::{ServerState, Trace, TraceEvent};
 use tokio::sync::oneshot;
 use tokio::time::{sleep, Instant};
 
+use crate::begun::{BegunRequests, RequestHash};
 use crate::event_log::EventLog;
 use crate::metrics::NodeMetrics;
 use crate::pause::sleep_and_catch_up;
@@ -98,6 +99,10 @@
 struct PendingRequest<T: Transport> {
     request: Rc<T::Request>,
     accepted_at: Instant,
+    /// Whether the request may be repeated freely.
+    is_repeatable: bool,
+    /// Whether an attempt that has ended may have run.
+    may_have_run: bool,
     /// The sender of the final answer; `None` once it is sent or the client has left.
     answer: Option<oneshot::Sender<Answer<T::Body>>>,
     /// All attempts; `None` for those that have ended.
@@ -131,6 +136,9 @@
     }
 }
 
+/// Called with a request of which an attempt has begun.
+type BegunListener = Box<dyn Fn(RequestHash)>;
+
 /// One node, shared by all of its parts.
 pub struct Node<T: Transport> {
     idle_check_interval: Duration,
@@ -152,6 +160,10 @@
     /// The client's identifiers of the pending requests. Without this, servers could take two requests with
     /// one identifier for the same request.
     client_ids: RefCell<HashSet<<T::Request as TransportRequest>::ClientRequestId>>,
+    /// The requests of which an attempt has begun lately, but for those that may be repeated.
+    begun: RefCell<BegunRequests>,
+    /// Called with each request that is added to `begun`.
+    on_begun: RefCell<Option<BegunListener>>,
     last_request_id: Cell<u64>,
     /// The numbers of the listed servers.
     server_numbers: RefCell<HashMap<String, ServerId>>,
@@ -199,6 +211,8 @@
             affinity,
             requests: RefCell::default(),
             client_ids: RefCell::default(),
+            begun: RefCell::default(),
+            on_begun: RefCell::default(),
             last_request_id: Cell::new(0),
             server_numbers: RefCell::default(),
             last_server_number: Cell::new(0),
@@ -248,7 +262,7 @@
             Action::Send { request, server } => {
                 let mut requests = self.requests.borrow_mut();
                 let Some(pending) = requests.get_mut(&request) else { return };
-                let cancellation = Rc::new(Cancellation::default());
+                let cancellation = Rc::new(self.cancellation_of(pending));
                 let attempt = pending.attempts.len();
                 if let Some(trace) = &self.trace {
                     let (id, server) = (pending.display_id(), trace.server_id(server));
@@ -417,7 +431,10 @@
         if self.requests.borrow().len() >= self.max_pending.get() {
             return Err(NotAccepted::Full);
         }
-        if !self.client_ids.borrow_mut().insert(transport_request.client_request_id().clone()) {
+        let client_id = transport_request.client_request_id();
+        if self.has_begun(RequestHash::of(client_id.as_ref()))
+            || !self.client_ids.borrow_mut().insert(client_id.clone())
+        {
             return Err(NotAccepted::DuplicateId);
         }
         self.last_request_id.set(self.last_request_id.get() + 1);
@@ -429,6 +446,8 @@
         let pending = PendingRequest {
             request: Rc::new(transport_request),
             accepted_at: Instant::now(),
+            is_repeatable: self.is_repeatable(request.class),
+            may_have_run: false,
             answer: Some(answer),
             attempts: Vec::new(),
             has_begun: false,
@@ -521,6 +540,7 @@
         if let Some(pending) = self.requests.borrow_mut().get_mut(&id) {
             let ended_attempt = pending.attempts[attempt].take();
             pending.has_begun |= ended_attempt.is_some_and(|ended| ended.cancellation.has_begun());
+            pending.may_have_run |= reply.ending.may_have_run();
             affinity_key = pending.request.affinity();
         }
         if let Some(affinity) = self.affinity.as_ref().filter(|_| reply.ending == Ending::Served) {
@@ -606,8 +626,52 @@
         };
         if requests.get(&id).is_some_and(is_finished) {
             let pending = requests.remove(&id).expect("found");
-            self.client_ids.borrow_mut().remove(pending.request.client_request_id());
+            let client_id = pending.request.client_request_id();
+            self.client_ids.borrow_mut().remove(client_id);
+            if !pending.may_have_run && !pending.is_repeatable {
+                self.begun.borrow_mut().remove(RequestHash::of(client_id.as_ref()));
+            }
+        }
+    }
+
+    // ---- Requests that have begun
+
+    /// Returns whether requests of a class may be repeated freely.
+    fn is_repeatable(&self, class: usize) -> bool {
+        self.settings().classes.get(class).is_some_and(|class| class.effect == Effect::Safe)
+    }
+
+    /// Returns the cancellation of a new attempt of a request.
+    fn cancellation_of(self: &Rc<Self>, pending: &PendingRequest<T>) -> Cancellation {
+        if pending.is_repeatable {
+            return Cancellation::default();
         }
+        let request = RequestHash::of(pending.request.client_request_id().as_ref());
+        let node = Rc::clone(self);
+        Cancellation::with_on_begin(move || node.add_begun(request))
+    }
+
+    /// Records that an attempt of a request has begun, in this process or in another one of this node.
+    pub fn add_begun(&self, request: RequestHash) {
+        let is_new = self.begun.borrow_mut().insert(self.started.elapsed(), request);
+        if let Some(on_begun) = self.on_begun.borrow().as_ref().filter(|_| is_new) {
+            on_begun(request);
+        }
+    }
+
+    /// Returns whether an attempt of a request with this identifier has begun lately: it may have run.
+    fn has_begun(&self, request: RequestHash) -> bool {
+        self.begun.borrow_mut().contains(self.started.elapsed(), request)
+    }
+
+    /// Returns the requests of which an attempt has begun lately.
+    pub fn begun_requests(&self) -> Vec<RequestHash> {
+        self.begun.borrow_mut().all(self.started.elapsed())
+    }
+
+    /// Sets what is called with each request of which an attempt begins from now on.
+    pub fn set_on_begun(&self, on_begun: impl Fn(RequestHash) + 'static) {
+        self.on_begun.replace(Some(Box::new(on_begun)));
     }
 
     // ---- The list of servers
--- a/crates/spurdrum-core/src/transport.rs
+++ b/crates/spurdrum-core/src/transport.rs
@@ -1,6 +1,7 @@
 //! The interface between the core and a protocol towards servers.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::fmt;
 use std::future::Future;
 use std::hash::Hash;
 use std::net::SocketAddr;
@@ -37,20 +38,38 @@
 }
 
 /// The cancellation of one attempt, shared by the core, which requests it, and the transport, which obeys it.
-#[derive(Debug, Default)]
+#[derive(Default)]
 pub struct Cancellation {
     state: Cell<CancelState>,
     requested: Notify,
     has_begun: Cell<bool>,
+    /// Called when the attempt begins.
+    on_begin: RefCell<Option<Box<dyn FnOnce()>>>,
+}
+
+impl fmt::Debug for Cancellation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Cancellation")
+            .field("state", &self.state)
+            .field("has_begun", &self.has_begun)
+            .finish()
+    }
 }
 
 impl Cancellation {
+    /// Creates the cancellation of an attempt; `on_begin` is called when the attempt begins.
+    pub fn with_on_begin(on_begin: impl FnOnce() + 'static) -> Self {
+        Self { on_begin: RefCell::new(Some(Box::new(on_begin))), ..Self::default() }
+    }
+
     /// Called before the transport writes the first byte of the attempt. Returns whether it may; if so, the
     /// attempt counts as begun.
     #[must_use]
     pub fn try_begin(&self) -> bool {
         let may_begin = !self.is_requested();
-        self.has_begun.set(self.has_begun.get() || may_begin);
+        if may_begin && !self.has_begun.replace(true) {
+            self.on_begin.take().into_iter().for_each(|on_begin| on_begin());
+        }
         may_begin
     }
 
--- a/crates/spurdrum/tests/node.rs
+++ b/crates/spurdrum/tests/node.rs
@@ -4,6 +4,8 @@
 mod affinity;
 #[path = "node/alone.rs"]
 mod alone;
+#[path = "node/begun_requests.rs"]
+mod begun_requests;
 #[path = "node/connections.rs"]
 mod connections;
 #[path = "node/drains.rs"]
@@ -817,17 +819,24 @@
 fn the_id_of_a_pending_request_is_not_accepted_again() {
     let server = Server::start();
     let node = Node::with_servers(&[&server]);
-    let (mut first, again) = (node.client(), request("update", 20.0));
-    first.send(&again);
-    let exchange = server.request();
-    assert_eq!(node.client().ask(&again).status(), 409);
-    exchange.answer(OK, "", b"mine");
-    assert_eq!(first.answer().body, b"mine");
-    assert!(!server.has_request());
-    // Once the request has ended, its id may be used again.
-    first.send(&again);
-    server.request().answer(OK, "", b"");
-    assert_eq!(first.answer().status(), 200);
+    for class in ["read", "update"] {
+        let (mut first, again) = (node.client(), request(class, 20.0));
+        first.send(&again);
+        let exchange = server.request();
+        assert_eq!(node.client().ask(&again).status(), 409, "{class}");
+        exchange.answer(OK, "", b"mine");
+        assert_eq!(first.answer().body, b"mine");
+        assert!(!server.has_request(), "{class}");
+        // Once the request has ended, its id may be used again if it may run again.
+        first.send(&again);
+        if class == "read" {
+            server.request().answer(OK, "", b"");
+            assert_eq!(first.answer().status(), 200);
+        } else {
+            assert_eq!(first.answer().status(), 409);
+            assert!(!server.has_request(), "{class}: the request ran twice");
+        }
+    }
 }
 
 /// Without timeouts, each of these clients could hold its connection permit indefinitely.
