Do not run a request again at the other process of a replacement

Callers saw: an id ran twice when its client left one process of a node and came again at the other. Cause: the record of requests that have begun belongs to one process. Change: the state that is handed over names the requests that have begun (the last 8,192 at most), and from the offer on each process tells the other of every request of which an attempt begins, before its first byte is written (Message::Begun). Both sides say whether they know the message, so a process of another version is not sent it; FORMAT stays.

--- a/crates/spurdrum-handover/src/incoming.rs
+++ b/crates/spurdrum-handover/src/incoming.rs
@@ -25,6 +25,8 @@
         share: usize,
         /// The part of the node's memory limit that the outgoing process keeps, if it says so.
         memory: Option<u64>,
+        /// Whether the outgoing process accepts [`Message::Begun`].
+        accepts_begun_requests: bool,
         /// The state that the outgoing process hands over.
         state: serde_json::Value,
     },
@@ -34,6 +36,8 @@
     Share(usize),
     /// The outgoing process now keeps this part of the node's memory limit, in bytes.
     MemoryShare(u64),
+    /// Attempts of these requests have begun in the outgoing process.
+    Begun(Vec<u64>),
     /// Serve the client connection that was received. The outgoing process has already read these bytes from
     /// it.
     Serve(Vec<u8>),
@@ -74,9 +78,12 @@
                 self.state = State::HelloSent;
                 actions.push(IncomingAction::Send(Message::Hello(self.identity.clone())));
             }
-            (State::HelloSent, IncomingEvent::Received(Message::Offer { share, memory, state })) => {
+            (
+                State::HelloSent,
+                IncomingEvent::Received(Message::Offer { share, memory, accepts_begun_requests, state }),
+            ) => {
                 self.state = State::TakenOver;
-                actions.push(IncomingAction::TakeOver { share, memory, state });
+                actions.push(IncomingAction::TakeOver { share, memory, accepts_begun_requests, state });
                 actions.push(IncomingAction::Send(Message::Confirm));
             }
             (State::HelloSent, IncomingEvent::Received(Message::Decline(reason))) => {
@@ -88,6 +95,9 @@
             (State::TakenOver, IncomingEvent::Received(Message::MemoryShare(share))) => {
                 actions.push(IncomingAction::MemoryShare(share));
             }
+            (State::TakenOver, IncomingEvent::Received(Message::Begun(requests))) => {
+                actions.push(IncomingAction::Begun(requests));
+            }
             (State::TakenOver, IncomingEvent::Received(Message::Connection)) => {
                 actions.push(IncomingAction::Serve(Vec::new()));
             }
--- a/crates/spurdrum-handover/src/message.rs
+++ b/crates/spurdrum-handover/src/message.rs
@@ -33,6 +33,10 @@
     /// not accept it.
     #[serde(default)]
     pub accepts_memory_shares: bool,
+    /// Whether this process accepts [`Message::Begun`]. Older versions do not send this field and do not
+    /// accept it.
+    #[serde(default)]
+    pub accepts_begun_requests: bool,
 }
 
 impl Identity {
@@ -65,6 +69,9 @@
         /// not send this field.
         #[serde(default)]
         memory: Option<u64>,
+        /// Whether the outgoing process accepts [`Message::Begun`]. Older versions do not send this field.
+        #[serde(default)]
+        accepts_begun_requests: bool,
         /// The state that the outgoing process hands over, in the program's own format.
         state: serde_json::Value,
     },
@@ -76,6 +83,9 @@
     Share(usize),
     /// The outgoing process now keeps this part of the node's memory limit, in bytes.
     MemoryShare(u64),
+    /// Attempts of these requests have begun in the process that sends this, either of the two. They are
+    /// hashes of the clients' identifiers.
+    Begun(Vec<u64>),
     /// Carries an idle client connection.
     Connection,
     /// Carries a client connection from which a request has been read that has not been sent to any server.
--- a/crates/spurdrum-handover/src/offer.rs
+++ b/crates/spurdrum-handover/src/offer.rs
@@ -25,8 +25,8 @@
 /// How long to wait after accepting a takeover request has failed.
 const ACCEPT_RETRY: Duration = Duration::from_millis(50);
 
-/// The owner of the node's budgets of file descriptors and memory, which the outgoing process shares with the
-/// incoming one.
+/// The owner of what the outgoing process shares with the incoming one: the node's budgets of file descriptors
+/// and memory, and the record of the requests that have begun.
 pub trait BudgetOwner: 'static {
     /// Limits this process to a share of the budgets. Returns the share and the state for the incoming
     /// process.
@@ -37,6 +37,9 @@
 
     /// Lets this process use the whole budgets again.
     fn restore(&self);
+
+    /// Records requests of which attempts have begun in the incoming process.
+    fn add_begun(&self, requests: &[u64]);
 }
 
 /// A message to be sent, with its file descriptor if it carries one.
@@ -131,6 +134,14 @@
         Ok(())
     }
 
+    /// Tells the incoming process, if there is one, that an attempt of a request has begun here.
+    pub fn report_begun(&self, request: u64) {
+        let receiver = self.outgoing.borrow().begun_requests_receiver();
+        if let Some(id) = receiver {
+            self.queue(id, Message::Begun(vec![request]), None);
+        }
+    }
+
     /// Returns whether all connections that were handed over have been sent, or the incoming process has
     /// gone.
     pub fn all_sent(&self) -> bool {
@@ -163,6 +174,7 @@
                 self.incoming.set(Some(id));
                 tokio::task::spawn_local(Rc::clone(self).report_share(id));
             }
+            OutgoingAction::Begun(requests) => self.budget.add_begun(&requests),
             OutgoingAction::ResumeAlone => {
                 tracing::info!("the incoming process has gone");
                 self.incoming.set(None);
@@ -178,7 +190,12 @@
         match self.listener.try_clone() {
             Ok(listener) => {
                 let BudgetShare { descriptors, memory } = share;
-                let offer = Message::Offer { share: descriptors, memory: Some(memory), state };
+                let offer = Message::Offer {
+                    share: descriptors,
+                    memory: Some(memory),
+                    accepts_begun_requests: true,
+                    state,
+                };
                 self.queue(id, offer, Some(listener.into()));
             }
             Err(_) => self.close(id),
--- a/crates/spurdrum-handover/src/outgoing.rs
+++ b/crates/spurdrum-handover/src/outgoing.rs
@@ -34,6 +34,8 @@
     Confirmed(IncomingId),
     /// Stop accepting connections and hand over the idle ones to this process.
     HandOver(IncomingId),
+    /// Attempts of these requests have begun in the incoming process.
+    Begun(Vec<u64>),
     /// The incoming process has gone: use the whole descriptor budget again, and accept connections and
     /// takeover requests.
     ResumeAlone,
@@ -61,6 +63,8 @@
     accepts_requests: bool,
     /// Whether that process accepts [`Message::MemoryShare`].
     accepts_memory_shares: bool,
+    /// Whether that process accepts [`Message::Begun`].
+    accepts_begun_requests: bool,
 }
 
 impl Outgoing {
@@ -73,6 +77,7 @@
             stopping: false,
             accepts_requests: false,
             accepts_memory_shares: false,
+            accepts_begun_requests: false,
         }
     }
 
@@ -115,6 +120,7 @@
                     () => {
                         self.accepts_requests = identity.accepts_requests;
                         self.accepts_memory_shares = identity.accepts_memory_shares;
+                        self.accepts_begun_requests = identity.accepts_begun_requests;
                         self.state = State::Offered(id);
                         return actions.push(OutgoingAction::Offer(id));
                     }
@@ -129,6 +135,11 @@
                     actions.push(OutgoingAction::HandOver(id));
                 }
             }
+            (State::Offered(current) | State::Confirmed(current), Message::Begun(requests))
+                if current == id =>
+            {
+                actions.push(OutgoingAction::Begun(requests.clone()));
+            }
             // The message violates the protocol.
             _ => {
                 actions.push(OutgoingAction::Drop(id));
@@ -162,6 +173,15 @@
         self.is_confirmed() && self.accepts_requests
     }
 
+    /// Returns the process that has been sent an offer and accepts messages about requests that have begun.
+    #[must_use]
+    pub fn begun_requests_receiver(&self) -> Option<IncomingId> {
+        match self.state {
+            State::Offered(id) | State::Confirmed(id) if self.accepts_begun_requests => Some(id),
+            _ => None,
+        }
+    }
+
     /// Returns whether the process that was last sent an offer accepts shares of the memory.
     #[must_use]
     pub fn accepts_memory_shares(&self) -> bool {
--- a/crates/spurdrum-handover/src/takeover.rs
+++ b/crates/spurdrum-handover/src/takeover.rs
@@ -8,10 +8,11 @@
 
 use spurdrum_core::{pause_adjusted_timeout, HandedOverConnection};
 use tokio::net::UnixStream;
+use tokio::sync::mpsc;
 
 use crate::channel::Channel;
 use crate::incoming::{Incoming, IncomingAction, IncomingEvent};
-use crate::message::Identity;
+use crate::message::{Identity, Message};
 
 /// How long to wait for the outgoing process's answer. On a busy machine the outgoing process may be paused
 /// for some seconds. The incoming process must serve within 6 s of its start, of which the first answer of
@@ -24,6 +25,8 @@
     OutgoingShare(usize),
     /// The outgoing process now keeps this part of the node's memory limit, in bytes.
     OutgoingMemory(u64),
+    /// Attempts of these requests have begun in the outgoing process.
+    Begun(Vec<u64>),
     /// A client connection to serve.
     Connection(HandedOverConnection),
     /// The outgoing process has gone.
@@ -34,6 +37,7 @@
 struct Offered {
     share: usize,
     memory: Option<u64>,
+    accepts_begun_requests: bool,
     state: serde_json::Value,
 }
 
@@ -43,6 +47,7 @@
         match action {
             IncomingAction::Share(share) => Some(Self::OutgoingShare(share)),
             IncomingAction::MemoryShare(share) => Some(Self::OutgoingMemory(share)),
+            IncomingAction::Begun(requests) => Some(Self::Begun(requests)),
             IncomingAction::Serve(read) => {
                 let stream = descriptor.take().map(TcpStream::from);
                 stream.map(|stream| Self::Connection(HandedOverConnection { stream, read }))
@@ -61,6 +66,8 @@
     pub share: usize,
     /// The part of the node's memory limit that the outgoing process keeps, if it says so.
     pub memory: Option<u64>,
+    /// Whether the outgoing process accepts reports of requests that have begun here.
+    accepts_begun_requests: bool,
     /// The state that the outgoing process hands over.
     pub state: serde_json::Value,
     channel: Channel,
@@ -90,9 +97,17 @@
         loop {
             let offered = Self::handle_event(&channel, &mut incoming, event).await?;
             if let (Some(offered), Some(listener)) = (offered, descriptor.take()) {
-                let Offered { share, memory, state } = offered;
+                let Offered { share, memory, accepts_begun_requests, state } = offered;
                 let listener = TcpListener::from(listener);
-                return Ok(Self { listener, share, memory, state, channel, incoming });
+                return Ok(Self {
+                    listener,
+                    share,
+                    memory,
+                    accepts_begun_requests,
+                    state,
+                    channel,
+                    incoming,
+                });
             }
             (event, descriptor) = next_event(&channel).await;
         }
@@ -112,12 +127,13 @@
                 IncomingAction::Send(message) => {
                     channel.send(&message, None).await.map_err(|error| error.to_string())?;
                 }
-                IncomingAction::TakeOver { share, memory, state } => {
-                    offered = Some(Offered { share, memory, state });
+                IncomingAction::TakeOver { share, memory, accepts_begun_requests, state } => {
+                    offered = Some(Offered { share, memory, accepts_begun_requests, state });
                 }
                 IncomingAction::StartAlone(reason) => return Err(reason),
                 IncomingAction::Share(_)
                 | IncomingAction::MemoryShare(_)
+                | IncomingAction::Begun(_)
                 | IncomingAction::Serve(_)
                 | IncomingAction::OutgoingGone => {}
             }
@@ -125,10 +141,20 @@
         Ok(offered)
     }
 
-    /// Calls `on_event` for everything that the outgoing process sends, until it has gone.
-    pub async fn follow(mut self, mut on_event: impl FnMut(TakeoverEvent)) {
+    /// Calls `on_event` for everything that the outgoing process sends, until it has gone. It is told of the
+    /// requests in `begun`, of which attempts have begun here.
+    pub async fn follow(mut self, mut begun: mpsc::Receiver<u64>, mut on_event: impl FnMut(TakeoverEvent)) {
         loop {
-            let (event, mut descriptor) = next_event(&self.channel).await;
+            let (event, mut descriptor) = tokio::select! {
+                received = next_event(&self.channel) => received,
+                Some(request) = begun.recv() => {
+                    if self.accepts_begun_requests {
+                        // If this fails, the next message cannot be received either.
+                        let _ = self.channel.send(&Message::Begun(vec![request]), None).await;
+                    }
+                    continue;
+                }
+            };
             let mut actions = Vec::new();
             self.incoming.handle(event, &mut actions);
             for action in actions {
--- a/crates/spurdrum-handover/tests/machines.rs
+++ b/crates/spurdrum-handover/tests/machines.rs
@@ -17,6 +17,7 @@
         listen: "127.0.0.1:1".into(),
         accepts_requests: true,
         accepts_memory_shares: true,
+        accepts_begun_requests: true,
     }
 }
 
@@ -84,7 +85,10 @@
     assert!(!old_identity.accepts_memory_shares);
     let old_offer = r#"{"Offer":{"share":9,"state":null}}"#;
     let old_offer: Message = serde_json::from_str(old_offer).expect("still accepted");
-    assert_eq!(old_offer, Message::Offer { share: 9, memory: None, state: Value::Null });
+    assert_eq!(
+        old_offer,
+        Message::Offer { share: 9, memory: None, accepts_begun_requests: false, state: Value::Null }
+    );
 }
 
 #[test]
@@ -156,7 +160,12 @@
         IncomingEvent::Received(Message::Decline("no".into()))
     ])));
     assert!(starts_alone(&run(vec![IncomingEvent::Connected, IncomingEvent::Received(Message::Share(3))])));
-    let offer = IncomingEvent::Received(Message::Offer { share: 9, memory: Some(7), state: Value::Null });
+    let offer = IncomingEvent::Received(Message::Offer {
+        share: 9,
+        memory: Some(7),
+        accepts_begun_requests: true,
+        state: Value::Null,
+    });
     let actions = run(vec![
         IncomingEvent::Connected,
         offer,
@@ -164,23 +173,45 @@
         IncomingEvent::Received(Message::Request { read: b"GET".to_vec() }),
         IncomingEvent::Received(Message::Share(2)),
         IncomingEvent::Received(Message::MemoryShare(5)),
+        IncomingEvent::Received(Message::Begun(vec![3, 4])),
         IncomingEvent::Lost,
         IncomingEvent::Received(Message::Connection),
     ]);
     assert_eq!(
         actions[1..],
         [
-            IncomingAction::TakeOver { share: 9, memory: Some(7), state: Value::Null },
+            IncomingAction::TakeOver {
+                share: 9,
+                memory: Some(7),
+                accepts_begun_requests: true,
+                state: Value::Null
+            },
             IncomingAction::Send(Message::Confirm),
             IncomingAction::Serve(Vec::new()),
             IncomingAction::Serve(b"GET".to_vec()),
             IncomingAction::Share(2),
             IncomingAction::MemoryShare(5),
+            IncomingAction::Begun(vec![3, 4]),
             IncomingAction::OutgoingGone
         ]
     );
 }
 
+/// Requests that have begun are told only to a process that has the listening socket and knows the message.
+#[test]
+fn requests_that_have_begun_are_exchanged_with_an_incoming_process_that_knows_them() {
+    let received = |message| OutgoingEvent::Received(ID, message);
+    for accepts_begun_requests in [true, false] {
+        let hello = Message::Hello(Identity { accepts_begun_requests, ..identity() });
+        let (unoffered, _) = outgoing(&[OutgoingEvent::Connected(ID)]);
+        assert_eq!(unoffered.begun_requests_receiver(), None);
+        let begun = received(Message::Begun(vec![1]));
+        let (machine, actions) = outgoing(&[OutgoingEvent::Connected(ID), received(hello), begun]);
+        assert_eq!(machine.begun_requests_receiver(), accepts_begun_requests.then_some(ID));
+        assert_eq!(actions, [OutgoingAction::Begun(vec![1])]);
+    }
+}
+
 #[test]
 fn each_kind_of_invalid_frame_is_reported() {
     let valid = Message::Share(7).encode();
@@ -209,9 +240,15 @@
         proptest::collection::vec(any::<u8>(), 0..40).prop_map(|read| Message::Request { read }),
         (0_usize..9).prop_map(Message::Share),
         any::<u64>().prop_map(Message::MemoryShare),
+        proptest::collection::vec(any::<u64>(), 0..9).prop_map(Message::Begun),
         ".{0,40}".prop_map(Message::Decline),
         (0_usize..9).prop_map(|share| {
-            Message::Offer { share, memory: Some(1 << share), state: serde_json::json!({"a": [1, 2]}) }
+            Message::Offer {
+                share,
+                memory: Some(1 << share),
+                accepts_begun_requests: true,
+                state: serde_json::json!({"a": [1, 2]}),
+            }
         }),
     ]
 }
@@ -261,6 +298,7 @@
                     }
                     OutgoingAction::HandOver(id) => prop_assert_eq!(confirmed, Some(id)),
                     OutgoingAction::ResumeAlone => confirmed = None,
+                    OutgoingAction::Begun(_) => prop_assert!(!offered.is_empty()),
                     OutgoingAction::Decline(..) | OutgoingAction::Drop(_) => {}
                 }
             }
--- a/crates/spurdrum/src/main.rs
+++ b/crates/spurdrum/src/main.rs
@@ -196,7 +196,6 @@
         Connections::new(config.connections.clone(), config.limits, config.settings.max_retry_after_ms)
             .map_err(|(key, reason)| format!("`connections.{key}`: {reason}"))?;
     let mut handed_over_state = takeover.as_ref().and_then(replace::HandedOverState::from_takeover);
-    let handed_over = replace::follow(takeover, &connections);
     // The list that the outgoing process had received, including drains, counts as received by this process.
     if let (Some(handed_over_state), Source::Catalog(_)) = (&mut handed_over_state, config.source) {
         std::mem::swap(&mut config.initial_list, &mut handed_over_state.list);
@@ -327,6 +326,8 @@
         let state_source = replace::StateSource { node, list, names };
         replace::offer(&config.name, config.listen, &listener, &connections, state_source)
     });
+    let begun = replace::report_begun(&node, offer.as_ref());
+    let handed_over = replace::follow(takeover, &node, begun);
     let attempts_when_confirmed = Cell::default();
     let sink = Rc::new(ListSink {
         node: Rc::clone(&node),
--- a/crates/spurdrum/src/replace.rs
+++ b/crates/spurdrum/src/replace.rs
@@ -7,7 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 use spurdrum_admission::{Event, CONNECTION_MEMORY};
-use spurdrum_core::{Connections, HandedOverConnection, Node};
+use spurdrum_core::{Connections, HandedOverConnection, Node, RequestHash};
 use spurdrum_handover::{path, BudgetOwner, BudgetShare, Identity, Offer, Takeover, TakeoverEvent, FORMAT};
 use spurdrum_http::{
     ConfigNames, HandedOverConnections, HandoverStatus, IncomingProcess, SharedConfigNames, Upstream,
@@ -17,6 +17,11 @@
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 
+/// How many requests may wait to be reported to the outgoing process.
+const MAX_QUEUED_REPORTS: usize = 4096;
+/// The most requests that have begun which are handed over as a part of the state.
+const MAX_BEGUN_REQUESTS: usize = 8192;
+
 /// The state that the outgoing process hands over. The serialized names of the fields are part of the
 /// handover format: a process of one version hands over to another version.
 #[derive(Serialize, Deserialize)]
@@ -30,6 +35,9 @@
     ids: Vec<String>,
     /// What the balancer has learned about servers, classes and tenants.
     learned: LearnedState,
+    /// The requests of which attempts have begun lately, as hashes of their clients' identifiers.
+    #[serde(default)]
+    begun: Vec<u64>,
     /// The names of the classes and tenants, to which `learned` refers by index.
     classes: Vec<String>,
     tenants: Vec<String>,
@@ -51,6 +59,7 @@
         if self.tenants != names.tenants {
             self.learned.quotas.clear();
         }
+        self.begun.iter().for_each(|request| node.add_begun(RequestHash(*request)));
         node.import_learned(&self.ids, self.learned);
     }
 }
@@ -73,7 +82,9 @@
         let (classes, tenants) = (names.classes.clone(), names.tenants.clone());
         let list = self.list.borrow().clone();
         let starting = self.node.is_starting();
-        serde_json::to_value(HandedOverState { list, starting, ids, learned, classes, tenants })
+        let begun: Vec<u64> = self.node.begun_requests().into_iter().map(|request| request.0).collect();
+        let begun = begun[begun.len().saturating_sub(MAX_BEGUN_REQUESTS)..].to_vec();
+        serde_json::to_value(HandedOverState { list, starting, ids, learned, begun, classes, tenants })
             .unwrap_or_default()
     }
 }
@@ -86,6 +97,7 @@
         listen: listen.to_string(),
         accepts_requests: true,
         accepts_memory_shares: true,
+        accepts_begun_requests: true,
     }
 }
 
@@ -96,17 +108,22 @@
 }
 
 /// Follows the outgoing process until it has gone. Returns the channel of the connections that it hands over.
-/// This process may use the part of the budgets that the outgoing process no longer keeps.
-pub fn follow(takeover: Option<Takeover>, connections: &Rc<Connections>) -> HandedOverConnections {
+/// This process may use the part of the budgets that the outgoing process no longer keeps. It is told of the
+/// requests in `begun`.
+pub fn follow(
+    takeover: Option<Takeover>,
+    node: &Rc<Node<Upstream>>,
+    begun: mpsc::Receiver<u64>,
+) -> HandedOverConnections {
     let (connection_sender, connection_receiver) = mpsc::unbounded_channel();
     let Some(takeover) = takeover else { return connection_receiver };
-    let mut remainder = Remainder {
-        connections: Rc::clone(connections),
-        descriptors: takeover.share,
-        memory: takeover.memory,
-    };
+    let (node, connections) = (Rc::clone(node), Rc::clone(&node.connections));
+    let mut remainder = Remainder { connections, descriptors: takeover.share, memory: takeover.memory };
     remainder.apply();
-    tokio::task::spawn_local(takeover.follow(move |event| match event {
+    tokio::task::spawn_local(takeover.follow(begun, move |event| match event {
+        TakeoverEvent::Begun(requests) => {
+            requests.iter().for_each(|request| node.add_begun(RequestHash(*request)));
+        }
         TakeoverEvent::OutgoingShare(share) => {
             remainder.descriptors = share;
             remainder.apply();
@@ -157,6 +174,21 @@
     }
 }
 
+/// Reports the requests of which attempts begin here to the other processes of this node: to the incoming one
+/// over `offer`, and to the outgoing one through the returned channel.
+pub fn report_begun(node: &Node<Upstream>, offer: Option<&Rc<Offer>>) -> mpsc::Receiver<u64> {
+    let (to_outgoing, receiver) = mpsc::channel(MAX_QUEUED_REPORTS);
+    let offer = offer.cloned();
+    node.set_on_begun(move |request| {
+        if let Some(offer) = &offer {
+            offer.report_begun(request.0);
+        }
+        // Fails without an outgoing process, or with one that reads nothing.
+        let _ = to_outgoing.try_send(request.0);
+    });
+    receiver
+}
+
 /// Starts accepting takeover requests. Returns `None` if `$TMPDIR` is not set or the Unix socket cannot be
 /// bound.
 pub fn offer(
@@ -229,6 +261,11 @@
     fn restore(&self) {
         self.set_share(whole_budget(&self.connections));
     }
+
+    fn add_begun(&self, requests: &[u64]) {
+        let node = &self.state_source.node;
+        requests.iter().for_each(|request| node.add_begun(RequestHash(*request)));
+    }
 }
 
 /// The incoming process as the front uses it; forwards to the [`Offer`].
--- a/crates/spurdrum/tests/node/begun_requests.rs
+++ b/crates/spurdrum/tests/node/begun_requests.rs
@@ -1,5 +1,6 @@
 //! Requests that come again under their identifiers: what may have run does not run again.
 
+use super::ops::{admin_call, config_with_admin};
 use super::*;
 
 /// Sends a request and leaves once it has reached its server, which goes on with it.
@@ -62,3 +63,72 @@
         assert_eq!(client.answer().status(), 200);
     }
 }
+
+/// Two processes of one node, of which the second has taken over and the first still runs.
+struct Pair {
+    server: Server,
+    old: Node,
+    new: Node,
+}
+
+/// Starts a process, calls `before` with it and its server, and starts the process that takes over.
+fn pair(before: impl FnOnce(&Node, &Server)) -> Pair {
+    let server = Server::start();
+    let (config, _) = config_with_admin(&[&server]);
+    let old = Node::start(&config);
+    before(&old, &server);
+    let ops = own_address();
+    let new = old.start_second_process(&config, ops);
+    wait_until("the new process is not ready", || {
+        TcpStream::connect(ops).is_ok() && admin_call(ops, "readyz").starts_with("YES")
+    });
+    Pair { server, old, new }
+}
+
+/// Guards against a second run at the process that replaces the one that began the request.
+#[test]
+fn a_request_that_began_before_a_handover_does_not_run_again_at_the_new_process() {
+    let text = request("pay", 20.0);
+    let mut first = None;
+    let Pair { server, mut old, new } = pair(|old, server| first = Some(send_and_leave(old, server, &text)));
+    old.terminate();
+    assert!(old.wait().success());
+    assert_eq!(new.client().ask(&text).status(), 409);
+    assert!(!server.has_request(), "the request ran twice");
+}
+
+/// The same for requests that begin while both processes run, whichever of them began it.
+#[test]
+fn a_request_that_begins_during_a_handover_does_not_run_again_at_the_other_process() {
+    let mut clients = Vec::new();
+    // Connections that were made before the handover stay at the old process until it is told to end.
+    let Pair { server, mut old, new } = pair(|old, _| clients.extend((0..2).map(|_| old.client())));
+    let mut at_old = clients.pop().expect("connected");
+    let text = request("pay", 20.0);
+    at_old.send(&text);
+    let mut exchange = server.request();
+    drop(at_old);
+    exchange.await_end();
+    old.terminate();
+    assert!(old.wait().success());
+    assert_eq!(new.client().ask(&text).status(), 409, "begun at the old process");
+    assert!(!server.has_request(), "the request ran twice");
+}
+
+#[test]
+fn a_request_that_begins_at_the_new_process_does_not_run_again_at_the_old_one() {
+    let mut clients = Vec::new();
+    let Pair { server, old, new } = pair(|old, _| clients.extend((0..2).map(|_| old.client())));
+    let mut at_old = clients.pop().expect("connected");
+    // Both processes accept connections: some of these reach the new one.
+    let mut begun = Vec::new();
+    for _ in 0..32 {
+        let text = request("pay", 20.0);
+        begun.push((send_and_leave(&new, &server, &text), text));
+    }
+    for (_, text) in &begun {
+        assert_eq!(at_old.ask(text).status(), 409, "begun at the new process");
+    }
+    assert!(!server.has_request(), "a request ran twice");
+    drop(old);
+}
--- a/crates/spurdrum/tests/node/incoming.rs
+++ b/crates/spurdrum/tests/node/incoming.rs
@@ -34,6 +34,7 @@
             listen: address.to_string(),
             accepts_requests: true,
             accepts_memory_shares: true,
+            accepts_begun_requests: true,
         }));
         match incoming.receive() {
             Some((Message::Offer { .. }, Some(listener))) => (incoming, listener.into()),
--- a/crates/spurdrum/tests/node/outgoing.rs
+++ b/crates/spurdrum/tests/node/outgoing.rs
@@ -93,7 +93,10 @@
     /// Offers the listening socket. Returns whether the incoming process is still there to read the offer.
     pub fn offer(&mut self, listener: &TcpListener) -> bool {
         let state = serde_json::Value::Null;
-        self.send(&Message::Offer { share: 8, memory: None, state }, listener.as_fd())
+        self.send(
+            &Message::Offer { share: 8, memory: None, accepts_begun_requests: false, state },
+            listener.as_fd(),
+        )
     }
 
     /// Hands over a client's connection.
