Begin no attempt for a client that may have left behind what it sent

Callers saw: a client closed its connection with much still unread, and its requests were sent on afterwards. Cause: the end of a connection comes behind all that its client wrote; the node reads 16 KiB behind a pending request, and of a long body nothing before its attempt has a connection. Until then the end is not seen, and attempts began (exchange in upstream.rs asks for cancellation alone). Class: a client counts as there until its end has been read. Change: right before an attempt's first byte the node asks the system whether the client has closed its side (poll), and how much is unread. Behind more than 32 KiB an end may be hidden: then the client must have been seen to be there in the last 80 ms. Else the attempt does not begin, and the request is refused. A long upload whose connection takes over 80 ms to come up is refused now where more than 32 KiB of it are unread.

--- a/crates/spurdrum-http/src/client.rs
+++ b/crates/spurdrum-http/src/client.rs
@@ -10,6 +10,7 @@
 
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use hyper::body::{Body, Frame, SizeHint};
+use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use spurdrum_admission::{Event, State};
 use spurdrum_core::{sleep_and_catch_up, ConnectionPermit, InflightRequest, NodeMetrics, RequestResult};
 use spurdrum_tcp_info::{since_last_data, unacknowledged_bytes};
@@ -40,6 +41,12 @@
 const DEPARTURE_CHECK_INTERVAL: Duration = Duration::from_millis(25);
 /// How often it is checked whether a client takes a long response.
 const READ_CHECK_INTERVAL: Duration = Duration::from_secs(1);
+/// Behind this many unread bytes the end of a connection may be hidden: the client's system sends no more, and
+/// no end either, until the node reads.
+const MAX_UNREAD_BEFORE_END: u64 = 32 * 1024;
+/// For how long a client that was there counts as being there still. By the protocol no attempt may begin
+/// 0.1 s after the client has left.
+const MAX_PRESENCE_AGE: Duration = Duration::from_millis(80);
 /// The system may report data as older than it is by this much.
 const KERNEL_TICK: Duration = Duration::from_millis(10);
 
@@ -75,6 +82,8 @@
     /// Notified when a streamed response begins.
     stream_started: Notify,
     read_progress: Cell<ReadProgress>,
+    /// When the client was last known to be connected.
+    last_present_at: Cell<Instant>,
 }
 
 /// The part of a body that has not been received yet.
@@ -94,6 +103,14 @@
     }
 }
 
+/// Returns whether the peer has closed or reset the connection, or its side of it, behind whatever is unread.
+fn has_ended(stream: &TcpStream) -> bool {
+    let mut polled = [PollFd::new(stream, PollFlags::RDHUP)];
+    // If the system cannot tell, the connection counts as open.
+    let is_ready = poll(&mut polled, Some(&Timespec::default())).is_ok_and(|ready| ready > 0);
+    is_ready && polled[0].revents().intersects(PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR)
+}
+
 /// Returns how many bytes the socket holds; none if the system does not tell.
 fn unread_bytes(stream: &TcpStream) -> u64 {
     rustix::io::ioctl_fionread(stream).unwrap_or_default()
@@ -136,6 +153,7 @@
             written: Cell::new(0),
             stream_started: Notify::new(),
             read_progress: Cell::default(),
+            last_present_at: Cell::new(Instant::now()),
         }
     }
 
@@ -195,6 +213,20 @@
         let time_in_socket = since_last_data(&self.stream).unwrap_or_default().saturating_sub(KERNEL_TICK);
         let unread = unread_bytes(&self.stream);
         self.arrival.borrow_mut().received(Instant::now(), bytes as u64, time_in_socket, unread);
+        if unread < MAX_UNREAD_BEFORE_END {
+            self.last_present_at.set(Instant::now());
+        }
+    }
+
+    /// Returns whether the client is connected as far as can be known: an attempt may begin for it.
+    pub fn is_client_present(&self) -> bool {
+        if has_ended(&self.stream) {
+            return false;
+        }
+        if unread_bytes(&self.stream) < MAX_UNREAD_BEFORE_END {
+            self.last_present_at.set(Instant::now());
+        }
+        self.last_present_at.get().elapsed() <= MAX_PRESENCE_AGE
     }
 
     /// Records that the socket holds nothing to read.
--- a/crates/spurdrum-http/src/request.rs
+++ b/crates/spurdrum-http/src/request.rs
@@ -222,6 +222,7 @@
         headers,
         body,
         deadline: Rc::clone(&deadline),
+        is_client_present: Box::new(presence_of_client(socket)),
         affinity_key,
         partial_key,
     };
@@ -296,6 +297,12 @@
     }
 }
 
+/// Returns a function that tells whether the client of a socket is still connected, as far as can be known.
+fn presence_of_client(socket: &Rc<Socket>) -> impl Fn() -> bool + 'static {
+    let socket = Rc::downgrade(socket);
+    move || socket.upgrade().is_some_and(|socket| socket.is_client_present())
+}
+
 /// Returns the time within which the response has to be available, for a client that waits for `client_wait`
 /// and may have sent its request `time_since_end` ago. Returns `None` if that time is already over.
 fn response_budget(client_wait: Duration, time_since_end: Duration) -> Option<Duration> {
--- a/crates/spurdrum-http/src/upstream.rs
+++ b/crates/spurdrum-http/src/upstream.rs
@@ -76,6 +76,8 @@
     pub body: RequestBody,
     /// When the node stops waiting.
     pub deadline: Rc<Deadline>,
+    /// Returns whether the client is still connected, as far as can be known.
+    pub is_client_present: Box<dyn Fn() -> bool>,
     /// The affinity key of the request.
     pub affinity_key: Option<AffinityKey>,
     /// The known parts of the key that the response may assign.
@@ -381,8 +383,10 @@
             }
             // Time has passed since the decision: a server that is draining by now gets nothing new, and no
             // attempt begins for a client that has left or whose time is up.
-            let is_late = forward.is_some_and(|forward| forward.deadline.remaining().is_zero());
-            if is_late
+            let is_unwanted = |forward: &ForwardRequest| {
+                forward.deadline.remaining().is_zero() || !(forward.is_client_present)()
+            };
+            if forward.is_some_and(is_unwanted)
                 || attempt.is_some_and(|(_, cancellation)| !server.ready.get() || !cancellation.try_begin())
             {
                 return Reply::without_body(Ending::NotSent);
--- a/crates/spurdrum/tests/node/endings.rs
+++ b/crates/spurdrum/tests/node/endings.rs
@@ -1,6 +1,8 @@
 //! What must still happen when something ends: a client's connection, the process, or the contact with
 //! discovery.
 
+use std::thread;
+
 use super::*;
 
 /// Returns a configuration whose settings forbid cancelling attempts that have begun.
@@ -436,3 +438,55 @@
         }
     }
 }
+
+/// The time after a client's end in which an attempt may still begin, by the pages, and the step in which the
+/// servers of these tests look.
+const DEPARTURE_GRACE: Duration = Duration::from_millis(100);
+
+/// Guards against attempts for a client whose end lies behind more than the node reads ahead.
+#[test]
+fn nothing_begins_for_a_client_that_sent_much_and_left() {
+    let server = Server::start();
+    let node = Node::with_servers(&[&server]);
+    let client = node.client();
+    let all: String = (0..3_000).map(|_| request("pay", 20.0)).collect();
+    let mut writer = client.stream.get_ref().try_clone().expect("cloned");
+    // The system takes all of it, whether or not the node reads.
+    writer.write_all(all.as_bytes()).expect("written");
+    let exchange = server.request();
+    drop(writer);
+    drop(client);
+    let left_at = Instant::now();
+    thread::sleep(2 * DEPARTURE_GRACE);
+    assert!(!server.has_request(), "begun within the grace, or two at once");
+    exchange.answer("503 Busy", "x-not-run: 1\r\n", b"");
+    thread::sleep(5 * DEPARTURE_GRACE);
+    assert!(!server.has_request(), "an attempt began after {:?}", left_at.elapsed());
+    assert_eq!(node.health().status(), 200);
+}
+
+/// The same for a long request whose attempt waits for a connection to its server.
+#[test]
+fn a_long_upload_whose_client_left_while_a_connection_was_awaited_is_not_sent() {
+    let (listener, address, filler) = full_listener();
+    let node = Node::start(&config(&[member("s0", address, "active")]));
+    let mut client = node.client();
+    let text = request("pay", 20.0).replace("content-length: 4", "content-length: 1000000");
+    client.send(&text);
+    client.stream.get_mut().write_all(&[b'b'; 1_000_000 - 4]).expect("written");
+    wait_until("the node does not connect", || pending_connects(address) > 0);
+    drop(client);
+    thread::sleep(2 * DEPARTURE_GRACE);
+    drop(filler);
+    // The connection that filled the queue, then the node's, which the system tries again after a second.
+    drop(listener.accept().expect("accepted"));
+    wait_until("the node's connection does not come up", || pending_connects(address) == 0);
+    listener.set_nonblocking(true).expect("set");
+    let mut received = Vec::new();
+    if let Ok((mut stream, _)) = listener.accept() {
+        stream.set_nonblocking(false).expect("set");
+        // The node ends its connection, or is about to send.
+        stream.read_to_end(&mut received).expect("ended");
+    }
+    assert_eq!(received.len(), 0, "sent for a client that had left");
+}
