Do not repeat a keyed request at the server whose connection broke under it

Callers saw: a keyed request ran twice when the process of its server died under it and another one came up at the same address: that one knows no repeats of the old one's requests. Cause: a retry that is bound to a group goes by the list alone (may_retry_on in rules.rs); the list tells of a new process seconds later, and the node sent the repeat to the address it had just been disconnected from. Class: an address taken for the process that was behind it. Evidence: by hand, a process that dies 0.1 s into a request and another at its address at once: keyed (bound to a cell) 2 runs, one at each process; unsafe 1, safe 2. Change: where repeats are bound to a zone or a cell, a server whose connection broke is no target for the same request any more. Other servers of the group are; where there is none the request fails. Group all goes on as before.

--- a/crates/spurdrum-policy/src/rules.rs
+++ b/crates/spurdrum-policy/src/rules.rs
@@ -237,6 +237,8 @@
     in_flight: bool,
     /// When the attempt may be abandoned because its server is silent.
     abandon_at: f64,
+    /// Whether the connection broke: what is at the server's address now may be another process.
+    broke_off: bool,
     /// Whether the attempt was abandoned, because its server is silent or its answer is presumed lost.
     abandoned: bool,
     /// Value of `Server::answers` by which all attempts sent before this one could have been answered.
@@ -723,7 +725,8 @@
             let probed = first_attempt && pending.reporting.contains(&id);
             let server = self.servers.get_mut(&id).expect("listed");
             let estimated = self.sparse_feedback.then(|| server.estimated_count(now, fleet));
-            let forbidden = ran_first.is_some_and(|first| !may_retry_on(class.effect, first, &server.entry));
+            let forbidden = may_be_replaced(class.effect, id, &pending.attempts)
+                || ran_first.is_some_and(|first| !may_retry_on(class.effect, first, &server.entry));
             if forbidden || first_attempt && !probed && !pending.reporting.is_empty() {
                 continue;
             }
@@ -961,6 +964,7 @@
             load_excess,
             in_flight: true,
             abandon_at: now + after_ms,
+            broke_off: false,
             abandoned: false,
             answers_ahead,
             lost_at,
@@ -1072,7 +1076,7 @@
         let Some(attempt) = pending.attempts.get_mut(outcome.attempt).filter(|a| a.in_flight) else {
             return drop(self.pending.insert(id, pending));
         };
-        attempt.in_flight = false;
+        (attempt.in_flight, attempt.broke_off) = (false, outcome.ending == Ending::Reset);
         let server = attempt.server;
         outcome.report.into_iter().for_each(|report| self.record_report(now, server, report));
         self.observe(now, &pending, &pending.attempts[outcome.attempt], outcome, actions);
@@ -1239,6 +1243,12 @@
     }
 }
 
+/// Returns whether a server's process may have been replaced since a bound request was sent to it.
+fn may_be_replaced(effect: Effect, server: usize, attempts: &[Attempt]) -> bool {
+    let broke_off = attempts.iter().any(|attempt| attempt.server == server && attempt.broke_off);
+    broke_off && matches!(effect, Effect::Keyed { group: Group::Zone | Group::Cell, .. })
+}
+
 /// Returns whether a request that may have run on the server of `first` may be sent to `other`.
 fn may_retry_on(effect: Effect, first: &Attempt, other: &ServerEntry) -> bool {
     match effect {
--- a/crates/spurdrum-policy/tests/rules.rs
+++ b/crates/spurdrum-policy/tests/rules.rs
@@ -93,6 +93,28 @@
     }
 }
 
+/// Guards against a repeat at a process that has come up at the address of the one that ran the request: the
+/// list tells of it later, and it need not be of the same group.
+#[test]
+fn a_keyed_request_whose_connection_broke_does_not_go_to_the_same_server_again() {
+    for (group, servers_in_cell) in [(Group::Cell, 1), (Group::Cell, 2), (Group::Zone, 1), (Group::All, 1)] {
+        for seed in 0..20 {
+            let mut node = Node::new(one_class(Effect::Keyed { group, window_ms: 500.0 }), seed);
+            let mut entries = ready(0..servers_in_cell);
+            entries.iter_mut().for_each(|entry| entry.cell = 0);
+            node.servers(entries);
+            let first = node.sent_to(1);
+            node.now += 5.0;
+            let actions = node.end(1, 0, 5.0, Ending::Reset);
+            match (group, servers_in_cell) {
+                (Group::All, _) => assert_eq!(send_of(&actions), Some(first)),
+                (_, 1) => assert!(send_of(&actions).is_none() && failed(&actions), "{group:?}"),
+                _ => assert_eq!(send_of(&actions), Some(1 - first)),
+            }
+        }
+    }
+}
+
 #[test]
 fn a_keyed_request_of_group_all_may_be_refused_after_it_ran() {
     let mut settings = one_class(Effect::Keyed { group: Group::All, window_ms: 500.0 });
