Keep no connection whose server answered before the request was written

Callers saw: an upload that a full server turned away early left its connection among the idle ones; the next upload on it came to no server, or had no answer in its time, and bodies ran with pieces missing. Cause: read_response gave the connection back whether or not the request had been written to its end, and hyper's task on it still owned the upload, which read pieces that belonged to the next attempt. Class: a resource that is given back while its last user still holds it. Change: a connection is kept only once the request has been given over whole, and only the last attempt's upload may read the client's body.

--- a/crates/spurdrum-http/src/stream.rs
+++ b/crates/spurdrum-http/src/stream.rs
@@ -96,6 +96,8 @@
     complete: Cell<bool>,
     client_failed: Cell<bool>,
     is_suspended: Cell<bool>,
+    /// The number of uploads that have been created: only the last one may read on.
+    uploads: Cell<u64>,
     observer: RefCell<Option<Box<dyn BodyObserver>>>,
 }
 
@@ -112,6 +114,7 @@
             complete: Cell::new(false),
             client_failed: Cell::new(false),
             is_suspended: Cell::new(false),
+            uploads: Cell::new(0),
             observer: RefCell::default(),
         }
     }
@@ -266,6 +269,8 @@
 /// A client's body on its way to a server.
 pub struct Upload {
     stream: Rc<RequestStream>,
+    /// Its number among the uploads of the stream.
+    number: u64,
     /// How many bytes of the replay buffer have been sent.
     position: usize,
     /// Called when the whole body has been given to hyper.
@@ -277,13 +282,17 @@
     /// Creates an upload that starts at the beginning of the body; returns `None` if the beginning was
     /// discarded. `on_complete` is called when hyper has the whole body.
     pub fn new(stream: &Rc<RequestStream>, on_complete: Rc<dyn Fn()>) -> Option<Self> {
-        let stream = Rc::clone(stream);
-        (!stream.is_prefix_discarded()).then_some(Self {
-            stream,
-            position: 0,
-            on_complete,
-            is_finished: false,
-        })
+        if stream.is_prefix_discarded() {
+            return None;
+        }
+        let (stream, number) = (Rc::clone(stream), stream.uploads.get() + 1);
+        stream.uploads.set(number);
+        Some(Self { stream, number, position: 0, on_complete, is_finished: false })
+    }
+
+    /// Returns whether no other attempt has taken the body over.
+    fn is_current(&self) -> bool {
+        self.stream.uploads.get() == self.number
     }
 
     fn finish(&mut self) {
@@ -306,7 +315,7 @@
 impl Drop for Upload {
     fn drop(&mut self) {
         // Until another attempt reads on, the delay is not the client's.
-        if !self.stream.complete.get() {
+        if self.is_current() && !self.stream.complete.get() {
             self.stream.set_suspended(true);
         }
     }
@@ -314,6 +323,10 @@
 
 impl BodyStream for Upload {
     fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
+        // hyper may hold on to the body of an attempt that has ended: it would take pieces from the next one.
+        if !self.is_current() {
+            return Poll::Ready(Some(Err("another attempt sends the request body".into())));
+        }
         if let Some(data) = self.next_buffered() {
             if self.stream.complete.get() && self.position == self.stream.replay_buffer.borrow().len() {
                 self.finish();
--- a/crates/spurdrum-http/src/upstream.rs
+++ b/crates/spurdrum-http/src/upstream.rs
@@ -431,7 +431,8 @@
                 self.keys.as_ref().and_then(|keys| response.headers().get(keys.response_header()?).cloned());
             let server_time = streamed_body
                 .map(|_| connection.socket.written_at.get().map_or(Duration::ZERO, |at| at.elapsed()));
-            let mut reply = read_response(&self.connections, response, connection, &server, forward).await;
+            let mut reply =
+                read_response(&self.connections, response, connection, &server, forward, sent).await;
             if reply.ending != Ending::Reset {
                 progress.close_delay.set(None);
             }
@@ -612,8 +613,12 @@
     connection: Connection,
     server: &Rc<Server>,
     forward: Option<&ForwardRequest>,
+    sent: &Rc<Cell<bool>>,
 ) -> AttemptReply {
     let (head, mut body) = response.into_parts();
+    // The next request would wait for the rest of one that is answered early.
+    let (is_probe, sent) = (forward.is_none(), Rc::clone(sent));
+    let is_reusable = move || is_probe || sent.get();
     let header_text = |name: &str| head.headers.get(name).and_then(|value| value.to_str().ok());
     let report = header_text("x-load").and_then(parse_load_report);
     let not_run = header_text("x-not-run") == Some("1");
@@ -663,7 +668,9 @@
         }
     };
     if complete {
-        server.return_connection(connection);
+        if is_reusable() {
+            server.return_connection(connection);
+        }
         if let Some(memory) = &mut memory {
             memory.shrink_to(received.len() as u64);
         }
@@ -680,8 +687,12 @@
     }
     let (end_sender, body_end) = oneshot::channel();
     let origin = Rc::clone(server);
-    let download =
-        Download::new(body, received, length, move || origin.return_connection(connection), end_sender);
+    let on_complete = move || {
+        if is_reusable() {
+            origin.return_connection(connection);
+        }
+    };
+    let download = Download::new(body, received, length, on_complete, end_sender);
     let body = ServedResponse { body: ResponseBody::Streamed(download), affinity_header: None, memory };
     Reply { body: Some(body), body_end: Some(body_end), ..reply(Ending::Served) }
 }
--- a/crates/spurdrum/tests/node/uploads.rs
+++ b/crates/spurdrum/tests/node/uploads.rs
@@ -243,3 +243,48 @@
 fn an_upload_to_a_server_that_stops_reading_is_answered_in_its_clients_time() {
     assert_in_time(&uploads_through(&[start_server(Reading::StopsAfter(20_000))], 6_000_000));
 }
+
+/// Answers the head of a request with 503 as a full server does, and reads on. Returns how many bytes come
+/// before the node ends the connection.
+fn turn_away_early(mut stream: TcpStream) -> usize {
+    let (mut received, mut buffer) = (0, vec![0; 64 * 1024]);
+    let mut is_answered = false;
+    loop {
+        match stream.read(&mut buffer) {
+            Ok(0) | Err(_) => return received,
+            Ok(read) => received += read,
+        }
+        if !std::mem::replace(&mut is_answered, true) {
+            let answer = b"HTTP/1.1 503 Busy\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n";
+            stream.write_all(answer).expect("answered");
+        }
+    }
+}
+
+/// Guards against an upload that waits for the rest of another one, which was turned away early and whose
+/// connection was kept: it came to no server.
+#[test]
+fn an_upload_that_is_turned_away_early_leaves_no_connection_behind() {
+    const PIECE: usize = 50_000;
+    let full = TcpListener::bind(own_address()).expect("bound");
+    let address = full.local_addr().expect("bound");
+    let node = Node::start(&config(&[member("s0", address, "active")]));
+    let turned_away = thread::spawn(move || {
+        let mut connections = Vec::new();
+        for _ in 0..2 {
+            let (stream, _) = full.accept().expect("accepted");
+            connections.push(thread::spawn(move || turn_away_early(stream)));
+        }
+        connections.into_iter().map(|connection| connection.join().expect("read")).collect::<Vec<_>>()
+    });
+    for framing in BOTH_FRAMINGS {
+        let bytes = long_request("pay", framing, 4 * PIECE, CLIENT_WAIT);
+        let mut client = node.client();
+        // The rest of the body comes after the answer of the server.
+        let sent = client.stream.get_mut().write_all(&bytes[..2 * PIECE]);
+        sent.expect("sent");
+        assert_eq!(client.answer().status(), 503, "{framing:?}");
+    }
+    // Both uploads came to the server, on a connection each.
+    assert!(turned_away.join().expect("served").iter().all(|received| *received > 0));
+}
