Read up to 64 KiB behind a pending request, if there is memory, to see its client's end

Change: 64 KiB, charged as they come (twice their length, as their buffer doubles) and only while there is memory for them; the charge stays over the end of a response.

--- a/crates/spurdrum-admission/src/admission.rs
+++ b/crates/spurdrum-admission/src/admission.rs
@@ -302,7 +302,8 @@
                 self.memory.fits(growth, 0, priority)
             }
             State::Waiting | State::Writing => {
-                let growth = memory::pipelined().saturating_sub(conn.holding.pipelined);
+                let needed = memory::pipelined().max(received + next);
+                let growth = needed.saturating_sub(conn.holding.pipelined);
                 growth == 0 || self.memory.fits(growth, 0, Priority::KnownClient)
             }
             // The body was charged when its head was complete.
--- a/crates/spurdrum-admission/src/lib.rs
+++ b/crates/spurdrum-admission/src/lib.rs
@@ -45,7 +45,7 @@
 
 pub use admission::Admission;
 pub use counts::{Counts, Reason, REASON_COUNT, STATE_COUNT};
-pub use memory::{HeadSize, MemoryUsage, CONNECTION as CONNECTION_MEMORY};
+pub use memory::{HeadSize, MemoryUsage, CONNECTION as CONNECTION_MEMORY, PIPELINED as PIPELINED_MEMORY};
 pub use settings::{Settings, TransferTimeout};
 
 /// The front's identifier of a client connection. An identifier is never reused.
--- a/crates/spurdrum-admission/src/memory.rs
+++ b/crates/spurdrum-admission/src/memory.rs
@@ -38,7 +38,7 @@
 const REQUEST_HEAD_COPIES: u64 = 2;
 const HEADER_FIELD: u64 = 192;
 /// What is received behind a request that is not answered yet: buffers of 16 KiB in three places.
-const PIPELINED: u64 = 48 * KIB;
+pub const PIPELINED: u64 = 48 * KIB;
 
 /// Memory is returned to the system when this part of the limit has been freed, and at least so much.
 const RELEASE_FRACTION: u64 = 16;
--- a/crates/spurdrum-http/src/client.rs
+++ b/crates/spurdrum-http/src/client.rs
@@ -11,7 +11,7 @@
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use hyper::body::{Body, Frame, SizeHint};
 use rustix::event::{poll, PollFd, PollFlags, Timespec};
-use spurdrum_admission::{Event, State};
+use spurdrum_admission::{Event, State, PIPELINED_MEMORY};
 use spurdrum_core::{sleep_and_catch_up, ConnectionPermit, InflightRequest, NodeMetrics, RequestResult};
 use spurdrum_tcp_info::{since_last_data, unacknowledged_bytes};
 use tokio::io::{Interest, ReadBuf};
@@ -29,7 +29,9 @@
 pub const MAX_HEADERS: usize = 100;
 
 /// The most bytes that are read behind a pending request to find out whether its client is still connected.
-const MAX_PREFETCHED: usize = 16 * 1024;
+const MAX_PREFETCHED: usize = 64 * 1024;
+/// How many of these bytes are charged together with the other buffers behind a pending request.
+const PREFETCHED_CHARGED: usize = 16 * 1024;
 /// The size of the pieces in which these bytes are read.
 const READ_CHUNK_BYTES: usize = 4 * 1024;
 /// The most bytes of a head that are read at once.
@@ -116,6 +118,21 @@
     rustix::io::ioctl_fionread(stream).unwrap_or_default()
 }
 
+/// Returns the memory of what is read behind a pending request, `bytes` of it before hyper asked for them. Their
+/// buffer doubles as it grows.
+fn prefetch_memory(bytes: usize) -> u64 {
+    PIPELINED_MEMORY + 2 * bytes as u64
+}
+
+/// Why reading behind a pending request has ended.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Lookahead {
+    /// The connection has ended.
+    End,
+    /// No more may be buffered.
+    Full,
+}
+
 /// The head of a request, as it was received.
 pub struct ReceivedHead {
     /// How it delimits its body.
@@ -241,8 +258,7 @@
     /// called only from the task that drives hyper.
     pub async fn client_departed(&self) {
         loop {
-            poll_fn(|cx| self.poll_client_departed(cx)).await;
-            if self.prefetched.borrow().len() < MAX_PREFETCHED {
+            if poll_fn(|cx| self.poll_client_departed(cx)).await == Lookahead::End {
                 return;
             }
             // Too much input arrives to buffer all of it; only the event loop can tell whether the stream
@@ -255,25 +271,28 @@
         }
     }
 
-    /// Is also ready when as much has been buffered as is allowed.
-    fn poll_client_departed(&self, cx: &mut Context<'_>) -> Poll<()> {
+    /// Reads behind a pending request until the connection ends there, or no more may be buffered.
+    fn poll_client_departed(&self, cx: &mut Context<'_>) -> Poll<Lookahead> {
         while self.awaiting_response.get()
             && self.is_request_complete()
             && !self.read_ahead.borrow().is_empty()
         {
-            let mut prefetched = self.prefetched.borrow_mut();
-            if prefetched.len() >= MAX_PREFETCHED {
-                return Poll::Ready(());
+            if !self.may_prefetch() {
+                return Poll::Ready(Lookahead::Full);
             }
             if ready!(self.stream.poll_read_ready(cx)).is_err() {
-                return Poll::Ready(());
+                return Poll::Ready(Lookahead::End);
             }
-            let capacity = MAX_PREFETCHED - prefetched.len();
-            prefetched.reserve(capacity.min(READ_CHUNK_BYTES));
-            match self.stream.try_read_buf(&mut (&mut *prefetched).limit(capacity)) {
+            let mut prefetched = self.prefetched.borrow_mut();
+            prefetched.reserve(READ_CHUNK_BYTES);
+            match self.stream.try_read_buf(&mut (&mut *prefetched).limit(READ_CHUNK_BYTES)) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => self.record_empty(),
-                Ok(n) if n > 0 => self.record_arrival(n),
-                _ => return Poll::Ready(()),
+                Ok(n) if n > 0 => {
+                    drop(prefetched);
+                    self.record_arrival(n);
+                    self.charge_prefetched();
+                }
+                _ => return Poll::Ready(Lookahead::End),
             }
         }
         Poll::Pending
@@ -308,6 +327,23 @@
         stalled_for
     }
 
+    /// Returns whether more may be read behind a pending request: up to a limit, and if there is memory.
+    fn may_prefetch(&self) -> bool {
+        let bytes = self.prefetched.borrow().len();
+        bytes < MAX_PREFETCHED
+            && (bytes + READ_CHUNK_BYTES <= PREFETCHED_CHARGED
+                || self.permit.may_read(prefetch_memory(bytes) as usize, 2 * READ_CHUNK_BYTES))
+    }
+
+    /// Charges what has been read behind a pending request beyond what is charged anyway.
+    fn charge_prefetched(&self) {
+        let bytes = self.prefetched.borrow().len();
+        if bytes > PREFETCHED_CHARGED {
+            let bytes = prefetch_memory(bytes);
+            self.permit.handle_event(Event::Pipelined { id: self.permit.id, bytes });
+        }
+    }
+
     /// Returns whether the client has closed its side or reset the connection, with nothing left to read
     /// before that.
     pub fn is_closed(&self) -> bool {
@@ -461,6 +497,7 @@
         if behind_request > 0 && is_pending() {
             self.permit.handle_event(Event::Pipelined { id, bytes: behind_request as u64 });
         }
+        self.charge_prefetched();
     }
 
     fn written(&self, bytes: usize) {
@@ -474,6 +511,7 @@
         if self.writing_response.get() && self.hyper_has_response.get() {
             self.writing_response.set(false);
             self.permit.handle_event(Event::ResponseWritten { id: self.permit.id });
+            self.charge_prefetched();
             let read_ahead = self.read_ahead.borrow().len() as u64;
             if read_ahead > 0 {
                 self.permit.handle_event(Event::Received { id: self.permit.id, bytes: read_ahead });
