Ask the event loop, not poll, whether a client has closed its connection

Need: everything else that the node learns of its sockets comes through the event loop; a second way may tell otherwise where a platform leads the sockets' calls elsewhere. Change: Socket::is_client_present looks at the readiness that tokio has, and takes no feature of rustix.

--- a/crates/spurdrum-http/src/client.rs
+++ b/crates/spurdrum-http/src/client.rs
@@ -1,16 +1,15 @@
 //! The socket of a client: the bytes received on it, and the responses written to it.
 
 use std::cell::{Cell, RefCell};
-use std::future::poll_fn;
+use std::future::{poll_fn, Future};
 use std::io;
-use std::pin::Pin;
+use std::pin::{pin, Pin};
 use std::rc::Rc;
-use std::task::{ready, Context, Poll};
+use std::task::{ready, Context, Poll, Waker};
 use std::time::Duration;
 
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use hyper::body::{Body, Frame, SizeHint};
-use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use spurdrum_admission::{Event, State, PIPELINED_MEMORY};
 use spurdrum_core::{sleep_and_catch_up, ConnectionPermit, InflightRequest, NodeMetrics, RequestResult};
 use spurdrum_tcp_info::{since_last_data, unacknowledged_bytes};
@@ -105,12 +104,14 @@
     }
 }
 
-/// Returns whether the peer has closed or reset the connection, or its side of it, behind whatever is unread.
+/// Returns whether the peer has closed or reset the connection, or its side of it, behind whatever is unread, as
+/// far as the event loop knows.
 fn has_ended(stream: &TcpStream) -> bool {
-    let mut polled = [PollFd::new(stream, PollFlags::RDHUP)];
-    // If the system cannot tell, the connection counts as open.
-    let is_ready = poll(&mut polled, Some(&Timespec::default())).is_ok_and(|ready| ready > 0);
-    is_ready && polled[0].revents().intersects(PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR)
+    let readiness = pin!(stream.ready(Interest::READABLE));
+    match readiness.poll(&mut Context::from_waker(Waker::noop())) {
+        Poll::Ready(ready) => ready.map_or(true, |ready| ready.is_read_closed()),
+        Poll::Pending => false,
+    }
 }
 
 /// Returns how many bytes the socket holds; none if the system does not tell.
