--- a/crates/spurdrum/tests/net/mod.rs
+++ b/crates/spurdrum/tests/net/mod.rs
@@ -303,6 +303,11 @@
         }
     }
 
+    /// Returns whether the process has not exited.
+    pub fn is_running(&mut self) -> bool {
+        self.child.try_wait().expect("asked").is_none()
+    }
+
     pub fn wait(&mut self) -> ExitStatus {
         let since = Instant::now();
         loop {
