Serve a long upload on a connection that has rested

Cause: a client counted as there only when little was unread; when much comes at once after a rest, the last such moment is as old as the rest. Change: what comes after the socket was found empty shows its client to be there as well.

--- a/crates/spurdrum-http/src/arrival.rs
+++ b/crates/spurdrum-http/src/arrival.rs
@@ -75,6 +75,11 @@
         self.mark(now, unread);
     }
 
+    /// Returns whether the socket was empty when it was last looked at.
+    pub fn is_empty(&self) -> bool {
+        self.empty_since.is_some()
+    }
+
     /// Returns when the client can have sent the last of the bytes that have been received, at the earliest.
     pub fn earliest_end(&self, now: Instant) -> Instant {
         self.earliest_end_at(now, self.received)
--- a/crates/spurdrum-http/src/client.rs
+++ b/crates/spurdrum-http/src/client.rs
@@ -230,10 +230,13 @@
         // If the system cannot tell, the bytes count as read at once.
         let time_in_socket = since_last_data(&self.stream).unwrap_or_default().saturating_sub(KERNEL_TICK);
         let unread = unread_bytes(&self.stream);
-        self.arrival.borrow_mut().received(Instant::now(), bytes as u64, time_in_socket, unread);
-        if unread < MAX_UNREAD_BEFORE_END {
-            self.last_present_at.set(Instant::now());
+        let now = Instant::now();
+        // What has come since the socket was empty was sent by a client that was there.
+        let was_empty = self.arrival.borrow().is_empty();
+        if was_empty || unread < MAX_UNREAD_BEFORE_END {
+            self.last_present_at.set(now.checked_sub(time_in_socket).unwrap_or(now));
         }
+        self.arrival.borrow_mut().received(now, bytes as u64, time_in_socket, unread);
     }
 
     /// Returns whether the client is connected as far as can be known: an attempt may begin for it.
--- a/crates/spurdrum/tests/node/uploads.rs
+++ b/crates/spurdrum/tests/node/uploads.rs
@@ -288,3 +288,20 @@
     // Both uploads came to the server, on a connection each.
     assert!(turned_away.join().expect("served").iter().all(|received| *received > 0));
 }
+
+/// Guards against a client that is taken for gone because it sends much at once after a rest.
+#[test]
+fn a_long_upload_on_a_connection_that_rested_is_served() {
+    const REST: Duration = Duration::from_millis(300);
+    let server = Server::start();
+    let node = Node::with_servers(&[&server]);
+    let mut client = node.client();
+    for body_bytes in [4, 300_000, 1_000_000] {
+        let bytes = long_request("pay", BodyFraming::Length, body_bytes, CLIENT_WAIT);
+        client.stream.get_mut().write_all(&bytes).expect("sent");
+        let exchange = forwarded_or_answered(&client, &server).expect("the request is refused");
+        exchange.answer(OK, "", b"");
+        assert_eq!(client.answer().status(), 200, "{body_bytes} bytes");
+        thread::sleep(REST);
+    }
+}
