Review case 7: requests sent at once lose their answers at the end of a process

Reason: an independent review; a request that a node has read has to get its one final answer, also at a planned restart. Change: a case with its script. Result: behind the refusal that follows the final notice, requests read from the same write get no answer.

--- a/review/rig-2/src/main.rs
+++ b/review/rig-2/src/main.rs
@@ -1,6 +1,7 @@
 //! `rig-2 CASE ROOT FOLDER`: plays one case of the review and writes `record.txt` into its folder. The exit code is 0
 //! if the rule held, 1 if it was broken, and 2 if the case could not run. `TROUBLE=0` leaves the disruption out.
 
+mod pipelined;
 mod queued;
 mod rig;
 
@@ -26,6 +27,7 @@
     record.say(format!("case {case}, {}", if trouble { "with the disruption" } else { "without the disruption" }));
     let done = watchdog(std::time::Duration::from_secs(110), &record);
     let play = match case.as_str() {
+        "pipelined" => pipelined::play,
         "queued" => queued::play,
         _ => {
             eprintln!("no such case");
