--- a/review/rig-2/src/main.rs
+++ b/review/rig-2/src/main.rs
@@ -3,6 +3,7 @@
 
 mod pipelined;
 mod queued;
+mod restart;
 mod rig;
 
 use std::path::PathBuf;
@@ -29,6 +30,7 @@
     let play = match case.as_str() {
         "pipelined" => pipelined::play,
         "queued" => queued::play,
+        "restart" => restart::play,
         _ => {
             eprintln!("no such case");
             exit(2)
