Let a request carry its rules from its head to its end, through reloads

Cause: a request named its class by its index in the settings in force, and its rules were taken when it reached the decisions. Between that and its head it may wait for the first list, where nobody mapped the index at a reload, and for its body, behind which its head was read once more under the new settings.

Change: Request::rules (class with effect, window, group and times, and the number of attempts) is taken once, as the head is read. The index only says where latency is learned and whose quota is used; it is mapped wherever a request is kept (NewSettings::class_index).

--- a/crates/spurdrum-core/src/node.rs
+++ b/crates/spurdrum-core/src/node.rs
@@ -338,6 +338,9 @@
     pub fn reload(self: &Rc<Self>, new: NewSettings, max_pending: usize) {
         self.settings.replace(Rc::new(new.settings.clone()));
         self.max_pending.set(max_pending);
+        if let Some(startup_queue) = self.startup_queue.borrow_mut().as_mut() {
+            startup_queue.reload(&new);
+        }
         self.handle(Event::Reload(Box::new(new)));
     }
 
@@ -443,10 +446,11 @@
         let preferred_server = preferred_server.and_then(|(affinity, affinity_key)| {
             affinity.borrow_mut().preferred_server(self.now(), affinity_key)
         });
+        let rules = request.rules.or_else(|| self.settings().rules_of(request.class));
         let pending = PendingRequest {
             request: Rc::new(transport_request),
             accepted_at: Instant::now(),
-            is_repeatable: self.is_repeatable(request.class),
+            is_repeatable: rules.is_some_and(|rules| rules.class.effect == Effect::Safe),
             may_have_run: false,
             answer: Some(answer),
             attempts: Vec::new(),
@@ -454,7 +458,7 @@
         };
         self.requests.borrow_mut().insert(id, pending);
         self.trace_request(id, |id| TraceEvent::Asked { id, class: request.class });
-        let request = Request { id, preferred_server, ..request };
+        let request = Request { id, preferred_server, rules, ..request };
         if self.is_starting() {
             self.queue_request(request);
         } else {
@@ -636,11 +640,6 @@
 
     // ---- Requests that have begun
 
-    /// Returns whether requests of a class may be repeated freely.
-    fn is_repeatable(&self, class: usize) -> bool {
-        self.settings().classes.get(class).is_some_and(|class| class.effect == Effect::Safe)
-    }
-
     /// Returns the cancellation of a new attempt of a request.
     fn cancellation_of(self: &Rc<Self>, pending: &PendingRequest<T>) -> Cancellation {
         if pending.is_repeatable {
--- a/crates/spurdrum-core/src/startup_queue.rs
+++ b/crates/spurdrum-core/src/startup_queue.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use spurdrum_policy::{Request, RequestId};
+use spurdrum_policy::{NewSettings, Request, RequestId};
 use tokio::time::Instant;
 
 /// The largest share of its time that a request waits. If it is refused by then, its client has time to try
@@ -35,6 +35,15 @@
         position.and_then(|position| self.queue.remove(position)).is_some()
     }
 
+    /// Lets the requests refer to their classes and tenants by the indices of new settings. Each keeps the
+    /// rules that it carries.
+    pub fn reload(&mut self, new: &NewSettings) {
+        for QueuedRequest { request, .. } in &mut self.queue {
+            request.class = new.class_index(request.class);
+            request.tenant = new.tenant_index(request.tenant);
+        }
+    }
+
     /// Removes and returns all requests, each with the time that is left to it.
     pub fn drain_all(&mut self, now: Instant) -> Vec<Request> {
         let remaining = |QueuedRequest { request, arrived }: QueuedRequest| {
--- a/crates/spurdrum-http/src/request.rs
+++ b/crates/spurdrum-http/src/request.rs
@@ -12,7 +12,7 @@
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use spurdrum_admission::{Event, HeadSize, Reason, Verdict};
 use spurdrum_core::{Answer, ConnectionPermit, InflightRequest, NotAccepted, RequestResult};
-use spurdrum_policy::{Effect, RequestId};
+use spurdrum_policy::{Effect, RequestId, NO_INDEX};
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
@@ -173,8 +173,8 @@
     };
     disposition.inflight = Some(node.metrics.start_request());
     if !Rc::ptr_eq(&names, &front.names.borrow()) {
-        // The settings were reloaded meanwhile: a request follows those in force when it is accepted.
-        parsed = parse_head(front, &head.method, &head.headers);
+        let now = parse_head(front, &head.method, &head.headers);
+        parsed = parsed.map(|parsed| after_reload(parsed, &now)).or(now);
     }
     let parsed = parsed.and_then(|parsed| match head.method == Method::GET && body.has_bytes() {
         true => Err("GET has no body\n"),
@@ -455,12 +455,11 @@
     }
 }
 
+/// How long the client of a request waits, and what it requests.
+type ParsedHead = (Duration, spurdrum_policy::Request);
+
 /// Returns how long the client waits and what it requests, or the error message for its response.
-fn parse_head(
-    front: &Front,
-    method: &Method,
-    headers: &HeaderMap,
-) -> Result<(Duration, spurdrum_policy::Request), &'static str> {
+fn parse_head(front: &Front, method: &Method, headers: &HeaderMap) -> Result<ParsedHead, &'static str> {
     // A repeated field could mean one thing here and another at a server.
     let is_repeated = |name: &&str| headers.get_all(*name).iter().nth(1).is_some();
     let key_header_repeated =
@@ -502,6 +501,7 @@
     let cost_us = text("x-cost-hint").and_then(|text| text.parse::<f64>().ok());
     let request = spurdrum_policy::Request {
         tenant,
+        rules: settings.rules_of(class),
         cost_ms: cost_us.filter(|us| us.is_finite() && *us >= 0.0).map(|us| us / 1000.0),
         client_retry: text("x-retry") == Some("1"),
         ..spurdrum_policy::Request::new(RequestId(0), class, 0.0)
@@ -509,6 +509,15 @@
     Ok((client_wait, request))
 }
 
+/// Returns a request whose head was read before the settings were reloaded, as read then and, in `now`, under
+/// the new settings: it keeps its rules, and refers to its class and tenant by their new indices.
+fn after_reload(parsed: ParsedHead, now: &Result<ParsedHead, &'static str>) -> ParsedHead {
+    let (client_wait, request) = parsed;
+    let (class, tenant) =
+        now.as_ref().map_or((NO_INDEX, NO_INDEX), |(_, request)| (request.class, request.tenant));
+    (client_wait, spurdrum_policy::Request { class, tenant, ..request })
+}
+
 /// A body, or the beginning of a long one.
 enum ReceivedBody {
     Buffered(Bytes),
--- a/crates/spurdrum-policy/src/interface.rs
+++ b/crates/spurdrum-policy/src/interface.rs
@@ -142,6 +142,13 @@
 }
 
 impl Settings {
+    /// Returns the rules for a request of a class; none if there is no such class.
+    #[must_use]
+    pub fn rules_of(&self, class: usize) -> Option<RequestRules> {
+        let class = self.classes.get(class).copied()?;
+        Some(RequestRules { class, max_attempts: self.max_attempts })
+    }
+
     /// Returns settings for a single node with these classes. All else has the values of a deployment
     /// without restrictions.
     #[must_use]
@@ -296,15 +303,28 @@
     Failed,
 }
 
+/// What a request is subject to from its arrival to its end, whatever settings replace those it came under.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RequestRules {
+    /// The request's class.
+    pub class: Class,
+    /// See [`Settings::max_attempts`].
+    pub max_attempts: usize,
+}
+
 /// A client's request.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Request {
     /// The request's id.
     pub id: RequestId,
-    /// Index of the request's class.
+    /// Index of the request's class in the present settings, under which its latency is learned; an index
+    /// without a class if the settings have dropped it.
     pub class: usize,
-    /// Index of the request's tenant.
+    /// Index of the request's tenant in the present settings, as for the class.
     pub tenant: usize,
+    /// The rules that the request arrived under. Without them, those of its class in the present settings
+    /// apply from now on.
+    pub rules: Option<RequestRules>,
     /// Time that the client will still wait for this try.
     pub budget_ms: f64,
     /// Work that the request is expected to need, in time on a standard core.
@@ -320,7 +340,16 @@
     /// Returns a request of the first tenant that is not a client's retry.
     #[must_use]
     pub fn new(id: RequestId, class: usize, budget_ms: f64) -> Self {
-        Self { id, class, tenant: 0, budget_ms, cost_ms: None, client_retry: false, preferred_server: None }
+        Self {
+            id,
+            class,
+            tenant: 0,
+            rules: None,
+            budget_ms,
+            cost_ms: None,
+            client_retry: false,
+            preferred_server: None,
+        }
     }
 }
 
@@ -443,6 +472,29 @@
     pub tenants: Vec<Option<usize>>,
 }
 
+/// The index of a class or tenant that the settings do not have.
+pub const NO_INDEX: usize = usize::MAX;
+
+impl NewSettings {
+    /// Returns the index that the new settings give a class of the settings before; [`NO_INDEX`] if they have
+    /// dropped it.
+    #[must_use]
+    pub fn class_index(&self, old: usize) -> usize {
+        index_after(&self.classes, old)
+    }
+
+    /// Returns the index that the new settings give a tenant of the settings before, as for a class.
+    #[must_use]
+    pub fn tenant_index(&self, old: usize) -> usize {
+        index_after(&self.tenants, old)
+    }
+}
+
+/// Returns the position of `old` among the former indices of the new entries.
+fn index_after(former: &[Option<usize>], old: usize) -> usize {
+    former.iter().position(|index| *index == Some(old)).unwrap_or(NO_INDEX)
+}
+
 /// An input of the balancer.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
--- a/crates/spurdrum-policy/src/rules.rs
+++ b/crates/spurdrum-policy/src/rules.rs
@@ -479,18 +479,18 @@
 
     /// Replaces the settings; what was learned is kept.
     fn reload(&mut self, new: NewSettings, actions: &mut Vec<Action>) {
-        let NewSettings { settings, classes, tenants } = new;
-        let Ok(fresh) = Self::new(settings, 0) else {
+        let Ok(fresh) = Self::new(new.settings.clone(), 0) else {
             return actions.push(Action::Note("invalid new settings are ignored".into()));
         };
+        for pending in self.pending.values_mut() {
+            pending.class = new.class_index(pending.class);
+        }
+        let NewSettings { classes, tenants, .. } = new;
         let old = |of: &[Option<usize>], i: usize| of.get(i).copied().flatten();
         let latency = |i| old(&classes, i).and_then(|k| self.classes.get(k)).copied().unwrap_or_default();
         let latencies = (0..fresh.classes.len()).map(latency).collect();
         let quota = |(i, new)| old(&tenants, i).and_then(|k| self.quotas.get(k)).copied().unwrap_or(new);
         let quotas = fresh.quotas.into_iter().enumerate().map(quota).collect();
-        for pending in self.pending.values_mut() {
-            pending.class = classes.iter().position(|of| *of == Some(pending.class)).unwrap_or(usize::MAX);
-        }
         (self.classes, self.quotas, self.settings) = (latencies, quotas, fresh.settings);
         (self.probe_count, self.sparse_feedback, self.mean_objective) =
             (fresh.probe_count, fresh.sparse_feedback, fresh.mean_objective);
@@ -789,13 +789,13 @@
     // ---- The life of a request
 
     fn on_request(&mut self, now: f64, request: &Request, actions: &mut Vec<Action>) {
-        let Some(rules) = self.settings.classes.get(request.class).copied() else {
+        let Some(rules) = request.rules.or_else(|| self.settings.rules_of(request.class)) else {
             return actions.push(Action::Fail { request: request.id });
         };
         let mut pending = Pending {
             class: request.class,
-            rules,
-            max_attempts: self.settings.max_attempts,
+            rules: rules.class,
+            max_attempts: rules.max_attempts,
             deadline_at: now + request.budget_ms,
             attempts: Vec::new(),
             first_run: None,
--- a/crates/spurdrum-policy/tests/orders.rs
+++ b/crates/spurdrum-policy/tests/orders.rs
@@ -1,5 +1,5 @@
 //! Invariants that must hold after every event in random orders of requests, departing clients, outcomes,
-//! lists, probes and timers.
+//! lists, probes, timers and reloads of the settings.
 
 mod common;
 
@@ -11,8 +11,16 @@
 
 const WINDOW_MS: f64 = 300.0;
 const SERVERS: usize = 5;
-const EFFECTS: [Effect; 3] =
-    [Effect::Safe, Effect::Keyed { group: Group::Cell, window_ms: WINDOW_MS }, Effect::Unsafe];
+/// The effects that a class may have, and be given by new settings.
+const EFFECTS: [Effect; 5] = [
+    Effect::Safe,
+    Effect::Keyed { group: Group::Cell, window_ms: WINDOW_MS },
+    Effect::Unsafe,
+    Effect::Keyed { group: Group::Cell, window_ms: WINDOW_MS / 3.0 },
+    Effect::Keyed { group: Group::All, window_ms: 2.0 * WINDOW_MS },
+];
+/// The classes at the start.
+const CLASSES: usize = 3;
 const ENDINGS: [Ending; 8] = [
     Ending::Served,
     Ending::Error,
@@ -26,7 +34,7 @@
 
 /// A request, as the node sees it.
 struct PendingRequest {
-    effect: Effect,
+    rules: RequestRules,
     /// Of each attempt: its server, when it was sent, and whether it is in flight.
     attempts: Vec<(usize, f64, bool)>,
     /// The first attempt that may have run.
@@ -43,18 +51,27 @@
     listed: HashMap<usize, Availability>,
     open_probes: Vec<usize>,
     cancel: bool,
+    settings: Settings,
+    /// Requests that have been read and wait for the node's first list.
+    waiting: Vec<Request>,
+}
+
+/// Returns a class with an effect.
+fn class(effect: Effect) -> Class {
+    Class::new(100.0, 400.0, effect)
 }
 
 impl World {
     fn new(cancel: bool, probes: bool, max_attempts: usize, seed: u64) -> Self {
-        let mut settings = Settings::new(EFFECTS.iter().map(|e| Class::new(100.0, 400.0, *e)).collect());
+        let mut settings = Settings::new(EFFECTS[..CLASSES].iter().copied().map(class).collect());
         (settings.cancel, settings.max_attempts, settings.slow_start_ms) = (cancel, max_attempts, 500.0);
         settings.slow_start_min_capacity = 0.2;
         (settings.probes, settings.responses_carry_load, settings.probe_price) = (probes, !probes, 0.001);
         let (requests, timers, listed, open_probes) =
             (Vec::new(), BTreeMap::new(), HashMap::new(), Vec::new());
-        let mut world =
-            Self { node: Node::new(settings, seed), requests, timers, listed, open_probes, cancel };
+        let node = Node::new(settings.clone(), seed);
+        let waiting = Vec::new();
+        let mut world = Self { node, requests, timers, listed, open_probes, cancel, settings, waiting };
         (0..SERVERS).for_each(|server| world.list(server, Availability::Ready, false));
         world
     }
@@ -84,20 +101,24 @@
                 assert!(request.attempts.iter().all(|(.., in_flight)| !in_flight), "two attempts in flight");
                 assert_eq!(self.listed[&server.0], Availability::Ready, "server {}", server.0);
                 if let Some((first, at, _)) = request.first_run.map(|first| request.attempts[first]) {
-                    assert_ne!(request.effect, Effect::Unsafe, "an unsafe request may have run");
-                    if matches!(request.effect, Effect::Keyed { .. }) {
-                        assert!(
-                            now - at < WINDOW_MS && server.0 / 2 == first / 2,
-                            "sent outside its window or group"
-                        );
+                    let effect = request.rules.class.effect;
+                    assert_ne!(effect, Effect::Unsafe, "an unsafe request may have run");
+                    if let Effect::Keyed { group, window_ms } = effect {
+                        let in_group = group == Group::All || server.0 / 2 == first / 2;
+                        assert!(now - at < window_ms && in_group, "sent outside its window or group");
                     }
                 }
+                let max_attempts = request.rules.max_attempts;
+                assert!(request.attempts.len() < max_attempts, "more than {max_attempts} attempts");
                 request.attempts.push((server.0, now, true));
             }
             Action::Refuse { request, .. } | Action::Fail { request } => {
                 let request = &mut self.requests[request.0 as usize];
                 assert!(!request.client_left, "an answer for a client that has left");
-                let harmless = request.first_run.is_none() || request.effect == Effect::Safe;
+                let harmless = match request.rules.class.effect {
+                    Effect::Safe | Effect::Keyed { group: Group::All, .. } => true,
+                    Effect::Keyed { .. } | Effect::Unsafe => request.first_run.is_none(),
+                };
                 assert!(
                     harmless || matches!(action, Action::Fail { .. }),
                     "a refusal though the request may have run"
@@ -148,6 +169,48 @@
         }
     }
 
+    /// Reads a request of a class of the present settings.
+    fn read_request(&mut self, class: usize) -> Request {
+        let id = RequestId(self.requests.len() as u64);
+        let rules = self.settings.rules_of(class).expect("a class");
+        self.requests.push(PendingRequest {
+            rules,
+            attempts: Vec::new(),
+            first_run: None,
+            answers: 0,
+            client_left: false,
+        });
+        Request { rules: Some(rules), ..Request::new(id, class, 400.0) }
+    }
+
+    /// Reloads the settings: classes are turned round and moved on, one is dropped or added, and one gets
+    /// another effect.
+    fn reload(&mut self, which: usize, pick: usize) {
+        let mut former: Vec<Option<usize>> = (0..self.settings.classes.len()).map(Some).collect();
+        let by = which % former.len();
+        former.rotate_left(by);
+        if which.is_multiple_of(2) {
+            former.reverse();
+        }
+        match which % 3 {
+            0 if former.len() > 1 => drop(former.pop()),
+            1 if former.len() < 2 * CLASSES => former.insert(pick % former.len(), None),
+            _ => {}
+        }
+        let added = class(EFFECTS[which % EFFECTS.len()]);
+        let of = |old: &Option<usize>| old.map_or(added, |old| self.settings.classes[old]);
+        let mut classes: Vec<Class> = former.iter().map(of).collect();
+        let changed = pick % classes.len();
+        classes[changed].effect = EFFECTS[pick % EFFECTS.len()];
+        let settings = Settings { classes, max_attempts: 1 + pick % 3, ..self.settings.clone() };
+        let new = NewSettings { settings, classes: former, tenants: Vec::new() };
+        for request in &mut self.waiting {
+            request.class = new.class_index(request.class);
+        }
+        self.settings = new.settings.clone();
+        self.feed(Event::Reload(Box::new(new)));
+    }
+
     /// Feeds one random event.
     fn step(&mut self, step: u8, which: usize, pick: usize) {
         let open: Vec<usize> = (0..self.requests.len()).filter(|id| self.is_in_flight(*id)).collect();
@@ -156,21 +219,25 @@
             .collect();
         match step {
             0..=2 => {
-                let (class, id) = (pick % 3, self.requests.len());
-                let (attempts, first_run) = (Vec::new(), None);
-                self.requests.push(PendingRequest {
-                    effect: EFFECTS[class],
-                    attempts,
-                    first_run,
-                    answers: 0,
-                    client_left: false,
-                });
-                self.feed(Event::Request(Request::new(RequestId(id as u64), class, 400.0)));
+                let request = self.read_request(pick % self.settings.classes.len());
+                // A request that is handed over at once may leave it to the decisions to take its rules.
+                let rules = request.rules.filter(|_| pick.is_multiple_of(2));
+                self.feed(Event::Request(Request { rules, ..request }));
             }
+            10 => {
+                let request = self.read_request(pick % self.settings.classes.len());
+                self.waiting.push(request);
+            }
+            11 if !self.waiting.is_empty() => {
+                let request = self.waiting.remove(which % self.waiting.len());
+                self.feed(Event::Request(request));
+            }
+            12 => self.reload(which, pick),
             3 | 4 if !open.is_empty() => self.end_attempt(open[which % open.len()], ENDINGS[pick % 8]),
             5 if !unanswered.is_empty() => {
                 let id = unanswered[which % unanswered.len()];
                 self.requests[id].client_left = true;
+                self.waiting.retain(|request| request.id.0 != id as u64);
                 self.feed(Event::ClientGone(RequestId(id as u64)));
             }
             6 => {
@@ -199,12 +266,15 @@
     #[test]
     fn nothing_is_sent_for_a_client_that_left_and_each_other_gets_one_answer(
         (cancel, probes, max_attempts, seed) in (any::<bool>(), any::<bool>(), 1_usize..4, any::<u64>()),
-        steps in prop::collection::vec((0_u8..10, 0_usize..40, 0_usize..24), 1..200),
+        steps in prop::collection::vec((0_u8..13, 0_usize..40, 0_usize..24), 1..200),
     ) {
         let mut world = World::new(cancel, probes, max_attempts, seed);
         for (step, which, pick) in steps {
             world.step(step, which, pick);
         }
+        for request in std::mem::take(&mut world.waiting) {
+            world.feed(Event::Request(request));
+        }
         // All attempts in flight end and all timers fire.
         for _ in 0..20 {
             (0..world.requests.len()).filter(|id| world.is_in_flight(*id)).collect::<Vec<_>>().into_iter().for_each(|id| world.end_attempt(id, Ending::TimedOut));
@@ -213,7 +283,7 @@
         }
         for (id, request) in world.requests.iter().enumerate() {
             prop_assert!(request.client_left || request.answers == 1, "request {id} has {} answers", request.answers);
-            prop_assert!(request.attempts.len() <= max_attempts && request.attempts.iter().all(|(.., in_flight)| !in_flight));
+            prop_assert!(request.attempts.iter().all(|(.., in_flight)| !in_flight));
         }
     }
 }
--- a/crates/spurdrum-simhost/src/wire.rs
+++ b/crates/spurdrum-simhost/src/wire.rs
@@ -247,6 +247,7 @@
                     cost_ms: line.number("cost_ms")?.filter(|_| flags & 1 != 0),
                     client_retry: flags & 2 != 0,
                     preferred_server: None,
+                    rules: None,
                 })
             }
             "ACK_FIRST" => Event::StreamStarted {
--- a/crates/spurdrum/tests/node/retune.rs
+++ b/crates/spurdrum/tests/node/retune.rs
@@ -137,3 +137,56 @@
     server.request().answer(OK, "", b"x");
     assert_eq!(client.answer().status(), 200);
 }
+
+/// Guards against a request that waits for the first list and gets the rules of another class by a reload: an
+/// unsafe one was run at two servers, and then refused.
+#[test]
+fn requests_that_wait_for_the_first_list_keep_their_rules_through_reloads() {
+    let servers = [Server::start(), Server::start()];
+    let (mut config, ops) = config_with_admin(&[&servers[0], &servers[1]]);
+    let node = Node::start_unconfirmed(&config, None);
+    let first_call = node.discovery.request();
+    let mut waiting = [node.client(), node.client()];
+    waiting.iter_mut().for_each(|client| client.send(&request("pay", 20.0)));
+    wait_until(|| metrics(ops)["inflight"] == 2);
+    // Each new configuration drops a class, and adds a safe one where the index of `pay` was.
+    for name in ["list", "show"] {
+        let classes = config["settings"]["classes"].as_array_mut().expect("a list");
+        classes.remove(0);
+        let mut safe = classes[0].clone();
+        (safe["name"], safe["effect"]) = (json!(name), json!("retryable"));
+        classes.push(safe);
+        reload(&node, &config.to_string(), ops, "reconfig_ok");
+    }
+    first_call.answer(OK, "", list(1, false, &[]).to_string().as_bytes());
+    for client in &mut waiting {
+        request_at_either(&servers).1.answer("500 Broken", "", b"");
+        assert_eq!(client.answer().status(), 502, "it may have run");
+    }
+    assert!(!servers.iter().any(Server::has_request), "an unsafe request was sent again");
+}
+
+/// Guards against a request whose body is still on its way getting the rules of a reload that came after its head.
+#[test]
+fn a_request_whose_head_was_read_before_a_reload_keeps_its_rules() {
+    let servers = [Server::start(), Server::start()];
+    let (mut config, ops) = config_with_admin(&[&servers[0], &servers[1]]);
+    let node = Node::start(&config);
+    let text = request("update", 20.0);
+    let (first, rest) = text.split_at(text.len() - 2);
+    let mut client = node.client();
+    client.send(first);
+    // Connections are accepted and read in the order in which they came.
+    (0..2).for_each(|_| assert_eq!(node.health().status(), 200));
+    config["settings"]["classes"][1]["effect"] = json!("fragile");
+    reload(&node, &config.to_string(), ops, "reconfig_ok");
+    client.send(rest);
+    // It came as one that may be repeated.
+    request_at_either(&servers).1.answer("500 Broken", "", b"");
+    request_at_either(&servers).1.answer(OK, "", b"x");
+    assert_eq!(client.answer().status(), 200);
+    // One that comes now may not.
+    client.send(&request("update", 20.0));
+    request_at_either(&servers).1.answer("500 Broken", "", b"");
+    assert_eq!(client.answer().status(), 502);
+}
