Answer each request that was received behind a refused one

Cause: a refusal set close_after, which stands for a next request whose start cannot be found, so the connection closed without a look at what had been received.

Change: Disposition::refused is a fact of its own. The connection closes behind the last request that was received, each gets its answer in order, and the last says `Connection: close`. A refused body that has come whole is read away, since hyper goes on only behind it.

--- a/crates/spurdrum-http/src/connection.rs
+++ b/crates/spurdrum-http/src/connection.rs
@@ -218,7 +218,7 @@
     };
     let memory_bytes =
         if is_streamed { STREAMED_MEMORY_BYTES } else { response.body().size_hint().exact().unwrap_or(0) };
-    if closes_after_response(socket, memory_bytes, disposition.close_after) {
+    if closes_after_response(socket, memory_bytes, &disposition) {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     if is_streamed {
@@ -228,14 +228,16 @@
 }
 
 /// Reports the size of a response to connection admission. Returns whether the connection closes after the
-/// response, which it does in any case if `must_close` is set.
-fn closes_after_response(socket: &Socket, bytes: u64, must_close: bool) -> bool {
+/// response.
+fn closes_after_response(socket: &Socket, bytes: u64, disposition: &Disposition) -> bool {
     let permit = &socket.permit;
+    let must_close = disposition.close_after;
     let decide = |pipelined| {
         permit.handle_event(Event::ResponseReady { id: permit.id, bytes, pipelined })
             == Verdict::CloseAfterResponse
     };
-    let closes = decide(!must_close && socket.has_read_ahead());
+    let pipelined = !must_close && socket.has_read_ahead();
+    let closes = decide(pipelined) || disposition.refused && !pipelined;
     // Another request has already arrived behind this one: it is answered before the connection closes, as it
     // would otherwise be lost.
     if closes && !must_close && socket.has_input() {
--- a/crates/spurdrum-http/src/request.rs
+++ b/crates/spurdrum-http/src/request.rs
@@ -51,6 +51,9 @@
     /// Whether the connection closes after the response because the start of the next request cannot be
     /// determined.
     pub(crate) close_after: bool,
+    /// Whether the request was refused unread: the connection closes behind the requests that were received with
+    /// it, each of which gets its own response.
+    pub(crate) refused: bool,
     /// Keeps the request counted as in flight until the response has been sent; `None` if the client never
     /// completed the request.
     pub(crate) inflight: Option<InflightRequest>,
@@ -76,8 +79,11 @@
         }
         "/_health" => text_response(StatusCode::OK, format!("ready\n{}\n", (front.status)())),
         _ if verdict == Verdict::Refuse || front.final_notice_sent() => {
-            *disposition =
-                Disposition { close_after: true, inflight: Some(front.node.metrics.start_request()) };
+            disposition.refused = true;
+            disposition.inflight = Some(front.node.metrics.start_request());
+            if socket.is_request_complete() {
+                discard_received(request.into_body()).await;
+            }
             refusal_response(front.node.connections.retry_after_ms())
         }
         "/api" => serve_api(front, socket, request, length, disposition).await,
@@ -85,6 +91,11 @@
     }
 }
 
+/// Reads a body that has been received completely and is of no use: hyper goes on behind it only once it is read.
+async fn discard_received(mut body: Incoming) {
+    while let Some(Ok(_)) = body.frame().await {}
+}
+
 /// Returns the most memory that a body holds while it is received.
 pub(crate) fn body_memory(length: Option<u64>) -> u64 {
     length.filter(|length| *length <= MAX_BUFFERED_BODY as u64).unwrap_or(STREAMED_MEMORY_BYTES)
@@ -370,7 +381,7 @@
             reason = permit.body_expired(), if self.is_uploading() => {
                 permit.reading_body.set(false);
                 self.log_own_answer(&format!("its body does not come: {reason:?}"));
-                *disposition = Disposition { close_after: true, inflight: None };
+                *disposition = Disposition { close_after: true, ..Disposition::default() };
                 return expired_body_response(&front.node, reason);
             }
             // A client may wait longer than the settings say: it has to get a response before the process
--- a/crates/spurdrum/tests/node/endings.rs
+++ b/crates/spurdrum/tests/node/endings.rs
@@ -490,3 +490,35 @@
     }
     assert_eq!(received.len(), 0, "sent for a client that had left");
 }
+
+/// Guards against requests that were received behind a refused one and got no answer: after the final notice of a
+/// shutdown, the first refusal closed the connection over them.
+#[test]
+fn requests_received_behind_a_refused_one_are_answered_before_the_process_ends() {
+    const AT_ONCE: usize = 6;
+    let server = Server::start();
+    let mut node = Node::with_servers(&[&server]);
+    let mut clients: Vec<Client> = ["read", "update", "pay"]
+        .into_iter()
+        .map(|class| {
+            let mut client = node.client();
+            let texts: Vec<String> = (0..AT_ONCE).map(|_| request(class, 20.0)).collect();
+            client.send(&texts.concat());
+            client
+        })
+        .collect();
+    // The server hangs through the whole of the shutdown.
+    let _hanging: Vec<Exchange> = clients.iter().map(|_| server.request()).collect();
+    node.terminate();
+    for client in &mut clients {
+        assert_eq!(client.answer().status(), 504);
+        for behind in 1..AT_ONCE {
+            let answer = client.answer();
+            let is_last = behind + 1 == AT_ONCE;
+            assert_eq!(answer.status(), 503);
+            assert_eq!(answer.header("connection"), is_last.then_some("close"), "request {behind}");
+        }
+        assert_eq!(client.rest(), "");
+    }
+    assert!(node.wait().success());
+}
